Lay out modules, core contracts, build scripts and checks

Cause: an empty repository. Change: six Maven modules, the core's contracts between slices (store, requests, limits, claims, peers, events), virtual time and an in-memory store for deterministic runs, the build and start scripts, formatter and linter. Conclusion: slices can be built side by side against the contracts.

--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Keys, queues, shares, fair queueing, deadlines, overload and refusals. */
+package org.basilswitch.admission;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/configuration/Pool.java
@@ -0,0 +1,10 @@
+package org.basilswitch.configuration;
+
+/**
+ * A pool of hosts.
+ *
+ * @param name unique name
+ * @param minAvailableHosts availability budget: hosts that maintenance has to leave active
+ * @param spare whether this is the site's spare pool, which lends hosts to the others
+ */
+public record Pool(String name, int minAvailableHosts, boolean spare) implements ConfigurationRecord {}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -0,0 +1,92 @@
+package org.basilswitch.entry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.configuration.ConfigurationFollower;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerLink;
+import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** One entry host: its slices, wired to a store, peers, a clock and timers. All calls run on one event loop. */
+public final class EntryHost implements AutoCloseable {
+    private final EntryHostOptions options;
+    private final ConfigurationFollower follower;
+    private final RequestBroker broker;
+
+    private EntryHost(EntryHostOptions options, ConfigurationFollower follower, RequestBroker broker) {
+        this.options = options;
+        this.follower = follower;
+        this.broker = broker;
+    }
+
+    /** Wires an entry host; nothing happens until {@link #start}. */
+    public static EntryHost create(
+            EntryHostOptions options,
+            Clock clock,
+            Scheduler scheduler,
+            UniformRandomProvider random,
+            PlatformStore store,
+            PeerLink peers,
+            Telemetry telemetry) {
+        StoreKeys keys = new StoreKeys(options.site());
+        ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
+        RequestBroker broker =
+                FirstServerBroker.create(clock, scheduler, random, follower::current, telemetry, options.self());
+        return new EntryHost(options, follower, broker);
+    }
+
+    /** Reads the configuration and joins the members. */
+    public void start() {
+        follower.start();
+    }
+
+    /** Handles a peer's message. */
+    public void receive(MemberId from, PeerMessage message) {}
+
+    /** The requests' entry point. */
+    public RequestBroker broker() {
+        return broker;
+    }
+
+    /** The configuration in force at this host. */
+    public SiteConfiguration configuration() {
+        return follower.current();
+    }
+
+    /** Whether the balancer may send callers here. */
+    public boolean ready() {
+        return follower.loaded();
+    }
+
+    /** This host. */
+    public Member self() {
+        return options.self();
+    }
+
+    /** The entry hosts of the members record, this one included. */
+    public List<Member> members() {
+        return List.of(options.self());
+    }
+
+    /** Stops accepting requests, completes those accepted, and leaves the members record. */
+    public CompletionStage<Void> leave() {
+        broker.drain();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void close() {
+        follower.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -0,0 +1,29 @@
+package org.basilswitch.event;
+
+/** Counters of the core; docs/METRICS.md lists them and a test holds it against this list. */
+public enum CounterCode {
+    REQUESTS_ACCEPTED("basilswitch.requests.accepted", "queue"),
+    REQUESTS_REFUSED("basilswitch.requests.refused", "reason"),
+    ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
+    ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
+    RETRIES("basilswitch.retries", "reason"),
+    INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
+
+    private final String metric;
+    private final String tagName;
+
+    CounterCode(String metric, String tagName) {
+        this.metric = metric;
+        this.tagName = tagName;
+    }
+
+    /** Micrometer name. */
+    public String metric() {
+        return metric;
+    }
+
+    /** Name of the one tag; empty when there is none. */
+    public String tagName() {
+        return tagName;
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events and counters of the core. */
+package org.basilswitch.event;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/peer/PeerLink.java
@@ -0,0 +1,8 @@
+package org.basilswitch.peer;
+
+/** Sends messages to other entry hosts; messages may be lost, delayed, duplicated or arrive out of order. */
+public interface PeerLink {
+
+    /** Sends a message without waiting for anything. */
+    void send(MemberId to, PeerMessage message);
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry hosts and the link that carries them. */
+package org.basilswitch.peer;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a backend server for an attempt. */
+package org.basilswitch.placement;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStore.java
@@ -0,0 +1,226 @@
+package org.basilswitch.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/**
+ * The state of a key-value store in memory: revisions, transactions, leases, history and watches.
+ *
+ * <p>It answers at once and knows no faults; {@link MemoryStoreClient} adds delays and faults, and the stand-in store
+ * serves it over HTTP. Not safe for use by several threads.
+ */
+public final class MemoryStore {
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final TreeMap<String, Stored> entries = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private final List<Batch> history = new ArrayList<>();
+    private long revision = 1;
+    private long compactRevision;
+    private long nextLeaseId = 1;
+
+    private MemoryStore(Clock clock, Scheduler scheduler) {
+        this.clock = clock;
+        this.scheduler = scheduler;
+    }
+
+    /** Creates an empty store. */
+    public static MemoryStore create(Clock clock, Scheduler scheduler) {
+        return new MemoryStore(clock, scheduler);
+    }
+
+    /** Current revision. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Oldest revision that a watch can still start from. */
+    public long compactRevision() {
+        return compactRevision;
+    }
+
+    /** Reads one key. */
+    public Optional<PlatformStore.Entry> get(String key) {
+        return Optional.ofNullable(entries.get(key)).map(Stored::entry);
+    }
+
+    /** Reads a prefix. */
+    public PlatformStore.Range range(String prefix) {
+        List<PlatformStore.Entry> found = new ArrayList<>();
+        for (Map.Entry<String, Stored> entry : entries.tailMap(prefix, true).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            found.add(entry.getValue().entry());
+        }
+        return new PlatformStore.Range(revision, found);
+    }
+
+    /** Applies a transaction. */
+    public CommitResult commit(Transaction transaction) {
+        List<Optional<PlatformStore.Entry>> current = new ArrayList<>();
+        boolean holds = true;
+        for (Transaction.Compare compare : transaction.compares()) {
+            Optional<PlatformStore.Entry> entry = get(compare.key());
+            current.add(entry);
+            long modRevision = entry.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT);
+            holds &= modRevision == compare.modRevision();
+        }
+        if (!holds) {
+            return new CommitResult.Conflict(revision, current);
+        }
+        apply(transaction.writes());
+        return new CommitResult.Committed(revision);
+    }
+
+    private void apply(List<Transaction.Write> writes) {
+        if (writes.isEmpty()) {
+            return;
+        }
+        revision++;
+        List<PlatformStore.Change> changes = new ArrayList<>();
+        for (Transaction.Write write : writes) {
+            switch (write) {
+                case Transaction.Put put -> changes.add(put(put));
+                case Transaction.Delete delete -> delete(delete.key()).ifPresent(changes::add);
+            }
+        }
+        Batch batch = new Batch(revision, List.copyOf(changes));
+        history.add(batch);
+        List.copyOf(watchers).forEach(watcher -> watcher.offer(batch));
+    }
+
+    private PlatformStore.Change put(Transaction.Put put) {
+        Stored old = entries.get(put.key());
+        long createRevision = old == null ? revision : old.entry().createRevision();
+        PlatformStore.Entry entry = new PlatformStore.Entry(put.key(), put.value(), createRevision, revision);
+        entries.put(put.key(), new Stored(entry, put.leaseId()));
+        return new PlatformStore.Change(put.key(), Optional.of(entry), revision);
+    }
+
+    private Optional<PlatformStore.Change> delete(String key) {
+        return entries.remove(key) == null
+                ? Optional.empty()
+                : Optional.of(new PlatformStore.Change(key, Optional.empty(), revision));
+    }
+
+    /** Grants a lease. */
+    public long grantLease(Duration timeToLive) {
+        Lease lease = new Lease(nextLeaseId++, timeToLive);
+        leases.put(lease.id, lease);
+        lease.extend();
+        return lease.id;
+    }
+
+    /** Extends a lease; false when it has lapsed. */
+    public boolean keepAlive(long leaseId) {
+        Lease lease = leases.get(leaseId);
+        if (lease == null) {
+            return false;
+        }
+        lease.extend();
+        return true;
+    }
+
+    /** Ends a lease and deletes its keys; false when it has lapsed already. */
+    public boolean revokeLease(long leaseId) {
+        if (leases.remove(leaseId) == null) {
+            return false;
+        }
+        List<Transaction.Write> deletes = new ArrayList<>();
+        entries.forEach((key, stored) -> {
+            if (stored.leaseId().isPresent() && stored.leaseId().getAsLong() == leaseId) {
+                deletes.add(new Transaction.Delete(key));
+            }
+        });
+        apply(deletes);
+        return true;
+    }
+
+    /** Whether a lease is granted and has not lapsed. */
+    public boolean hasLease(long leaseId) {
+        return leases.containsKey(leaseId);
+    }
+
+    /** Forgets the history up to a revision; watches from before it are told so. */
+    public void compact(long upToRevision) {
+        compactRevision = Math.max(compactRevision, upToRevision);
+        history.removeIf(batch -> batch.revision() <= upToRevision);
+    }
+
+    /** Watches a prefix; events up to now are delivered during this call. */
+    public PlatformStore.Watch watch(String prefix, long fromRevision, PlatformStore.WatchListener listener) {
+        Watcher watcher = new Watcher(prefix, listener);
+        if (fromRevision <= compactRevision) {
+            listener.onCompacted(compactRevision);
+            return watcher;
+        }
+        for (Batch batch : List.copyOf(history)) {
+            if (batch.revision() >= fromRevision) {
+                watcher.offer(batch);
+            }
+        }
+        watchers.add(watcher);
+        return watcher;
+    }
+
+    private record Stored(PlatformStore.Entry entry, OptionalLong leaseId) {}
+
+    private record Batch(long revision, List<PlatformStore.Change> changes) {}
+
+    private final class Watcher implements PlatformStore.Watch {
+        private final String prefix;
+        private final PlatformStore.WatchListener listener;
+
+        private Watcher(String prefix, PlatformStore.WatchListener listener) {
+            this.prefix = prefix;
+            this.listener = listener;
+        }
+
+        private void offer(Batch batch) {
+            List<PlatformStore.Change> matching = batch.changes().stream()
+                    .filter(change -> change.key().startsWith(prefix))
+                    .toList();
+            if (!matching.isEmpty()) {
+                listener.onChanges(batch.revision(), matching);
+            }
+        }
+
+        @Override
+        public void close() {
+            watchers.remove(this);
+        }
+    }
+
+    private final class Lease {
+        private final long id;
+        private final Duration timeToLive;
+        private long expiresNanos;
+
+        private Lease(long id, Duration timeToLive) {
+            this.id = id;
+            this.timeToLive = timeToLive;
+        }
+
+        private void extend() {
+            expiresNanos = clock.monotonicNanos() + timeToLive.toNanos();
+            scheduler.schedule(timeToLive, this::expireWhenDue);
+        }
+
+        private void expireWhenDue() {
+            if (clock.monotonicNanos() >= expiresNanos) {
+                revokeLease(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -0,0 +1,121 @@
+package org.basilswitch.store;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.time.Scheduler;
+
+/** One client of a {@link MemoryStore}, with its own delays, outages and lost answers, for deterministic runs. */
+public final class MemoryStoreClient implements PlatformStore {
+    private final MemoryStore store;
+    private final Scheduler scheduler;
+    private final UniformRandomProvider random;
+    private Duration oneWayDelay = Duration.ofMillis(1);
+    private Duration timeout = Duration.ofSeconds(1);
+    private double lostAnswerRatio;
+    private boolean reachable = true;
+    private long calls;
+
+    private MemoryStoreClient(MemoryStore store, Scheduler scheduler, UniformRandomProvider random) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.random = random;
+    }
+
+    /** Creates a client without faults and with a delay of 1 ms each way. */
+    public static MemoryStoreClient create(MemoryStore store, Scheduler scheduler, UniformRandomProvider random) {
+        return new MemoryStoreClient(store, scheduler, random);
+    }
+
+    /** Sets the delay of each direction. */
+    public void setOneWayDelay(Duration delay) {
+        oneWayDelay = delay;
+    }
+
+    /** Sets the part of calls whose answers are lost after they took effect, from 0 to 1. */
+    public void setLostAnswerRatio(double ratio) {
+        lostAnswerRatio = ratio;
+    }
+
+    /** Cuts off or reconnects the client. */
+    public void setReachable(boolean reachable) {
+        this.reachable = reachable;
+    }
+
+    /** Number of calls made, a waiting watch counted as one. */
+    public long calls() {
+        return calls;
+    }
+
+    private <T> CompletionStage<Either<StoreError, T>> call(Supplier<Either<StoreError, T>> action) {
+        calls++;
+        CompletableFuture<Either<StoreError, T>> answer = new CompletableFuture<>();
+        scheduler.schedule(timeout, () -> answer.complete(unknown()));
+        if (!reachable) {
+            scheduler.schedule(oneWayDelay, () -> answer.complete(refused()));
+            return answer;
+        }
+        scheduler.schedule(oneWayDelay, () -> {
+            Either<StoreError, T> result = action.get();
+            if (reachable && random.nextDouble() >= lostAnswerRatio) {
+                scheduler.schedule(oneWayDelay, () -> answer.complete(result));
+            }
+        });
+        return answer;
+    }
+
+    private static <T> Either<StoreError, T> unknown() {
+        return Either.left(new StoreError.Unknown(StoreError.Reason.TIMEOUT, "no answer in time"));
+    }
+
+    private static <T> Either<StoreError, T> refused() {
+        return Either.left(new StoreError.Refused(StoreError.Reason.UNREACHABLE, "not connected"));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Optional<Entry>>> get(String key) {
+        return call(() -> Either.right(store.get(key)));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Range>> range(String prefix) {
+        return call(() -> Either.right(store.range(prefix)));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, CommitResult>> commit(Transaction transaction) {
+        return call(() -> Either.right(store.commit(transaction)));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> grantLease(Duration timeToLive) {
+        return call(() -> Either.right(store.grantLease(timeToLive)));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> keepAlive(long leaseId) {
+        return call(() -> lapsedUnless(store.keepAlive(leaseId), leaseId));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> revokeLease(long leaseId) {
+        return call(() -> lapsedUnless(store.revokeLease(leaseId), leaseId));
+    }
+
+    private static Either<StoreError, Long> lapsedUnless(boolean granted, long leaseId) {
+        return granted
+                ? Either.right(leaseId)
+                : Either.left(new StoreError.Refused(StoreError.Reason.LEASE_LAPSED, "lease " + leaseId));
+    }
+
+    @Override
+    public Watch watch(String prefix, long fromRevision, WatchListener listener) {
+        calls++;
+        return ResumingWatch.open(store, scheduler, prefix, fromRevision, listener, () -> reachable, oneWayDelay);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/ResumingWatch.java
@@ -0,0 +1,97 @@
+package org.basilswitch.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import org.basilswitch.time.Scheduler;
+
+/** A watch of a {@link MemoryStore} that is interrupted while its client is cut off and resumes where it was. */
+final class ResumingWatch implements PlatformStore.Watch, PlatformStore.WatchListener {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
+
+    private final MemoryStore store;
+    private final Scheduler scheduler;
+    private final String prefix;
+    private final PlatformStore.WatchListener listener;
+    private final BooleanSupplier reachable;
+    private final Duration oneWayDelay;
+    private Optional<PlatformStore.Watch> inner = Optional.empty();
+    private long nextRevision;
+    private boolean closed;
+
+    private ResumingWatch(
+            MemoryStore store,
+            Scheduler scheduler,
+            String prefix,
+            long fromRevision,
+            PlatformStore.WatchListener listener,
+            BooleanSupplier reachable,
+            Duration oneWayDelay) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.prefix = prefix;
+        this.nextRevision = fromRevision;
+        this.listener = listener;
+        this.reachable = reachable;
+        this.oneWayDelay = oneWayDelay;
+    }
+
+    static ResumingWatch open(
+            MemoryStore store,
+            Scheduler scheduler,
+            String prefix,
+            long fromRevision,
+            PlatformStore.WatchListener listener,
+            BooleanSupplier reachable,
+            Duration oneWayDelay) {
+        ResumingWatch watch =
+                new ResumingWatch(store, scheduler, prefix, fromRevision, listener, reachable, oneWayDelay);
+        scheduler.schedule(oneWayDelay, watch::poll);
+        return watch;
+    }
+
+    private void poll() {
+        if (closed) {
+            return;
+        }
+        if (reachable.getAsBoolean() && inner.isEmpty()) {
+            inner = Optional.of(store.watch(prefix, nextRevision, this));
+        } else if (!reachable.getAsBoolean()) {
+            interrupt();
+        }
+        scheduler.schedule(POLL_INTERVAL, this::poll);
+    }
+
+    private void interrupt() {
+        inner.ifPresent(PlatformStore.Watch::close);
+        inner = Optional.empty();
+    }
+
+    @Override
+    public void onChanges(long revision, List<PlatformStore.Change> changes) {
+        if (!reachable.getAsBoolean()) {
+            interrupt();
+            return;
+        }
+        nextRevision = revision + 1;
+        scheduler.schedule(oneWayDelay, () -> {
+            if (!closed) {
+                listener.onChanges(revision, changes);
+            }
+        });
+    }
+
+    @Override
+    public void onCompacted(long compactRevision) {
+        closed = true;
+        scheduler.schedule(oneWayDelay, () -> listener.onCompacted(compactRevision));
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        interrupt();
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
@@ -0,0 +1,55 @@
+package org.basilswitch.store;
+
+/** The key layout in the platform's store; each site has its own prefix. */
+public record StoreKeys(String site) {
+
+    /** Prefix of all configuration records. */
+    public String configuration() {
+        return "/basilswitch/" + site + "/config/";
+    }
+
+    /** Key of a configuration record, such as {@code teams} and a team's name. */
+    public String configuration(String kind, String name) {
+        return configuration() + kind + "/" + name;
+    }
+
+    /** Key of the record that lists the entry hosts. */
+    public String members() {
+        return "/basilswitch/" + site + "/members";
+    }
+
+    /** Key of a team's allotments. */
+    public String allotment(String team) {
+        return "/basilswitch/" + site + "/allotments/" + team;
+    }
+
+    /** Prefix of all allotments. */
+    public String allotments() {
+        return "/basilswitch/" + site + "/allotments/";
+    }
+
+    /** Key of a claim bucket's fencing record. */
+    public String claimFence(int bucket) {
+        return "/basilswitch/" + site + "/claims/" + bucket + "/fence";
+    }
+
+    /** Prefix of a claim bucket's committed groups. */
+    public String claimGroups(int bucket) {
+        return "/basilswitch/" + site + "/claims/" + bucket + "/groups/";
+    }
+
+    /** Key of a duty's holder, such as a pool's controller. */
+    public String duty(String duty) {
+        return "/basilswitch/" + site + "/duties/" + duty;
+    }
+
+    /** Key of an administration operation's result. */
+    public String operation(String operationId) {
+        return "/basilswitch/" + site + "/operations/" + operationId;
+    }
+
+    /** Prefix of the audit records. */
+    public String audit() {
+        return "/basilswitch/" + site + "/audit/";
+    }
+}
