Add the peer messages' Thrift structs and codec

One envelope struct with one optional field per kind; unknown kinds and fields are told from garbage by a typed error.

--- /dev/null
+++ b/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/PeerCodec.java
@@ -0,0 +1,68 @@
+package org.basilswitch.peer.codec;
+
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolException;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.peer.wire.WireEnvelope;
+
+/**
+ * Encodes peer messages as one Thrift envelope each, in the compact protocol and without a length prefix.
+ *
+ * <p>Unknown fields are skipped and absent ones take zero or empty, so that two versions work side by side.
+ */
+public final class PeerCodec {
+    /** Largest encoded message, in bytes. */
+    public static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+    private static final int INITIAL_BYTES = 256;
+    private static final TConfiguration LIMITS = TConfiguration.custom()
+            .setMaxMessageSize(MAX_MESSAGE_BYTES)
+            .setMaxFrameSize(MAX_MESSAGE_BYTES)
+            .setRecursionLimit(16)
+            .build();
+
+    private PeerCodec() {}
+
+    /** Encodes a message. */
+    public static byte[] encode(PeerMessage message) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+            WireWriter.envelope(message).write(new TCompactProtocol(buffer));
+            byte[] bytes = new byte[buffer.length()];
+            System.arraycopy(buffer.getArray(), 0, bytes, 0, bytes.length);
+            return bytes;
+        } catch (TException e) {
+            throw new IllegalArgumentException("not encodable: " + message.getClass(), e);
+        }
+    }
+
+    /** Decodes a message. */
+    public static Either<DecodeError, PeerMessage> decode(byte[] bytes) {
+        if (bytes.length == 0 || bytes.length > MAX_MESSAGE_BYTES) {
+            return Either.left(new DecodeError.Malformed("length " + bytes.length));
+        }
+        try {
+            WireEnvelope envelope = new WireEnvelope();
+            TMemoryInputTransport input = new TMemoryInputTransport(LIMITS, bytes);
+            envelope.read(new TCompactProtocol(input, bytes.length, bytes.length));
+            if (input.getBytesRemainingInBuffer() > 0) {
+                return Either.left(new DecodeError.Malformed("trailing bytes"));
+            }
+            Optional<PeerMessage> message = WireReader.message(envelope);
+            return message.<Either<DecodeError, PeerMessage>>map(Either::right)
+                    .orElseGet(() -> Either.left(new DecodeError.UnknownKind("no field of this version")));
+        } catch (TProtocolException | TTransportException e) {
+            return Either.left(new DecodeError.Malformed(String.valueOf(e.getMessage())));
+        } catch (TException | RuntimeException e) {
+            return Either.left(new DecodeError.Malformed(e.getClass().getSimpleName()));
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/package-info.java
@@ -0,0 +1,2 @@
+/** The peer messages as Thrift structs in the compact protocol. */
+package org.basilswitch.peer.codec;
