Join the members record, exchange promises and pass configuration changes on between peers

Promises are bound to two revisions, not one: a view is complete up to a revision, and contains a newest known change. With only the former, a host that read the prefix later than its peers, while claims moved the store's revision on, would have refused them all. The members record moves under the configuration's prefix so that one watch follows both; one host per availability zone watches, the others get its changes.

--- a/basilswitch-core/src/main/java/org/basilswitch/configuration/ConfigurationFollower.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/configuration/ConfigurationFollower.java
@@ -11,28 +11,44 @@
 import io.vavr.control.Either;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.peer.PeerMessage.ConfigurationUpdate;
+import org.basilswitch.peer.PeerMessage.RecordChange;
 import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreError;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.Scheduler;
 
-/** Follows the configuration records in the store: one read, then a watch; its view's revision never goes back. */
+/**
+ * Follows the configuration and members records: one read, then a watch or the updates of peers.
+ *
+ * <p>Two revisions describe its view. The view is complete up to {@link #revision}; the newest change that it is
+ * known to contain is {@link #knownRevision}. They differ because reading a prefix does not show the revision of
+ * deletions, and because the store's revision also counts writes outside the configuration. Neither goes back.
+ */
 public final class ConfigurationFollower implements AutoCloseable {
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     private final String prefix;
+    private final String membersKey;
     private final PlatformStore store;
     private final Scheduler scheduler;
     private final Telemetry telemetry;
+    private final Map<String, RecordVersion> versions = new HashMap<>();
     private final Map<String, ConfigurationRecord> records = new HashMap<>();
+    private final RecordHistory history = new RecordHistory();
     private final List<Consumer<SiteConfiguration>> listeners = new ArrayList<>();
+    private final List<Consumer<ConfigurationUpdate>> relays = new ArrayList<>();
     private SiteConfiguration current = SiteConfiguration.empty();
     private Optional<PlatformStore.Watch> watch = Optional.empty();
+    private long knownRevision;
+    private boolean watching = true;
+    private boolean reading;
     private boolean loaded;
     private boolean closed;
 
     private ConfigurationFollower(StoreKeys keys, PlatformStore store, Scheduler scheduler, Telemetry telemetry) {
         this.prefix = keys.configuration();
+        this.membersKey = keys.members();
         this.store = store;
         this.scheduler = scheduler;
         this.telemetry = telemetry;
@@ -46,10 +62,15 @@
 
     /** Starts reading; goes on trying until the store answers. */
     public void start() {
+        if (reading || closed) {
+            return;
+        }
+        reading = true;
         store.range(prefix).thenAccept(this::onRange);
     }
 
     private void onRange(Either<StoreError, PlatformStore.Range> result) {
+        reading = false;
         if (closed) {
             return;
         }
@@ -60,28 +81,144 @@
     }
 
     private void load(PlatformStore.Range range) {
-        if (range.revision() < current.revision()) {
+        if (range.revision() < revision()) {
             scheduler.schedule(RETRY_DELAY, this::start);
             return;
         }
+        List<RecordChange> changes = range.entries().stream()
+                .map(entry -> new RecordChange(entry.key(), Optional.of(entry.value()), entry.modRevision()))
+                .toList();
+        replaceAll(changes, range.revision(), 0);
+        telemetry.event(EventCode.CONFIGURATION_LOADED, "revision=" + range.revision() + " records=" + records.size());
+        openWatch();
+    }
+
+    private void replaceAll(List<RecordChange> changes, long toRevision, long newKnownRevision) {
+        versions.clear();
         records.clear();
-        range.entries().forEach(this::put);
+        history.restart(toRevision);
+        long newest = newKnownRevision;
+        for (RecordChange change : changes) {
+            apply(change);
+            newest = Math.max(newest, change.modRevision());
+        }
         loaded = true;
-        publish(range.revision());
-        telemetry.event(EventCode.CONFIGURATION_LOADED, "revision=" + range.revision() + " records=" + records.size());
-        watch = Optional.of(store.watch(prefix, range.revision() + 1, new Changes()));
+        publish(toRevision, newest);
     }
 
-    private void put(PlatformStore.Entry entry) {
+    private void apply(RecordChange change) {
+        if (change.value().isEmpty()) {
+            versions.remove(change.key());
+            records.remove(change.key());
+            return;
+        }
+        byte[] value = change.value().get();
+        versions.put(change.key(), new RecordVersion(change.key(), value, change.modRevision()));
+        if (change.key().equals(membersKey)) {
+            return;
+        }
+        PlatformStore.Entry entry = new PlatformStore.Entry(change.key(), value, 0, change.modRevision());
         SiteConfiguration.decode(prefix, entry)
                 .ifPresentOrElse(
-                        record -> records.put(entry.key(), record),
-                        () -> telemetry.event(EventCode.CONFIGURATION_RECORD_INVALID, "key=" + entry.key()));
+                        record -> records.put(change.key(), record),
+                        () -> telemetry.event(EventCode.CONFIGURATION_RECORD_INVALID, "key=" + change.key()));
     }
 
-    private void publish(long revision) {
+    private void publish(long revision, long newKnownRevision) {
+        knownRevision = Math.max(knownRevision, newKnownRevision);
         current = SiteConfiguration.of(revision, records.values());
-        listeners.forEach(listener -> listener.accept(current));
+        List.copyOf(listeners).forEach(listener -> listener.accept(current));
+    }
+
+    /** Whether this host itself watches the store, or leaves that to a peer that passes the changes on. */
+    public void setWatching(boolean watching) {
+        if (this.watching == watching) {
+            return;
+        }
+        this.watching = watching;
+        if (watching) {
+            openWatch();
+        } else {
+            closeWatch();
+        }
+    }
+
+    private void openWatch() {
+        if (watching && loaded && watch.isEmpty()) {
+            watch = Optional.of(store.watch(prefix, revision() + 1, new Changes()));
+        }
+    }
+
+    private void closeWatch() {
+        watch.ifPresent(PlatformStore.Watch::close);
+        watch = Optional.empty();
+    }
+
+    /** Takes in a peer's update; ignored when it is old, or does not follow on this view. */
+    public void receive(ConfigurationUpdate update) {
+        if (closed || !loaded || update.toRevision() <= revision()) {
+            return;
+        }
+        if (update.fromRevision() == 0) {
+            replaceAll(update.changes(), update.toRevision(), update.knownRevision());
+        } else if (update.fromRevision() <= revision()) {
+            advance(update.changes(), update.toRevision(), update.knownRevision());
+        } else {
+            return;
+        }
+        telemetry.event(EventCode.CONFIGURATION_RELAYED, "revision=" + update.toRevision());
+    }
+
+    private void advance(List<RecordChange> changes, long toRevision, long newKnownRevision) {
+        for (RecordChange change : changes) {
+            if (change.modRevision() > revision()) {
+                apply(change);
+                history.add(change);
+            }
+        }
+        publish(toRevision, newKnownRevision);
+    }
+
+    /** The update that brings a peer from a revision up to this view. */
+    public ConfigurationUpdate updateAfter(long revision) {
+        Optional<List<RecordChange>> changes = revision == 0 ? Optional.empty() : history.after(revision);
+        return changes.map(found -> new ConfigurationUpdate(revision, revision(), knownRevision, found))
+                .orElseGet(() -> new ConfigurationUpdate(0, revision(), knownRevision, allRecords()));
+    }
+
+    private List<RecordChange> allRecords() {
+        return versions.values().stream()
+                .map(version -> new RecordChange(version.key(), Optional.of(version.value()), version.modRevision()))
+                .toList();
+    }
+
+    /** Learns that there was a change at a revision; it counts as known when this view is complete up to it. */
+    public void raiseKnown(long revision) {
+        if (revision <= revision()) {
+            knownRevision = Math.max(knownRevision, revision);
+        }
+    }
+
+    /** Store revision up to which this view is complete. */
+    public long revision() {
+        return current.revision();
+    }
+
+    /** Newest change of a record that this view is known to contain. */
+    public long knownRevision() {
+        return knownRevision;
+    }
+
+    /** The members record's value; empty when there is none. */
+    public Optional<byte[]> membersValue() {
+        return Optional.ofNullable(versions.get(membersKey)).map(RecordVersion::value);
+    }
+
+    /** Revision of the members record's last change; 0 when there is none. */
+    public long membersRevision() {
+        return Optional.ofNullable(versions.get(membersKey))
+                .map(RecordVersion::modRevision)
+                .orElse(0L);
     }
 
     /** The view in force. */
@@ -99,29 +236,38 @@
         listeners.add(listener);
     }
 
+    /** Registers a callback that is run with the changes that the store's watch delivers, for passing them on. */
+    public void onWatched(Consumer<ConfigurationUpdate> relay) {
+        relays.add(relay);
+    }
+
     @Override
     public void close() {
         closed = true;
-        watch.ifPresent(PlatformStore.Watch::close);
+        closeWatch();
     }
 
     private final class Changes implements PlatformStore.WatchListener {
         @Override
-        public void onChanges(long revision, List<PlatformStore.Change> changes) {
-            if (closed || revision <= current.revision()) {
+        public void onChanges(long toRevision, List<PlatformStore.Change> batch) {
+            if (closed || toRevision <= revision()) {
                 return;
             }
-            for (PlatformStore.Change change : changes) {
-                change.entry().ifPresentOrElse(ConfigurationFollower.this::put, () -> records.remove(change.key()));
-            }
-            publish(revision);
-            telemetry.event(EventCode.CONFIGURATION_APPLIED, "revision=" + revision + " changes=" + changes.size());
+            long fromRevision = revision();
+            List<RecordChange> changes = batch.stream()
+                    .map(change -> new RecordChange(
+                            change.key(), change.entry().map(PlatformStore.Entry::value), change.modRevision()))
+                    .toList();
+            advance(changes, toRevision, toRevision);
+            telemetry.event(EventCode.CONFIGURATION_APPLIED, "revision=" + toRevision + " changes=" + changes.size());
+            ConfigurationUpdate update = new ConfigurationUpdate(fromRevision, toRevision, toRevision, changes);
+            relays.forEach(relay -> relay.accept(update));
         }
 
         @Override
         public void onCompacted(long compactRevision) {
             telemetry.event(EventCode.CONFIGURATION_COMPACTED, "revision=" + compactRevision);
-            watch.ifPresent(PlatformStore.Watch::close);
+            closeWatch();
             start();
         }
     }
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/configuration/RecordHistory.java
@@ -0,0 +1,44 @@
+package org.basilswitch.configuration;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+import org.basilswitch.peer.PeerMessage.RecordChange;
+
+/** The last changes of the configuration, kept for peers that have a gap. */
+final class RecordHistory {
+    private static final int MAX_CHANGES = 512;
+
+    private final Deque<RecordChange> changes = new ArrayDeque<>();
+    private long completeFromRevision;
+
+    /** Forgets everything: the history starts after this revision. */
+    void restart(long revision) {
+        changes.clear();
+        completeFromRevision = revision;
+    }
+
+    void add(RecordChange change) {
+        changes.addLast(change);
+        if (changes.size() > MAX_CHANGES) {
+            completeFromRevision = changes.removeFirst().modRevision();
+        }
+    }
+
+    /** All changes after a revision; empty when some are no longer kept. */
+    Optional<List<RecordChange>> after(long revision) {
+        if (revision < completeFromRevision) {
+            return Optional.empty();
+        }
+        List<RecordChange> found = new ArrayList<>();
+        for (RecordChange change : changes) {
+            if (change.modRevision() > revision) {
+                found.add(change);
+            }
+        }
+        return Optional.of(found);
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -1,7 +1,7 @@
 package org.basilswitch.entry;
 
+import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -9,7 +9,11 @@
 import org.basilswitch.configuration.SiteConfiguration;
 import org.basilswitch.dispatch.RequestBroker;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.InForce;
 import org.basilswitch.membership.Member;
+import org.basilswitch.membership.Membership;
+import org.basilswitch.membership.PromiseTimes;
+import org.basilswitch.membership.ServingAuthority;
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.peer.PeerLink;
 import org.basilswitch.peer.PeerMessage;
@@ -20,13 +24,18 @@
 
 /** One entry host: its slices, wired to a store, peers, a clock and timers. All calls run on one event loop. */
 public final class EntryHost implements AutoCloseable {
+    private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(5);
+
     private final EntryHostOptions options;
     private final ConfigurationFollower follower;
+    private final Membership membership;
     private final RequestBroker broker;
 
-    private EntryHost(EntryHostOptions options, ConfigurationFollower follower, RequestBroker broker) {
+    private EntryHost(
+            EntryHostOptions options, ConfigurationFollower follower, Membership membership, RequestBroker broker) {
         this.options = options;
         this.follower = follower;
+        this.membership = membership;
         this.broker = broker;
     }
 
@@ -41,18 +50,25 @@
             Telemetry telemetry) {
         StoreKeys keys = new StoreKeys(options.site());
         ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
+        PromiseTimes times = PromiseTimes.of(options.promiseTime(), options.clockDriftRatio());
+        Membership.Settings settings =
+                new Membership.Settings(options.self(), keys, times, options.heartbeatInterval());
+        Membership membership = Membership.create(settings, clock, scheduler, store, follower, peers, telemetry);
         RequestBroker broker =
                 FirstServerBroker.create(clock, scheduler, random, follower::current, telemetry, options.self());
-        return new EntryHost(options, follower, broker);
+        return new EntryHost(options, follower, membership, broker);
     }
 
     /** Reads the configuration and joins the members. */
     public void start() {
+        membership.start();
         follower.start();
     }
 
     /** Handles a peer's message. */
-    public void receive(MemberId from, PeerMessage message) {}
+    public void receive(MemberId from, PeerMessage message) {
+        membership.receive(from, message);
+    }
 
     /** The requests' entry point. */
     public RequestBroker broker() {
@@ -66,7 +82,17 @@
 
     /** Whether the balancer may send callers here. */
     public boolean ready() {
-        return follower.loaded();
+        return follower.loaded() && membership.leases().mayStart();
+    }
+
+    /** Whether this host may start work now, and for how long. */
+    public ServingAuthority authority() {
+        return membership.leases();
+    }
+
+    /** Tells when accepted changes are in force. */
+    public InForce inForce() {
+        return membership.inForce();
     }
 
     /** This host. */
@@ -74,19 +100,20 @@
         return options.self();
     }
 
-    /** The entry hosts of the members record, this one included. */
+    /** The entry hosts of the members record, this one included once it has joined. */
     public List<Member> members() {
-        return List.of(options.self());
+        return membership.view().members();
     }
 
     /** Stops accepting requests, completes those accepted, and leaves the members record. */
     public CompletionStage<Void> leave() {
         broker.drain();
-        return CompletableFuture.completedFuture(null);
+        return membership.leave(LEAVE_TIMEOUT);
     }
 
     @Override
     public void close() {
+        membership.close();
         follower.close();
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -12,7 +12,17 @@
     CONFIGURATION_APPLIED(1002, Severity.INFO, "configuration changes applied"),
     CONFIGURATION_COMPACTED(1003, Severity.WARN, "configuration watch was compacted; reading again"),
     CONFIGURATION_RECORD_INVALID(1004, Severity.ERROR, "configuration record can't be decoded; keeping the last one"),
-    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying");
+    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying"),
+    CONFIGURATION_GAP(1006, Severity.INFO, "a peer's configuration is newer; asking it for the changes"),
+    CONFIGURATION_RELAYED(1007, Severity.DEBUG, "configuration changes received from a peer"),
+    MEMBER_JOINED(1101, Severity.INFO, "this entry host is in the members record"),
+    MEMBER_LEFT(1102, Severity.INFO, "this entry host has left the members record"),
+    MEMBER_REMOVED(1103, Severity.WARN, "a silent entry host was removed from the members record"),
+    MEMBER_CHANGE_FAILED(1104, Severity.INFO, "the members record was not changed; trying again"),
+    MEMBER_EXPELLED(1105, Severity.WARN, "other entry hosts removed this one; joining again"),
+    MEMBERS_CHANGED(1106, Severity.INFO, "the members record has changed"),
+    SERVING_STARTED(1107, Severity.INFO, "a majority of the members promises; work may start"),
+    SERVING_STOPPED(1108, Severity.WARN, "no majority of the members promises; work is refused as not run");
 
     private final int number;
     private final Severity severity;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/membership/MembersEditor.java
@@ -0,0 +1,96 @@
+package org.basilswitch.membership;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.vavr.control.Either;
+import org.basilswitch.configuration.ConfigurationFollower;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.store.Transaction;
+
+/**
+ * Changes the members record by compare-and-swap, one change at a time.
+ *
+ * <p>An address is added or removed only when the record's last change is in force, so that any two sets under which
+ * promises may still be held have majorities that share a member.
+ */
+final class MembersEditor {
+    private final Member self;
+    private final String key;
+    private final PlatformStore store;
+    private final ConfigurationFollower follower;
+    private final PeerLeases leases;
+    private final Telemetry telemetry;
+    private boolean busy;
+
+    MembersEditor(
+            Member self,
+            StoreKeys keys,
+            PlatformStore store,
+            ConfigurationFollower follower,
+            PeerLeases leases,
+            Telemetry telemetry) {
+        this.self = self;
+        this.key = keys.members();
+        this.store = store;
+        this.follower = follower;
+        this.leases = leases;
+        this.telemetry = telemetry;
+    }
+
+    /** Adds this host, in the place of its predecessor when there is one; false when that can't be tried now. */
+    boolean join(MembersRecord view) {
+        if (busy || !follower.loaded()) {
+            return false;
+        }
+        if (view.hasAddress(self.peerAddress())) {
+            leases.waitOutPredecessor();
+            commit(view.replacing(self));
+            return true;
+        }
+        if (!lastChangeInForce(view)) {
+            return false;
+        }
+        commit(view.plus(self));
+        return true;
+    }
+
+    /** Removes a member; false when that can't be tried now. */
+    CompletionStage<Boolean> remove(MembersRecord view, MemberId id) {
+        MembersRecord next = view.minus(id);
+        boolean last = next.members().isEmpty();
+        if (busy || !lastChangeInForce(view) || last) {
+            return CompletableFuture.completedFuture(last);
+        }
+        return commit(next);
+    }
+
+    private boolean lastChangeInForce(MembersRecord view) {
+        return view.members().isEmpty() || leases.inForce(follower.membersRevision());
+    }
+
+    private CompletionStage<Boolean> commit(MembersRecord next) {
+        busy = true;
+        Transaction transaction = Transaction.builder()
+                .compare(key, follower.membersRevision())
+                .put(key, next.encode())
+                .build();
+        return store.commit(transaction).thenApply(this::onResult);
+    }
+
+    private boolean onResult(Either<StoreError, CommitResult> result) {
+        busy = false;
+        boolean committed = result.isRight() && result.get() instanceof CommitResult.Committed;
+        if (!committed) {
+            // The follower shows whether an unknown change took effect; the next attempt starts from its view.
+            telemetry.event(EventCode.MEMBER_CHANGE_FAILED, result.fold(StoreError::toString, Object::toString));
+        }
+        return committed;
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/membership/Membership.java
@@ -0,0 +1,335 @@
+package org.basilswitch.membership;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.basilswitch.configuration.ConfigurationFollower;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerLink;
+import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.peer.PeerMessage.ConfigurationUpdate;
+import org.basilswitch.peer.PeerMessage.Heartbeat;
+import org.basilswitch.peer.PeerMessage.HeartbeatReply;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** One entry host's membership: joining, heartbeats, passing configuration changes on, removing silent members. */
+public final class Membership implements AutoCloseable {
+    private static final Duration COALESCE_TIME = Duration.ofMillis(5);
+    private static final Duration GAP_REQUEST_INTERVAL = Duration.ofMillis(300);
+    private static final int REMOVAL_PROMISE_TIMES = 5;
+    private static final int WATCHER_SILENCE_HEARTBEATS = 4;
+    private static final Duration LEAVE_RETRY_DELAY = Duration.ofMillis(200);
+
+    private final Settings settings;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final ConfigurationFollower follower;
+    private final PeerLink link;
+    private final Telemetry telemetry;
+    private final PeerLeases leases;
+    private final ForceWaits waits;
+    private final MembersEditor editor;
+    private UsageReports usages = UsageReports.none();
+    private MembersRecord view = MembersRecord.empty();
+    private long viewRevision;
+    private long viewSinceNanos;
+    private long gapAskedNanos;
+    private boolean wasMember;
+    private boolean wasServing;
+    private boolean announcing;
+    private boolean leaving;
+    private boolean closed;
+
+    private Membership(
+            Settings settings,
+            Clock clock,
+            Scheduler scheduler,
+            PlatformStore store,
+            ConfigurationFollower follower,
+            PeerLink link,
+            Telemetry telemetry) {
+        this.settings = settings;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.follower = follower;
+        this.link = link;
+        this.telemetry = telemetry;
+        MemberId self = settings.self.id();
+        this.leases = PeerLeases.create(self, settings.times, clock, follower, this::view);
+        this.waits = new ForceWaits(leases, this::view, scheduler);
+        this.editor = new MembersEditor(settings.self, settings.keys, store, follower, leases, telemetry);
+    }
+
+    /**
+     * What a membership is told at start.
+     *
+     * @param self this host
+     * @param keys key layout
+     * @param times promise times
+     * @param heartbeatInterval time between heartbeats to each peer
+     */
+    public record Settings(Member self, StoreKeys keys, PromiseTimes times, Duration heartbeatInterval) {}
+
+    /** Creates a membership; nothing happens until {@link #start}. */
+    public static Membership create(
+            Settings settings,
+            Clock clock,
+            Scheduler scheduler,
+            PlatformStore store,
+            ConfigurationFollower follower,
+            PeerLink link,
+            Telemetry telemetry) {
+        return new Membership(settings, clock, scheduler, store, follower, link, telemetry);
+    }
+
+    /** Starts joining and sending heartbeats. */
+    public void start() {
+        follower.onChange(configuration -> onView());
+        follower.onWatched(this::relay);
+        tick();
+    }
+
+    /** Sets what rides on heartbeats. */
+    public void reportUsage(UsageReports reports) {
+        usages = reports;
+    }
+
+    /** The members record as this host knows it. */
+    public MembersRecord view() {
+        return view;
+    }
+
+    /** Revision of the members record's last change that this host knows. */
+    public long viewRevision() {
+        return viewRevision;
+    }
+
+    /** The promises given and held. */
+    public PeerLeases leases() {
+        return leases;
+    }
+
+    /** Tells when changes are in force. */
+    public InForce inForce() {
+        return waits;
+    }
+
+    private void onView() {
+        if (follower.membersRevision() != viewRevision) {
+            adopt(follower.membersValue().flatMap(MembersRecord::decode).orElse(MembersRecord.empty()));
+        }
+        announceSoon();
+    }
+
+    private void adopt(MembersRecord next) {
+        for (Member old : view.members()) {
+            if (!next.contains(old.id())) {
+                usages.forget(old.id());
+            }
+        }
+        view = next;
+        viewRevision = follower.membersRevision();
+        viewSinceNanos = clock.monotonicNanos();
+        telemetry.event(
+                EventCode.MEMBERS_CHANGED,
+                "epoch=" + next.epoch() + " members=" + next.members().size());
+        noteOwnMembership();
+        chooseWatcher();
+    }
+
+    private void noteOwnMembership() {
+        boolean member = view.contains(settings.self.id());
+        if (member && !wasMember) {
+            telemetry.event(EventCode.MEMBER_JOINED, "epoch=" + view.epoch());
+        } else if (!member && wasMember && !leaving) {
+            telemetry.event(EventCode.MEMBER_EXPELLED, "epoch=" + view.epoch());
+        }
+        wasMember = member;
+    }
+
+    /** Tells the peers of a new view soon, once for several changes at a time. */
+    private void announceSoon() {
+        if (announcing) {
+            return;
+        }
+        announcing = true;
+        scheduler.schedule(COALESCE_TIME, () -> {
+            announcing = false;
+            if (!closed) {
+                sendHeartbeats();
+                afterExchange();
+            }
+        });
+    }
+
+    private void tick() {
+        if (closed) {
+            return;
+        }
+        sendHeartbeats();
+        leases.forgetDeparted();
+        chooseWatcher();
+        askForMissingChanges();
+        if (!leaving && follower.loaded() && !view.contains(settings.self.id())) {
+            editor.join(view);
+        }
+        removeSilentMember();
+        afterExchange();
+        scheduler.schedule(settings.heartbeatInterval, this::tick);
+    }
+
+    private void sendHeartbeats() {
+        for (Member member : view.members()) {
+            if (!member.id().equals(settings.self.id())) {
+                link.send(member.id(), leases.heartbeat(member.id(), usages.changesFor(member.id())));
+            }
+        }
+    }
+
+    /** Handles a peer's message of this slice; false when it belongs to another. */
+    public boolean receive(MemberId from, PeerMessage message) {
+        if (closed) {
+            return true;
+        }
+        switch (message) {
+            case Heartbeat heartbeat -> onHeartbeat(from, heartbeat);
+            case HeartbeatReply reply -> leases.onReply(from, reply);
+            case ConfigurationUpdate update -> follower.receive(update);
+            case PeerMessage.SnapshotRequest request -> link.send(from, follower.updateAfter(request.revision()));
+            default -> {
+                return false;
+            }
+        }
+        afterExchange();
+        return true;
+    }
+
+    private void onHeartbeat(MemberId from, Heartbeat heartbeat) {
+        HeartbeatReply reply = leases.onHeartbeat(from, heartbeat);
+        link.send(from, reply);
+        if (view.contains(from)) {
+            usages.record(from, heartbeat.usages());
+        }
+    }
+
+    private void afterExchange() {
+        waits.check();
+        boolean serving = leases.mayStart();
+        if (serving != wasServing) {
+            telemetry.event(serving ? EventCode.SERVING_STARTED : EventCode.SERVING_STOPPED, "epoch=" + view.epoch());
+            wasServing = serving;
+        }
+    }
+
+    private void relay(ConfigurationUpdate update) {
+        for (Member member : view.members()) {
+            if (member.zone().equals(settings.self.zone()) && !member.id().equals(settings.self.id())) {
+                link.send(member.id(), update);
+            }
+        }
+    }
+
+    /** One host of each availability zone watches the store: the first by identifier of those heard lately. */
+    private void chooseWatcher() {
+        Duration silence = settings.heartbeatInterval.multipliedBy(WATCHER_SILENCE_HEARTBEATS);
+        Optional<MemberId> first = view.members().stream()
+                .filter(member -> member.zone().equals(settings.self.zone()))
+                .map(Member::id)
+                .filter(id -> id.equals(settings.self.id()) || leases.heardWithin(id, silence))
+                .min(Comparator.naturalOrder());
+        boolean member = view.contains(settings.self.id());
+        follower.setWatching(!member || first.isEmpty() || first.get().equals(settings.self.id()));
+    }
+
+    private void askForMissingChanges() {
+        long now = clock.monotonicNanos();
+        if (!follower.loaded() || now - gapAskedNanos < GAP_REQUEST_INTERVAL.toNanos()) {
+            return;
+        }
+        leases.ahead().ifPresent(peer -> {
+            gapAskedNanos = now;
+            telemetry.event(EventCode.CONFIGURATION_GAP, "peer=" + peer + " revision=" + follower.revision());
+            link.send(peer, new PeerMessage.SnapshotRequest(follower.revision()));
+        });
+    }
+
+    private void removeSilentMember() {
+        Duration silence = Duration.ofNanos(settings.times.giverNanos()).multipliedBy(REMOVAL_PROMISE_TIMES);
+        if (leaving || clock.monotonicNanos() - viewSinceNanos < silence.toNanos()) {
+            return;
+        }
+        Set<MemberId> silent = new HashSet<>();
+        for (Member member : view.members()) {
+            if (!member.id().equals(settings.self.id()) && !leases.heardWithin(member.id(), silence)) {
+                silent.add(member.id());
+            }
+        }
+        if (isFirstOf(view.members(), silent)) {
+            silent.stream().min(Comparator.naturalOrder()).ifPresent(this::remove);
+        }
+    }
+
+    private boolean isFirstOf(List<Member> all, Set<MemberId> silent) {
+        return all.stream()
+                .map(Member::id)
+                .filter(id -> !silent.contains(id))
+                .min(Comparator.naturalOrder())
+                .filter(settings.self.id()::equals)
+                .isPresent();
+    }
+
+    private void remove(MemberId id) {
+        // Only a host that a majority of the remaining members still promises may judge another to be silent.
+        if (leases.remainingNanos(view.minus(id)) <= 0) {
+            return;
+        }
+        editor.remove(view, id).thenAccept(removed -> {
+            if (removed) {
+                telemetry.event(EventCode.MEMBER_REMOVED, "member=" + id);
+            }
+        });
+    }
+
+    /** Leaves the members record; completes when that is done, or when the time is over. */
+    public CompletionStage<Void> leave(Duration timeout) {
+        leaving = true;
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        scheduler.schedule(timeout, () -> left.complete(null));
+        tryLeave(left);
+        return left;
+    }
+
+    private void tryLeave(CompletableFuture<Void> left) {
+        if (left.isDone() || closed) {
+            return;
+        }
+        if (!view.contains(settings.self.id())) {
+            left.complete(null);
+            return;
+        }
+        editor.remove(view, settings.self.id()).thenAccept(removed -> {
+            if (removed) {
+                telemetry.event(EventCode.MEMBER_LEFT, "epoch=" + view.epoch());
+                left.complete(null);
+            } else {
+                scheduler.schedule(LEAVE_RETRY_DELAY, () -> tryLeave(left));
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
@@ -13,9 +13,9 @@
         return configuration() + kind + "/" + name;
     }
 
-    /** Key of the record that lists the entry hosts. */
+    /** Key of the record that lists the entry hosts; among the configuration, so that one watch follows both. */
     public String members() {
-        return "/basilswitch/" + site + "/members";
+        return configuration() + "members";
     }
 
     /** Key of a team's allotments. */
