Commit claims in groups and divide team limits into allotments

Claims: 16 buckets given to members by rendezvous hashing; one commit per bucket at a time compares the bucket's fence and puts one record with only the new claims. A lost answer is settled by taking the fence again, after which the commit can no longer take effect. Claims carry a random correlation, so that a repeated request is the same claim and a late release can't withdraw a later claim.

Allotments: one record per team; units grow only by what a record or a notice of a known revision shows; a holder lowers its own count before it commits a hand-over; a commit with a lost answer is repeated, as the comparison lets only one copy take effect. Units of departed members are reclaimed after their removal is in force and the longest deadline has passed, in a transaction that also compares the members record.

--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimBuckets.java
@@ -0,0 +1,31 @@
+package org.basilswitch.claim;
+
+import java.util.List;
+import java.util.Optional;
+
+import net.openhft.hashing.LongHashFunction;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+
+/** Which member holds a bucket: the one with the highest hash (Thaler and Ravishankar, rendezvous hashing). */
+final class ClaimBuckets {
+    /** Number of buckets of a site. */
+    static final int COUNT = 16;
+
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private ClaimBuckets() {}
+
+    static Optional<MemberId> holder(int bucket, List<Member> members) {
+        MemberId best = null;
+        long bestWeight = 0;
+        for (Member member : members) {
+            long weight = HASH.hashChars(bucket + "/" + member.id().value());
+            if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
+                best = member.id();
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimService.java
@@ -0,0 +1,286 @@
+package org.basilswitch.claim;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.dispatch.RequestClaims;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerLink;
+import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.peer.PeerMessage.ClaimRelease;
+import org.basilswitch.peer.PeerMessage.ClaimReply;
+import org.basilswitch.peer.PeerMessage.ClaimRequest;
+import org.basilswitch.peer.PeerMessage.ClaimVerdict;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** One entry host's claims: asks the buckets' holders, and holds the buckets that the members record gives it. */
+public final class ClaimService implements RequestClaims, AutoCloseable {
+    /** Commits a second that all buckets of a site make together at most. */
+    public static final int COMMITS_PER_SECOND = 200;
+
+    private static final Duration COMMIT_INTERVAL =
+            Duration.ofSeconds(1).multipliedBy(ClaimBuckets.COUNT).dividedBy(COMMITS_PER_SECOND);
+    private static final Duration RESEND_INTERVAL = Duration.ofMillis(250);
+    private static final Duration MOVED_DELAY = Duration.ofMillis(50);
+    private static final int MAX_REMEMBERED = 100_000;
+
+    private final MemberId self;
+    private final StoreKeys keys;
+    private final PlatformStore store;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final UniformRandomProvider random;
+    private final PeerLink link;
+    private final Supplier<List<Member>> members;
+    private final Telemetry telemetry;
+    private final Map<Integer, HeldBucket> held = new HashMap<>();
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private final Map<ClaimId, Long> granted = new Remembered<>();
+    private final Map<Long, ClaimId> abandoned = new Remembered<>();
+    private boolean closed;
+
+    private ClaimService(
+            MemberId self,
+            StoreKeys keys,
+            PlatformStore store,
+            Clock clock,
+            Scheduler scheduler,
+            UniformRandomProvider random,
+            PeerLink link,
+            Supplier<List<Member>> members,
+            Telemetry telemetry) {
+        this.self = self;
+        this.keys = keys;
+        this.store = store;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.link = link;
+        this.members = members;
+        this.telemetry = telemetry;
+    }
+
+    /** Creates a service that holds no bucket yet. */
+    public static ClaimService create(
+            MemberId self,
+            StoreKeys keys,
+            PlatformStore store,
+            Clock clock,
+            Scheduler scheduler,
+            UniformRandomProvider random,
+            PeerLink link,
+            Supplier<List<Member>> members,
+            Telemetry telemetry) {
+        return new ClaimService(self, keys, store, clock, scheduler, random, link, members, telemetry);
+    }
+
+    /** Takes and gives up buckets after the members record has changed. */
+    public void onMembersChanged() {
+        if (closed) {
+            return;
+        }
+        for (int bucket = 0; bucket < ClaimBuckets.COUNT; bucket++) {
+            boolean mine = holder(bucket).filter(self::equals).isPresent();
+            if (mine && !held.containsKey(bucket)) {
+                HeldBucket taken =
+                        new HeldBucket(bucket, self, keys, store, clock, scheduler, telemetry, COMMIT_INTERVAL);
+                held.put(bucket, taken);
+                taken.take();
+            } else if (!mine && held.containsKey(bucket)) {
+                held.remove(bucket).giveUp();
+            }
+        }
+    }
+
+    private Optional<MemberId> holder(int bucket) {
+        return ClaimBuckets.holder(bucket, members.get());
+    }
+
+    @Override
+    public CompletionStage<ClaimResult> claim(
+            String queue, String idempotencyKey, Duration claimTime, Duration timeout) {
+        ClaimId id = ClaimId.of(queue, idempotencyKey);
+        long correlation = random.nextLong();
+        Asked claim = new Asked(id, correlation, claimTime);
+        asked.put(correlation, claim);
+        claim.timer = scheduler.schedule(timeout, () -> giveUp(claim));
+        ask(claim);
+        return claim.result;
+    }
+
+    private void ask(Asked claim) {
+        if (closed || !asked.containsKey(claim.correlation)) {
+            return;
+        }
+        ClaimRequest request = new ClaimRequest(
+                claim.correlation, claim.id.bucket(), claim.id.high(), claim.id.low(), claim.claimTime.toMillis());
+        sendToHolder(claim.id, request);
+        claim.resend = scheduler.schedule(RESEND_INTERVAL, () -> ask(claim));
+    }
+
+    private void sendToHolder(ClaimId id, PeerMessage message) {
+        Optional<MemberId> holder = holder(id.bucket());
+        if (holder.filter(self::equals).isPresent()) {
+            scheduler.schedule(Duration.ZERO, () -> receive(self, message));
+        } else {
+            holder.ifPresent(to -> link.send(to, message));
+        }
+    }
+
+    private void giveUp(Asked claim) {
+        if (asked.remove(claim.correlation) == null) {
+            return;
+        }
+        claim.resend.cancel();
+        withdraw(claim.id, claim.correlation);
+        complete(claim, new Unavailable("no commit in time"), "timeout");
+    }
+
+    private void withdraw(ClaimId id, long correlation) {
+        abandoned.put(correlation, id);
+        sendToHolder(id, new ClaimRelease(correlation, id.bucket(), id.high(), id.low()));
+    }
+
+    private void complete(Asked claim, ClaimResult result, String verdict) {
+        telemetry.count(CounterCode.CLAIMS, verdict);
+        claim.result.complete(result);
+    }
+
+    @Override
+    public void release(String queue, String idempotencyKey) {
+        ClaimId id = ClaimId.of(queue, idempotencyKey);
+        Long correlation = granted.remove(id);
+        if (correlation != null) {
+            withdraw(id, correlation);
+        }
+    }
+
+    /** Handles a peer's message of this slice; false when it belongs to another. */
+    public boolean receive(MemberId from, PeerMessage message) {
+        switch (message) {
+            case ClaimRequest request -> onRequest(from, request);
+            case ClaimReply reply -> onReply(reply);
+            case ClaimRelease release -> onRelease(release);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void onRequest(MemberId from, ClaimRequest request) {
+        if (closed) {
+            return;
+        }
+        HeldBucket bucket = held.get(request.bucket());
+        if (bucket == null) {
+            reply(from, new ClaimReply(request.correlation(), ClaimVerdict.NOT_HOLDER));
+            return;
+        }
+        bucket.claim(
+                new ClaimId(request.idHigh(), request.idLow()),
+                request.correlation(),
+                Duration.ofMillis(request.claimTimeMs()),
+                verdict -> reply(from, new ClaimReply(request.correlation(), verdict)));
+    }
+
+    private void reply(MemberId to, ClaimReply reply) {
+        if (closed) {
+            return;
+        }
+        if (to.equals(self)) {
+            onReply(reply);
+        } else {
+            link.send(to, reply);
+        }
+    }
+
+    private void onRelease(ClaimRelease release) {
+        HeldBucket bucket = held.get(release.bucket());
+        if (bucket != null) {
+            bucket.release(new ClaimId(release.idHigh(), release.idLow()), release.correlation());
+        }
+    }
+
+    private void onReply(ClaimReply reply) {
+        Asked claim = asked.get(reply.correlation());
+        if (claim == null) {
+            withdrawLateGrant(reply);
+            return;
+        }
+        if (reply.verdict() == ClaimVerdict.NOT_HOLDER) {
+            claim.resend.cancel();
+            claim.resend = scheduler.schedule(MOVED_DELAY, () -> ask(claim));
+            return;
+        }
+        asked.remove(reply.correlation());
+        claim.timer.cancel();
+        claim.resend.cancel();
+        switch (reply.verdict()) {
+            case GRANTED -> {
+                granted.put(claim.id, claim.correlation);
+                complete(claim, new Granted(), "granted");
+            }
+            case DUPLICATE -> complete(claim, new Duplicate(), "duplicate");
+            default -> {
+                // An earlier copy of the request may still be under way to another holder.
+                withdraw(claim.id, claim.correlation);
+                complete(claim, new Unavailable("the bucket's holder could not commit"), "unavailable");
+            }
+        }
+    }
+
+    /** A grant that comes after this host has given up is withdrawn; the grant of a sent request never is. */
+    private void withdrawLateGrant(ClaimReply reply) {
+        ClaimId id = abandoned.get(reply.correlation());
+        if (id != null && reply.verdict() == ClaimVerdict.GRANTED) {
+            sendToHolder(id, new ClaimRelease(reply.correlation(), id.bucket(), id.high(), id.low()));
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        held.values().forEach(HeldBucket::giveUp);
+        held.clear();
+    }
+
+    private static final class Asked {
+        private final ClaimId id;
+        private final long correlation;
+        private final Duration claimTime;
+        private final CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+        private Scheduler.Timer timer;
+        private Scheduler.Timer resend;
+
+        private Asked(ClaimId id, long correlation, Duration claimTime) {
+            this.id = id;
+            this.correlation = correlation;
+            this.claimTime = claimTime;
+        }
+    }
+
+    /** A map that forgets its oldest entries; forgetting one only leaves a claim in place until it ends. */
+    private static final class Remembered<K, V> extends LinkedHashMap<K, V> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+            return size() > MAX_REMEMBERED;
+        }
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,6 +7,9 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
+    CLAIMS("basilswitch.claims", "verdict"),
+    CLAIM_COMMITS("basilswitch.claim.commits", "result"),
+    LIMIT_COMMITS("basilswitch.limit.commits", "result"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
 
     private final String metric;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/limit/AllotmentRecord.java
@@ -0,0 +1,58 @@
+package org.basilswitch.limit;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.peer.MemberId;
+
+/**
+ * How a team's upper limit is divided, as one record in the store.
+ *
+ * @param limitUnits the limit that the division keeps to
+ * @param limitRevision configuration revision that the limit was taken from
+ * @param units units by member identifier; their sum is at most the limit, but for a limit just lowered
+ */
+record AllotmentRecord(int limitUnits, long limitRevision, Map<String, Integer> units) {
+
+    /** Copies the map. */
+    AllotmentRecord {
+        units = new TreeMap<>(units);
+    }
+
+    static AllotmentRecord empty() {
+        return new AllotmentRecord(0, 0, Map.of());
+    }
+
+    static Optional<AllotmentRecord> decode(byte[] value) {
+        return RecordCodec.decode(value, AllotmentRecord.class);
+    }
+
+    byte[] encode() {
+        return RecordCodec.encode(this);
+    }
+
+    int unitsOf(MemberId id) {
+        return units.getOrDefault(id.value(), 0);
+    }
+
+    int sum() {
+        return units.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    int free() {
+        return limitUnits - sum();
+    }
+
+    AllotmentRecord withLimit(int limit, long revision) {
+        return new AllotmentRecord(limit, revision, units);
+    }
+
+    AllotmentRecord adding(MemberId id, int change) {
+        Map<String, Integer> next = new TreeMap<>(units);
+        next.merge(id.value(), change, Integer::sum);
+        next.values().removeIf(value -> value <= 0);
+        return new AllotmentRecord(limitUnits, limitRevision, next);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/limit/LongestWork.java
@@ -0,0 +1,31 @@
+package org.basilswitch.limit;
+
+import java.time.Duration;
+
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.configuration.SiteConfiguration;
+
+/**
+ * The longest time that a request may run once started: the longest deadline of any queue.
+ *
+ * @param deadline the longest deadline
+ */
+public record LongestWork(Duration deadline) {
+    private static final Duration MIN_DEADLINE = Duration.ofSeconds(1);
+    private static final double MARGIN_RATIO = 1.05;
+
+    /** Finds the longest deadline of a configuration's queues. */
+    public static LongestWork of(SiteConfiguration configuration) {
+        Duration longest = configuration.queues().values().stream()
+                .map(Queue::deadlineMs)
+                .map(Duration::ofMillis)
+                .max(Duration::compareTo)
+                .orElse(MIN_DEADLINE);
+        return new LongestWork(longest.compareTo(MIN_DEADLINE) < 0 ? MIN_DEADLINE : longest);
+    }
+
+    /** Time after which the work of a host that starts no more has ended, whatever the clocks' drift. */
+    Duration reclaimDelay() {
+        return Duration.ofNanos((long) (deadline.toNanos() * MARGIN_RATIO)).plusSeconds(1);
+    }
+}
