--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/FairQueue.java
@@ -0,0 +1,169 @@
+package org.basilswitch.admission;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+
+import org.basilswitch.dispatch.RequestSpec.Priority;
+
+/**
+ * Waiting requests of one pool: by priority, then by the team with the least weighted virtual time, then by arrival.
+ *
+ * <p>One start in {@value #STARVATION_STARTS} goes to the next lower priority that has waiting requests, so that none
+ * starves.
+ *
+ * @param <T> type of the waiting requests
+ */
+public final class FairQueue<T extends Waiting> {
+    /** Starts of a higher priority after which a lower one that waits is served. */
+    public static final int STARVATION_STARTS = 10;
+
+    private final Map<Priority, Map<String, LinkedHashSet<T>>> waiting = new EnumMap<>(Priority.class);
+    private final Map<Priority, Integer> passedOver = new EnumMap<>(Priority.class);
+    private int size;
+
+    private FairQueue() {
+        for (Priority priority : Priority.values()) {
+            waiting.put(priority, new HashMap<>());
+            passedOver.put(priority, 0);
+        }
+    }
+
+    /** Creates an empty queue. */
+    public static <T extends Waiting> FairQueue<T> create() {
+        return new FairQueue<>();
+    }
+
+    /** Adds a request behind those of its team and priority. */
+    public void add(T request) {
+        setOf(request).addLast(request);
+        size++;
+    }
+
+    /** Puts a request that was taken back in front of those of its team and priority. */
+    public void putBack(T request) {
+        setOf(request).addFirst(request);
+        size++;
+    }
+
+    private LinkedHashSet<T> setOf(T request) {
+        return waiting.get(request.priority()).computeIfAbsent(request.team(), team -> new LinkedHashSet<>());
+    }
+
+    /** Removes a request; returns whether it was waiting. */
+    public boolean remove(T request) {
+        LinkedHashSet<T> requests = waiting.get(request.priority()).get(request.team());
+        if (requests == null || !requests.remove(request)) {
+            return false;
+        }
+        size--;
+        return true;
+    }
+
+    /**
+     * Takes the next request.
+     *
+     * @param allowed whether a request may start now; asked in order of virtual time until one may
+     * @param virtualTime what the first requests of the teams are ordered by
+     */
+    public Optional<T> take(Predicate<T> allowed, ToDoubleFunction<T> virtualTime) {
+        for (Priority priority : order()) {
+            Optional<T> taken = takeFrom(priority, allowed, virtualTime);
+            if (taken.isPresent()) {
+                countPassedOver(priority);
+                return taken;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private List<Priority> order() {
+        List<Priority> order = new ArrayList<>(Priority.values().length);
+        for (Priority priority : Priority.values()) {
+            if (passedOver.get(priority) >= STARVATION_STARTS) {
+                order.add(priority);
+            }
+        }
+        for (Priority priority : Priority.values()) {
+            if (!order.contains(priority)) {
+                order.add(priority);
+            }
+        }
+        return order;
+    }
+
+    private void countPassedOver(Priority taken) {
+        passedOver.put(taken, 0);
+        for (Priority priority : Priority.values()) {
+            if (priority.compareTo(taken) > 0 && !waiting.get(priority).isEmpty()) {
+                passedOver.merge(priority, 1, Integer::sum);
+            }
+        }
+    }
+
+    private Optional<T> takeFrom(Priority priority, Predicate<T> allowed, ToDoubleFunction<T> virtualTime) {
+        Map<String, LinkedHashSet<T>> teams = waiting.get(priority);
+        teams.values().removeIf(LinkedHashSet::isEmpty);
+        List<String> byTime = new ArrayList<>(teams.keySet());
+        Map<String, Double> times = new HashMap<>();
+        byTime.forEach(team ->
+                times.put(team, virtualTime.applyAsDouble(teams.get(team).getFirst())));
+        byTime.sort((a, b) -> {
+            int order = Double.compare(times.get(a), times.get(b));
+            return order != 0 ? order : a.compareTo(b);
+        });
+        for (String team : byTime) {
+            if (allowed.test(teams.get(team).getFirst())) {
+                size--;
+                return Optional.of(teams.get(team).removeFirst());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** The newest request of a team, of its lowest priority, that matches; the one to refuse when room is needed. */
+    public Optional<T> newestOf(String team, Predicate<T> matching) {
+        for (Priority priority : List.of(Priority.BACKGROUND, Priority.NORMAL, Priority.URGENT)) {
+            LinkedHashSet<T> requests = waiting.get(priority).get(team);
+            if (requests == null) {
+                continue;
+            }
+            Optional<T> newest = requests.reversed().stream().filter(matching).findFirst();
+            if (newest.isPresent()) {
+                return newest;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** All waiting requests. */
+    public List<T> all() {
+        List<T> all = new ArrayList<>(size);
+        waiting.values().forEach(teams -> teams.values().forEach(all::addAll));
+        return all;
+    }
+
+    /** Waiting requests of a priority. */
+    public int size(Priority priority) {
+        return waiting.get(priority).values().stream()
+                .mapToInt(LinkedHashSet::size)
+                .sum();
+    }
+
+    /** Waiting requests of a priority and team. */
+    public int size(Priority priority, String team) {
+        LinkedHashSet<T> requests = waiting.get(priority).get(team);
+        return requests == null ? 0 : requests.size();
+    }
+
+    /** Waiting requests. */
+    public int size() {
+        return size;
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolDivision.java
@@ -0,0 +1,150 @@
+package org.basilswitch.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+import org.basilswitch.configuration.Host;
+import org.basilswitch.membership.Member;
+import org.basilswitch.placement.SlotCaps;
+import org.basilswitch.time.Clock;
+
+/**
+ * Divides a pool's slots among the entry hosts, so that their sum is the pool's.
+ *
+ * <p>Teams get weighted max-min parts of the slots by the fleet's demand, and each team's part goes to the entry hosts by
+ * the demand that came through them; what is unused is spread evenly. Slots and entry hosts are laid out on one line in
+ * the order of their availability zones, which each entry host computes alike from the same reports. The boundaries are
+ * rounded by systematic sampling with an offset that moves with time, so that a part below one slot gets its turn.
+ */
+public final class PoolDivision {
+    private static final long TURN_MS = 1_000;
+    private static final double GOLDEN_RATIO_PART = 0.6180339887498949;
+    private static final double ROOM_PART = 0.9;
+    private static final double ROUNDING_ERROR = 1e-6;
+
+    private final Member self;
+    private final Clock clock;
+    private final FleetUsage usage;
+    private final ToDoubleFunction<String> weightOf;
+
+    private PoolDivision(Member self, Clock clock, FleetUsage usage, ToDoubleFunction<String> weightOf) {
+        this.self = self;
+        this.clock = clock;
+        this.usage = usage;
+        this.weightOf = weightOf;
+    }
+
+    /** Creates the division as this entry host computes it. */
+    public static PoolDivision create(Member self, Clock clock, FleetUsage usage, ToDoubleFunction<String> weightOf) {
+        return new PoolDivision(self, clock, usage, weightOf);
+    }
+
+    /** Computes this entry host's slots and its teams' parts of them. */
+    public Part compute(String pool, List<Host> servers, List<Member> members) {
+        int capacity = servers.stream().mapToInt(Host::slots).sum();
+        PoolUsage fleet = usage.fleet(pool);
+        Map<String, Double> teamParts = teamParts(fleet, capacity);
+        double spare = capacity
+                - teamParts.values().stream().mapToDouble(Double::doubleValue).sum();
+        List<Member> hosts = ordered(members);
+        double offset = (clock.millis() / TURN_MS * GOLDEN_RATIO_PART) % 1;
+        double before = 0;
+        double own = 0;
+        for (Member host : hosts) {
+            own = Math.max(0, spare) / hosts.size() + demandPart(host, pool, fleet, teamParts);
+            if (host.id().equals(self.id())) {
+                break;
+            }
+            before += own;
+        }
+        int from = (int) Math.floor(before + offset + ROUNDING_ERROR);
+        int to = (int) Math.floor(before + own + offset + ROUNDING_ERROR);
+        boolean room = fleet.demand() < ROOM_PART * capacity;
+        return new Part(
+                new SlotCaps(cut(servers, from, to), room),
+                ownTeamParts(pool, fleet, teamParts, spare),
+                Math.max(1, own / (teamParts.size() + 1)));
+    }
+
+    private List<Member> ordered(List<Member> members) {
+        List<Member> hosts = new ArrayList<>(members);
+        if (hosts.stream().noneMatch(host -> host.id().equals(self.id()))) {
+            hosts.add(self);
+        }
+        hosts.sort(Comparator.comparing(Member::zone).thenComparing(Member::id));
+        return hosts;
+    }
+
+    private Map<String, Double> teamParts(PoolUsage fleet, int capacity) {
+        Map<String, MaxMin.Claim> claims = new HashMap<>();
+        for (String team : fleet.teams()) {
+            if (fleet.demand(team) > 0) {
+                claims.put(team, new MaxMin.Claim(fleet.demand(team), weightOf.applyAsDouble(team)));
+            }
+        }
+        return MaxMin.divide(capacity, claims);
+    }
+
+    private double demandPart(Member host, String pool, PoolUsage fleet, Map<String, Double> teamParts) {
+        PoolUsage theirs = host.id().equals(self.id()) ? usage.own(pool) : usage.reportedBy(host.id(), pool);
+        double part = 0;
+        for (Map.Entry<String, Double> team : teamParts.entrySet()) {
+            part += team.getValue() * theirs.demand(team.getKey()) / fleet.demand(team.getKey());
+        }
+        return part;
+    }
+
+    private Map<String, Double> ownTeamParts(
+            String pool, PoolUsage fleet, Map<String, Double> teamParts, double spare) {
+        Map<String, Double> parts = new HashMap<>();
+        PoolUsage own = usage.own(pool);
+        teamParts.forEach((team, part) -> parts.put(team, spare + part * own.demand(team) / fleet.demand(team)));
+        return parts;
+    }
+
+    private static Map<String, Integer> cut(List<Host> servers, int from, int to) {
+        List<Host> line = new ArrayList<>(servers);
+        line.sort(Comparator.comparing(Host::zone).thenComparing(Host::name));
+        Map<String, Integer> slots = new HashMap<>();
+        int start = 0;
+        for (Host server : line) {
+            int end = start + server.slots();
+            int count = overlap(start, end, from, to);
+            if (count > 0) {
+                slots.put(server.name(), count);
+            }
+            start = end;
+        }
+        return slots;
+    }
+
+    private static int overlap(int start, int end, int from, int to) {
+        return Math.max(0, Math.min(end, to) - Math.max(start, from));
+    }
+
+    /**
+     * This entry host's part of a pool.
+     *
+     * @param caps slots by server
+     * @param slotsByTeam slots that a team's requests here may count on, unused ones included
+     * @param newcomerSlots slots that a team without requests here may count on
+     */
+    public record Part(SlotCaps caps, Map<String, Double> slotsByTeam, double newcomerSlots) {
+
+        /** Slots that a team's requests here may count on. */
+        public double slotsFor(String team) {
+            return slotsByTeam.getOrDefault(team, newcomerSlots);
+        }
+
+        /** Slots of all teams. */
+        public int slots() {
+            return caps.slotsByServer().values().stream()
+                    .mapToInt(Integer::intValue)
+                    .sum();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -0,0 +1,120 @@
+package org.basilswitch.admission;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
+
+import org.basilswitch.configuration.Host;
+import org.basilswitch.membership.Member;
+import org.basilswitch.placement.SlotCaps;
+import org.basilswitch.time.Clock;
+
+/** The teams' parts of one pool as this entry host applies them: virtual times, slots and expected waits. */
+public final class PoolShares {
+    private static final Duration DIVISION_AGE = Duration.ofMillis(10);
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final String pool;
+    private final Clock clock;
+    private final FleetUsage usage;
+    private final ShareClock shareClock;
+    private final PoolDivision division;
+    private final Supplier<List<Member>> members;
+    private final Set<String> blocked = new HashSet<>();
+    private final ServiceTimes serviceTimes = new ServiceTimes();
+    private PoolDivision.Part part = new PoolDivision.Part(SlotCaps.none(), java.util.Map.of(), 1);
+    private long dividedNanos = Long.MIN_VALUE;
+
+    private PoolShares(
+            String pool,
+            Member self,
+            Supplier<List<Member>> members,
+            Clock clock,
+            FleetUsage usage,
+            ToDoubleFunction<String> weightOf) {
+        this.pool = pool;
+        this.clock = clock;
+        this.usage = usage;
+        this.members = members;
+        this.shareClock = new ShareClock(clock, usage.fleet(pool), weightOf);
+        this.division = PoolDivision.create(self, clock, usage, weightOf);
+    }
+
+    /** Creates the shares of a pool. */
+    public static PoolShares create(
+            String pool,
+            Member self,
+            Supplier<List<Member>> members,
+            Clock clock,
+            FleetUsage usage,
+            ToDoubleFunction<String> weightOf) {
+        return new PoolShares(pool, self, members, clock, usage, weightOf);
+    }
+
+    /** Brings virtual times and the division of slots up to date; call before each round of starts. */
+    public void advance(List<Host> servers) {
+        shareClock.advance(blocked::contains);
+        blocked.clear();
+        long now = clock.monotonicNanos();
+        if (dividedNanos == Long.MIN_VALUE || now - dividedNanos >= DIVISION_AGE.toNanos()) {
+            usage.expire();
+            part = division.compute(pool, servers, members.get());
+            dividedNanos = now;
+        }
+    }
+
+    /** Notes that a team has no free unit of its upper limit. */
+    public void block(String team) {
+        blocked.add(team);
+    }
+
+    /** Weighted virtual time of a team. */
+    public double virtualTime(String team) {
+        return shareClock.of(team, serviceTimes.mean().toNanos() / NANOS_PER_SECOND);
+    }
+
+    /** This host's slots. */
+    public SlotCaps caps() {
+        return part.caps();
+    }
+
+    /** Number of this host's slots. */
+    public int slots() {
+        return part.slots();
+    }
+
+    /** Adds to a team's waiting requests at this host. */
+    public void addWaiting(String team, int change) {
+        shareClock.advance(blocked::contains);
+        usage.addOwn(pool, team, 0, change);
+    }
+
+    /** Adds to a team's running requests of this host. */
+    public void addRunning(String team, int change) {
+        shareClock.advance(blocked::contains);
+        usage.addOwn(pool, team, change, 0);
+    }
+
+    /** Requests running from this host. */
+    public int running() {
+        return usage.own(pool).running();
+    }
+
+    /** Observed service times. */
+    public ServiceTimes serviceTimes() {
+        return serviceTimes;
+    }
+
+    /** Expected wait of a team's request behind some others of its team. */
+    public Duration expectedWait(String team, int ahead) {
+        double slots = Math.max(0.5, part.slotsFor(team));
+        double excess = ahead + 1 + usage.own(pool).running(team) - slots;
+        if (excess <= 0) {
+            return Duration.ZERO;
+        }
+        return Duration.ofNanos((long) (excess / slots * serviceTimes.mean().toNanos()));
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/BackgroundWork.java
@@ -0,0 +1,18 @@
+package org.basilswitch.dispatch;
+
+/** Makes room for urgent requests at the expense of background work: by checkpoint, throttle or stop. */
+public interface BackgroundWork {
+
+    /**
+     * Tells that urgent requests wait although the slots kept free for them are taken; told again until they start.
+     *
+     * @param pool the pool
+     * @param requests urgent requests waiting at this host
+     */
+    void makeRoom(String pool, int requests);
+
+    /** Does nothing, for sites whose workers offer no way to make room. */
+    static BackgroundWork none() {
+        return (pool, requests) -> {};
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/BrokerParts.java
@@ -0,0 +1,53 @@
+package org.basilswitch.dispatch;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.admission.FleetUsage;
+import org.basilswitch.admission.SharePolicy;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.limit.TeamLimits;
+import org.basilswitch.membership.Member;
+import org.basilswitch.membership.ServingAuthority;
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.placement.Placement;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/**
+ * What a broker works with.
+ *
+ * @param self this entry host
+ * @param members the entry hosts of the members record, this one included
+ * @param configuration the configuration in force
+ * @param authority whether this host may start work
+ * @param limits this host's allotments of the upper limits
+ * @param claims fleet-wide claims of idempotency keys
+ * @param usage usage of the pools across the fleet
+ * @param liveHosts the platform's list of hosts
+ * @param backgroundWork makes room for urgent requests
+ * @param shares order of the teams' waiting requests
+ * @param placement choice of backend server
+ * @param clock clock
+ * @param scheduler timers of the event loop
+ * @param random random numbers
+ * @param telemetry log events and counters
+ */
+public record BrokerParts(
+        Member self,
+        Supplier<List<Member>> members,
+        Supplier<SiteConfiguration> configuration,
+        ServingAuthority authority,
+        TeamLimits limits,
+        RequestClaims claims,
+        FleetUsage usage,
+        LiveHosts liveHosts,
+        BackgroundWork backgroundWork,
+        SharePolicy shares,
+        Placement placement,
+        Clock clock,
+        Scheduler scheduler,
+        UniformRandomProvider random,
+        Telemetry telemetry) {}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/Holding.java
@@ -0,0 +1,81 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+
+import org.basilswitch.admission.PoolShares;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.limit.TeamLimits;
+import org.basilswitch.placement.PoolServers;
+import org.basilswitch.time.Scheduler;
+
+/** One unit of a team's limit and one server slot, each given back exactly once. */
+final class Holding {
+    private final String team;
+    private final Host server;
+    private final TeamLimits limits;
+    private final PoolShares shares;
+    private final PoolServers servers;
+    private final Invariants invariants;
+    private boolean slotHeld = true;
+    private boolean unitHeld = true;
+
+    private Holding(
+            String team,
+            Host server,
+            TeamLimits limits,
+            PoolShares shares,
+            PoolServers servers,
+            Invariants invariants) {
+        this.team = team;
+        this.server = server;
+        this.limits = limits;
+        this.shares = shares;
+        this.servers = servers;
+        this.invariants = invariants;
+    }
+
+    /** Takes a slot for a team whose unit has been acquired. */
+    static Holding take(
+            String team,
+            Host server,
+            TeamLimits limits,
+            PoolShares shares,
+            PoolServers servers,
+            Invariants invariants) {
+        Holding holding = new Holding(team, server, limits, shares, servers, invariants);
+        shares.addRunning(team, 1);
+        servers.started(server, holding);
+        return holding;
+    }
+
+    Host server() {
+        return server;
+    }
+
+    /** Gives unit and slot back. */
+    void release(PoolServers.Result result) {
+        releaseSlot(result);
+        releaseUnit();
+    }
+
+    /** Gives the slot back now, and the unit when the server has certainly ended the request. */
+    void releaseAfter(PoolServers.Result result, Duration unitTime, Scheduler scheduler) {
+        releaseSlot(result);
+        scheduler.schedule(unitTime, this::releaseUnit);
+    }
+
+    private void releaseSlot(PoolServers.Result result) {
+        if (invariants.check(slotHeld, "slot-released-once", "team=" + team)) {
+            slotHeld = false;
+            servers.ended(server, this, result);
+            shares.addRunning(team, -1);
+        }
+    }
+
+    private void releaseUnit() {
+        if (invariants.check(unitHeld, "unit-released-once", "team=" + team)) {
+            unitHeld = false;
+            limits.release(team);
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/Request.java
@@ -0,0 +1,182 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.basilswitch.admission.Waiting;
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.time.Scheduler;
+
+/** One request from its arrival to its end. */
+final class Request implements Waiting {
+    private final String id;
+    private final RequestSpec spec;
+    private final Optional<String> keyHash;
+    private final RequestBroker.RequestObserver observer;
+    private final long arrivedNanos;
+    private State state = State.ARRIVED;
+    private Queue queue;
+    private String team;
+    private long deadlineNanos;
+    private Optional<Scheduler.Timer> expiry = Optional.empty();
+    private final Set<String> failedServers = new HashSet<>();
+    private final Set<String> serversThatMayHaveRun = new HashSet<>();
+    private int attempts;
+    private int busyRefusals;
+    private int unresolvedSends;
+    private boolean claimed;
+    private boolean cancelled;
+
+    Request(
+            String id,
+            RequestSpec spec,
+            Optional<String> keyHash,
+            RequestBroker.RequestObserver observer,
+            long arrivedNanos) {
+        this.id = id;
+        this.spec = spec;
+        this.keyHash = keyHash;
+        this.observer = observer;
+        this.arrivedNanos = arrivedNanos;
+    }
+
+    /** Fixes queue, team and deadline once the request's key has been checked. */
+    void accept(Queue acceptedQueue, String acceptedTeam) {
+        queue = acceptedQueue;
+        team = acceptedTeam;
+        Duration deadline = spec.deadline().orElse(Duration.ofMillis(acceptedQueue.deadlineMs()));
+        deadlineNanos = arrivedNanos + deadline.toNanos();
+    }
+
+    String id() {
+        return id;
+    }
+
+    RequestSpec spec() {
+        return spec;
+    }
+
+    Optional<String> keyHash() {
+        return keyHash;
+    }
+
+    RequestBroker.RequestObserver observer() {
+        return observer;
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    Queue queue() {
+        return queue;
+    }
+
+    @Override
+    public String team() {
+        return team;
+    }
+
+    @Override
+    public RequestSpec.Priority priority() {
+        return spec.priority();
+    }
+
+    State state() {
+        return state;
+    }
+
+    void state(State next) {
+        state = next;
+    }
+
+    boolean ended() {
+        return state == State.ENDED;
+    }
+
+    Duration remaining(long nowNanos) {
+        return Duration.ofNanos(Math.max(0, deadlineNanos - nowNanos));
+    }
+
+    void expiry(Scheduler.Timer timer) {
+        cancelExpiry();
+        expiry = Optional.of(timer);
+    }
+
+    void cancelExpiry() {
+        expiry.ifPresent(Scheduler.Timer::cancel);
+        expiry = Optional.empty();
+    }
+
+    int nextAttempt() {
+        return ++attempts;
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    Set<String> failedServers() {
+        return failedServers;
+    }
+
+    /** Servers that failed the request after its first byte may have left. */
+    Set<String> serversThatMayHaveRun() {
+        return serversThatMayHaveRun;
+    }
+
+    int countBusyRefusal() {
+        return ++busyRefusals;
+    }
+
+    void sent() {
+        unresolvedSends++;
+    }
+
+    /** Takes a send back: the server has certainly refused to start the request. */
+    void sendRefused() {
+        unresolvedSends--;
+    }
+
+    /** Whether the request may have run. */
+    boolean mayHaveRun() {
+        return unresolvedSends > 0;
+    }
+
+    boolean claimed() {
+        return claimed;
+    }
+
+    void claimed(boolean granted) {
+        claimed = granted;
+    }
+
+    boolean needsClaim() {
+        return !claimed && !queue.idempotent() && spec.idempotencyKey().isPresent();
+    }
+
+    boolean cancelled() {
+        return cancelled;
+    }
+
+    void cancel() {
+        cancelled = true;
+    }
+
+    /** A refusal whose outcome tells the truth about this request. */
+    Refusal refusal(Refusal.Code code, Optional<Duration> retryAfter) {
+        return new Refusal(code, mayHaveRun() ? Refusal.Outcome.UNKNOWN : Refusal.Outcome.NOT_RUN, retryAfter);
+    }
+
+    /** States of a request. */
+    enum State {
+        ARRIVED,
+        WAITING,
+        CLAIMING,
+        ATTEMPTING,
+        BACKING_OFF,
+        ENDED
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/RequestEnds.java
@@ -0,0 +1,78 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.basilswitch.admission.RetryAfter;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.time.Scheduler;
+
+/** Ends requests, each exactly once, and tells their observers in a later turn of the event loop. */
+final class RequestEnds {
+    private final Scheduler scheduler;
+    private final Telemetry telemetry;
+    private final RequestClaims claims;
+    private final RetryAfter retryAfter;
+    private final Invariants invariants;
+    private int open;
+
+    RequestEnds(
+            Scheduler scheduler,
+            Telemetry telemetry,
+            RequestClaims claims,
+            RetryAfter retryAfter,
+            Invariants invariants) {
+        this.scheduler = scheduler;
+        this.telemetry = telemetry;
+        this.claims = claims;
+        this.retryAfter = retryAfter;
+        this.invariants = invariants;
+    }
+
+    void opened() {
+        open++;
+    }
+
+    int open() {
+        return open;
+    }
+
+    /** Ends a request that was answered by its backend server. */
+    void answered(Request request) {
+        close(request);
+    }
+
+    /** Ends a request for a reason after which trying again soon does not help. */
+    void refuse(Request request, Refusal.Code code) {
+        refuse(request, code, Optional.empty());
+    }
+
+    /** Ends a request for a reason that passes; the caller is asked to return after a random time. */
+    void refuse(Request request, Refusal.Code code, Duration expectedWait) {
+        refuse(request, code, Optional.of(retryAfter.spread(expectedWait)));
+    }
+
+    private void refuse(Request request, Refusal.Code code, Optional<Duration> after) {
+        if (!close(request)) {
+            return;
+        }
+        if (request.claimed() && !request.mayHaveRun()) {
+            claims.release(
+                    request.queue().name(), request.spec().idempotencyKey().orElseThrow());
+        }
+        telemetry.count(CounterCode.REQUESTS_REFUSED, code.text());
+        Refusal refusal = request.refusal(code, after);
+        scheduler.schedule(Duration.ZERO, () -> request.observer().refused(refusal));
+    }
+
+    private boolean close(Request request) {
+        if (!invariants.check(!request.ended(), "request-ended-once", "request=" + request.id())) {
+            return false;
+        }
+        request.state(Request.State.ENDED);
+        request.cancelExpiry();
+        open--;
+        return true;
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -5,14 +5,21 @@
 import java.util.concurrent.CompletionStage;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.admission.FleetUsage;
+import org.basilswitch.admission.SharePolicy;
 import org.basilswitch.configuration.ConfigurationFollower;
 import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.dispatch.BackgroundWork;
+import org.basilswitch.dispatch.Broker;
+import org.basilswitch.dispatch.BrokerParts;
 import org.basilswitch.dispatch.RequestBroker;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.membership.Member;
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.peer.PeerLink;
 import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.placement.Placement;
 import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.Clock;
@@ -41,8 +48,23 @@
             Telemetry telemetry) {
         StoreKeys keys = new StoreKeys(options.site());
         ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
-        RequestBroker broker =
-                FirstServerBroker.create(clock, scheduler, random, follower::current, telemetry, options.self());
+        SingleHost alone = new SingleHost(follower::current);
+        RequestBroker broker = Broker.create(new BrokerParts(
+                options.self(),
+                () -> List.of(options.self()),
+                follower::current,
+                alone,
+                alone,
+                alone,
+                FleetUsage.create(clock),
+                LiveHosts.unknown(),
+                BackgroundWork.none(),
+                new SharePolicy.Weighted(),
+                Placement.standard(),
+                clock,
+                scheduler,
+                random,
+                telemetry));
         return new EntryHost(options, follower, broker);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,6 +7,7 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
+    SERVERS_EJECTED("basilswitch.servers.ejected", "reason"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
 
     private final String metric;
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -12,7 +12,13 @@
     CONFIGURATION_APPLIED(1002, Severity.INFO, "configuration changes applied"),
     CONFIGURATION_COMPACTED(1003, Severity.WARN, "configuration watch was compacted; reading again"),
     CONFIGURATION_RECORD_INVALID(1004, Severity.ERROR, "configuration record can't be decoded; keeping the last one"),
-    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying");
+    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying"),
+    REQUEST_SET_ASIDE(1401, Severity.WARN, "request failed on several distinct backend servers and was set aside"),
+    INVARIANT_VIOLATED(1402, Severity.ERROR, "an invariant of request handling was violated; report this as a defect"),
+    RETRY_BUDGET_EMPTY(1403, Severity.WARN, "retry budget of the queue is used up; failures are not retried"),
+    URGENT_WAITING(1404, Severity.INFO, "urgent requests wait for slots held by background work"),
+    SERVER_EJECTED(1501, Severity.WARN, "backend server ejected for failing or staying silent"),
+    SERVER_RETURNED(1502, Severity.INFO, "backend server answered its probes and is let back");
 
     private final int number;
     private final Severity severity;
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
@@ -0,0 +1,313 @@
+package org.basilswitch.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.time.Clock;
+
+/**
+ * The backend servers of one pool as this entry host sees them, and the choice among them.
+ *
+ * <p>A server that fails everything is ejected and let back by single probes; at most half of the pool's servers are
+ * ejected at a time.
+ */
+public final class PoolServers {
+    private static final Duration MIN_SILENCE = Duration.ofSeconds(1);
+    private static final double SILENCE_SERVICE_TIMES = 5;
+    private static final double MEAN_WEIGHT = 0.05;
+
+    private final String pool;
+    private final String zone;
+    private final Placement placement;
+    private final Clock clock;
+    private final UniformRandomProvider random;
+    private final LiveHosts liveHosts;
+    private final Telemetry telemetry;
+    private final Map<String, ServerState> states = new HashMap<>();
+    private List<Host> configured = List.of();
+    private List<ServerState> active = List.of();
+    private double meanServiceNanos;
+    private int nextInTurn;
+
+    private PoolServers(
+            String pool,
+            String zone,
+            Placement placement,
+            Clock clock,
+            UniformRandomProvider random,
+            LiveHosts liveHosts,
+            Telemetry telemetry) {
+        this.pool = pool;
+        this.zone = zone;
+        this.placement = placement;
+        this.clock = clock;
+        this.random = random;
+        this.liveHosts = liveHosts;
+        this.telemetry = telemetry;
+    }
+
+    /** Creates the view of a pool from an entry host in an availability zone. */
+    public static PoolServers create(
+            String pool,
+            String zone,
+            Placement placement,
+            Clock clock,
+            UniformRandomProvider random,
+            LiveHosts liveHosts,
+            Telemetry telemetry) {
+        return new PoolServers(pool, zone, placement, clock, random, liveHosts, telemetry);
+    }
+
+    /** Takes in the pool's hosts of the configuration in force. */
+    public void update(List<Host> hosts) {
+        if (hosts == configured) {
+            return;
+        }
+        boolean first = states.isEmpty();
+        configured = hosts;
+        List<ServerState> next = new ArrayList<>();
+        for (Host host : hosts) {
+            ServerState state = states.computeIfAbsent(host.name(), name -> join(host, first));
+            if (host.state() != HostState.ACTIVE) {
+                state.host(host);
+                continue;
+            }
+            if (state.host().state() != HostState.ACTIVE) {
+                state.health().join(clock.monotonicNanos());
+            }
+            state.host(host);
+            next.add(state);
+        }
+        states.values().removeIf(state -> !hosts.contains(state.host()) && state.inFlight() == 0);
+        active = next;
+    }
+
+    private ServerState join(Host host, boolean first) {
+        ServerState state = new ServerState(host, random);
+        if (!first) {
+            state.health().join(clock.monotonicNanos());
+        }
+        return state;
+    }
+
+    /** The servers that may get new work by configuration and live-host list, ejected ones included. */
+    public List<Host> serving() {
+        return present().stream().map(ServerState::host).toList();
+    }
+
+    private List<ServerState> present() {
+        List<ServerState> listed = new ArrayList<>(active.size());
+        List<ServerState> gone = new ArrayList<>();
+        for (ServerState state : active) {
+            switch (liveHosts.presence(state.host().name())) {
+                case LIVE, UNKNOWN -> listed.add(state);
+                case GONE -> gone.add(state);
+                case LEAVING -> {
+                    // gets no new work
+                }
+            }
+        }
+        return listed.isEmpty() ? gone : listed;
+    }
+
+    /**
+     * Chooses a server with a free slot.
+     *
+     * @param avoid servers at which this request has failed, by name
+     * @param caps this host's slots under {@link Placement.DividedSlots}
+     */
+    public Optional<Host> choose(Set<String> avoid, SlotCaps caps) {
+        long now = clock.monotonicNanos();
+        List<ServerState> present = present();
+        present.forEach(state -> ejectWhenSilent(state, now));
+        List<ServerState> free = present.stream()
+                .filter(state -> state.free(now) && !avoid.contains(state.host().name()))
+                .toList();
+        if (free.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<ServerState> probe = probeDue(free, now);
+        return probe.or(() -> pick(free, caps, present, now)).map(ServerState::host);
+    }
+
+    private static Optional<ServerState> probeDue(List<ServerState> free, long now) {
+        return free.stream()
+                .filter(state -> state.health().state(now) == ServerHealth.State.PROBING)
+                .findFirst();
+    }
+
+    private Optional<ServerState> pick(List<ServerState> free, SlotCaps caps, List<ServerState> present, long now) {
+        return switch (placement) {
+            case Placement.UniformRandom any -> Optional.of(free.get(random.nextInt(free.size())));
+            case Placement.RoundRobin inTurn -> Optional.of(free.get(nextInTurn++ % free.size()));
+            case Placement.LeastInFlight least -> leastLoaded(free);
+            case Placement.LocalProbing probing -> probe(free, probing.ways());
+            case Placement.DividedSlots divided -> divided(free, divided.ways(), caps, present, now);
+        };
+    }
+
+    private Optional<ServerState> divided(
+            List<ServerState> free, int ways, SlotCaps caps, List<ServerState> present, long now) {
+        List<ServerState> own = free.stream()
+                .filter(state -> state.inFlight() < caps.at(state.host().name()))
+                .toList();
+        Optional<ServerState> chosen = zoneFirst(own, this::leastLoaded);
+        if (chosen.isPresent() || !(caps.roomBeyond() || lostSlots(present, caps, now) > usedBeyond(present, caps))) {
+            return chosen;
+        }
+        return probe(free, ways);
+    }
+
+    private static int lostSlots(List<ServerState> present, SlotCaps caps, long now) {
+        return present.stream()
+                .filter(state -> state.health().slotsPart(now) == 0)
+                .mapToInt(state -> caps.at(state.host().name()))
+                .sum();
+    }
+
+    private static int usedBeyond(List<ServerState> present, SlotCaps caps) {
+        return present.stream()
+                .mapToInt(state ->
+                        Math.max(0, state.inFlight() - caps.at(state.host().name())))
+                .sum();
+    }
+
+    private Optional<ServerState> probe(List<ServerState> free, int ways) {
+        return zoneFirst(free, candidates -> leastLoaded(sample(candidates, ways)));
+    }
+
+    private Optional<ServerState> zoneFirst(
+            List<ServerState> candidates,
+            java.util.function.Function<List<ServerState>, Optional<ServerState>> choice) {
+        List<ServerState> near = candidates.stream().filter(inZone()).toList();
+        return choice.apply(near.isEmpty() ? candidates : near);
+    }
+
+    private Predicate<ServerState> inZone() {
+        return state -> state.host().zone().equals(zone);
+    }
+
+    private List<ServerState> sample(List<ServerState> candidates, int count) {
+        if (candidates.size() <= count) {
+            return candidates;
+        }
+        List<ServerState> rest = new ArrayList<>(candidates);
+        List<ServerState> sample = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            sample.add(rest.remove(random.nextInt(rest.size())));
+        }
+        return sample;
+    }
+
+    private Optional<ServerState> leastLoaded(List<ServerState> candidates) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        int offset = random.nextInt(candidates.size());
+        List<ServerState> rotated = new ArrayList<>(candidates.subList(offset, candidates.size()));
+        rotated.addAll(candidates.subList(0, offset));
+        return rotated.stream().min(Comparator.comparingDouble(state -> state.load(meanServiceNanos)));
+    }
+
+    /** Notes that an attempt has been given to a server. */
+    public void started(Host server, Object token) {
+        ServerState state = states.get(server.name());
+        if (state != null) {
+            state.started(token, clock.monotonicNanos());
+        }
+    }
+
+    /** Notes the end of an attempt; a second end of the same attempt is without effect. */
+    public void ended(Host server, Object token, Result result) {
+        ServerState state = states.get(server.name());
+        if (state == null) {
+            return;
+        }
+        long now = clock.monotonicNanos();
+        state.ended(token).ifPresent(started -> note(state, result, now, now - started));
+    }
+
+    private void note(ServerState state, Result result, long now, long serviceNanos) {
+        switch (result) {
+            case SUCCESS -> succeeded(state, now, serviceNanos);
+            case FAILURE -> failed(state, now);
+            case BUSY -> state.busy(now);
+            case NEUTRAL -> {
+                // says nothing about the server
+            }
+        }
+    }
+
+    private void succeeded(ServerState state, long now, long serviceNanos) {
+        state.answered(now, serviceNanos);
+        meanServiceNanos = meanServiceNanos == 0
+                ? serviceNanos
+                : meanServiceNanos + MEAN_WEIGHT * (serviceNanos - meanServiceNanos);
+        if (state.health().succeeded(now)) {
+            telemetry.event(
+                    EventCode.SERVER_RETURNED,
+                    "pool=" + pool + " server=" + state.host().name());
+        }
+    }
+
+    private void failed(ServerState state, long now) {
+        if (state.health().failed(now)) {
+            eject(state, now, "failures");
+        }
+    }
+
+    private void ejectWhenSilent(ServerState state, long now) {
+        if (meanServiceNanos == 0 || state.health().slotsPart(now) == 0) {
+            return;
+        }
+        long silence = Math.max(MIN_SILENCE.toNanos(), (long) (SILENCE_SERVICE_TIMES * meanServiceNanos));
+        if (state.silentFor(now, silence)) {
+            eject(state, now, "silence");
+        }
+    }
+
+    private void eject(ServerState state, long now, String reason) {
+        long ejected = active.stream()
+                .filter(other -> other != state && other.health().slotsPart(now) == 0)
+                .count();
+        if (2 * (ejected + 1) > active.size()) {
+            return;
+        }
+        state.health().eject(now);
+        telemetry.count(CounterCode.SERVERS_EJECTED, reason);
+        telemetry.event(
+                EventCode.SERVER_EJECTED,
+                "pool=" + pool + " server=" + state.host().name() + " reason=" + reason);
+    }
+
+    /** Time until a server that is held off or ejected may be tried again; empty when none is. */
+    public Optional<Duration> nextChange() {
+        long now = clock.monotonicNanos();
+        return active.stream()
+                .map(ServerState::heldOffUntilNanos)
+                .filter(until -> until > now)
+                .min(Comparator.naturalOrder())
+                .map(until -> Duration.ofNanos(until - now));
+    }
+
+    /** What the end of an attempt says about its server. */
+    public enum Result {
+        SUCCESS,
+        FAILURE,
+        BUSY,
+        NEUTRAL
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/ServerHealth.java
@@ -0,0 +1,103 @@
+package org.basilswitch.placement;
+
+import java.time.Duration;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Whether a backend server may be sent requests: healthy, ejected for a time, probed by one request, or returning with
+ * a growing part of its slots.
+ */
+final class ServerHealth {
+    static final int EJECT_FAILURES = 5;
+    static final Duration SLOW_START = Duration.ofSeconds(5);
+    static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
+    static final Duration MAX_EJECTION = Duration.ofSeconds(30);
+
+    private static final int PROBES_TO_RETURN = 2;
+    private static final int MAX_DOUBLINGS = 5;
+
+    private final UniformRandomProvider random;
+    private State state = State.HEALTHY;
+    private int consecutiveFailures;
+    private int ejections;
+    private int probesAnswered;
+    private long ejectedUntilNanos;
+    private long returnedNanos;
+
+    ServerHealth(UniformRandomProvider random) {
+        this.random = random;
+    }
+
+    /** Begins the slow start of a server that has joined a pool in use. */
+    void join(long nowNanos) {
+        state = State.RETURNING;
+        returnedNanos = nowNanos;
+    }
+
+    State state(long nowNanos) {
+        if (state == State.EJECTED && nowNanos >= ejectedUntilNanos) {
+            state = State.PROBING;
+        }
+        if (state == State.RETURNING && nowNanos - returnedNanos >= SLOW_START.toNanos()) {
+            state = State.HEALTHY;
+        }
+        return state;
+    }
+
+    /** Notes a success; returns whether the server has come back. */
+    boolean succeeded(long nowNanos) {
+        consecutiveFailures = 0;
+        if (state(nowNanos) != State.PROBING) {
+            return false;
+        }
+        probesAnswered++;
+        if (probesAnswered < PROBES_TO_RETURN) {
+            return false;
+        }
+        join(nowNanos);
+        return true;
+    }
+
+    /** Notes a failure; returns whether the server deserves ejection. */
+    boolean failed(long nowNanos) {
+        consecutiveFailures++;
+        return state(nowNanos) == State.PROBING || consecutiveFailures >= EJECT_FAILURES;
+    }
+
+    /** Ejects the server for a time that doubles with each ejection in a row. */
+    void eject(long nowNanos) {
+        if (state == State.HEALTHY) {
+            ejections = 0;
+        }
+        long base = FIRST_EJECTION.toNanos() << Math.min(ejections, MAX_DOUBLINGS);
+        long nanos = Math.min(MAX_EJECTION.toNanos(), (long) (base * (0.75 + random.nextDouble() / 2)));
+        ejections++;
+        state = State.EJECTED;
+        probesAnswered = 0;
+        consecutiveFailures = 0;
+        ejectedUntilNanos = nowNanos + nanos;
+    }
+
+    /** Part of the server's slots that may be used, from 0 to 1. */
+    double slotsPart(long nowNanos) {
+        return switch (state(nowNanos)) {
+            case HEALTHY -> 1;
+            case EJECTED, PROBING -> 0;
+            case RETURNING -> (double) (nowNanos - returnedNanos) / SLOW_START.toNanos();
+        };
+    }
+
+    /** Failures since the last success. */
+    int consecutiveFailures() {
+        return consecutiveFailures;
+    }
+
+    /** States of a server. */
+    enum State {
+        HEALTHY,
+        EJECTED,
+        PROBING,
+        RETURNING
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/BrokerTest.java
@@ -0,0 +1,321 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.TeamKey;
+import org.basilswitch.dispatch.Refusal.Code;
+import org.basilswitch.dispatch.Refusal.Outcome;
+import org.basilswitch.dispatch.TestSite.TestCaller;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests of admission, attempts, retries and their refusals at one broker. */
+public final class BrokerTest {
+
+    private static Refusal refusalOf(TestSite site, TestCaller caller) {
+        site.run(50);
+        return caller.refusal();
+    }
+
+    /** Each wrong key, queue or team is refused with its own code. */
+    @Test
+    public void wrongKeysAreRefused() {
+        TestSite site = TestSite.create(1, 1);
+        assertEquals(refusalOf(site, site.submit("nowhere", "a")).code(), Code.QUEUE_UNKNOWN);
+        assertEquals(
+                refusalOf(site, site.submit(TestSite.spec(TestSite.ONCE, Optional.empty())))
+                        .code(),
+                Code.KEY_MISSING);
+        assertEquals(refusalOf(site, site.submit(TestSite.ONCE, "stranger")).code(), Code.KEY_UNKNOWN);
+        site.remove(site.configuration.teams().get("b"));
+        assertEquals(refusalOf(site, site.submit(TestSite.ONCE, "b")).code(), Code.TEAM_NOT_ALLOWED);
+        TestCaller open = site.submit(TestSite.spec(TestSite.OPEN, Optional.empty()));
+        site.run(1);
+        assertEquals(open.last().team(), "open");
+    }
+
+    /** A withdrawn key refuses its waiting requests and those that were about to be sent. */
+    @Test
+    public void withdrawnKeyStopsWaitingRequests() {
+        TestSite site = TestSite.create(1, 1);
+        TestCaller running = site.submit(TestSite.ONCE, "a");
+        TestCaller waiting = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        TeamKey key = site.configuration.keys().get("key-a");
+        site.remove(key);
+        site.run(50);
+        assertEquals(waiting.refusal().code(), Code.KEY_UNKNOWN);
+        assertFalse(running.last().beginSend());
+        assertEquals(refusalOf(site, running).outcome(), Outcome.NOT_RUN);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** A non-idempotent request is never tried again after its first byte may have left. */
+    @Test
+    public void sentNonIdempotentRequestIsNotRetried() {
+        TestSite site = TestSite.create(4, 4);
+        TestCaller caller = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        assertTrue(caller.last().beginSend());
+        assertFalse(caller.last().beginSend());
+        caller.last().failed(Attempt.Failure.RESET);
+        site.run(1_000);
+        assertEquals(caller.attempts.size(), 1);
+        assertEquals(caller.refusal(), Refusal.unknown(Code.ANSWER_LOST));
+        assertEquals(site.violations(), 0);
+    }
+
+    /** A request that certainly did not run is tried at another server. */
+    @Test
+    public void unsentRequestIsRetriedElsewhere() {
+        TestSite site = TestSite.create(2, 4);
+        TestCaller caller = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        caller.last().failed(Attempt.Failure.CONNECT_REFUSED);
+        site.run(200);
+        assertEquals(caller.attempts.size(), 2);
+        assertNotEquals(
+                caller.attempts.get(0).server().name(),
+                caller.attempts.get(1).server().name());
+        assertTrue(caller.last().beginSend());
+        caller.last().answered(200);
+        site.run(10);
+        assertTrue(caller.refusals.isEmpty());
+        assertEquals(site.broker.openRequests(), 0);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** A busy refusal of the server after sending says that the request has not run, and it may be sent again. */
+    @Test
+    public void busyRefusalAllowsAnotherSend() {
+        TestSite site = TestSite.create(2, 4);
+        TestCaller caller = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        assertTrue(caller.last().beginSend());
+        caller.last().failed(Attempt.Failure.SERVER_BUSY);
+        site.run(100);
+        assertEquals(caller.attempts.size(), 2);
+        assertTrue(caller.last().beginSend());
+        assertEquals(site.violations(), 0);
+    }
+
+    /** Late and repeated callbacks of an attempt change nothing. */
+    @Test
+    public void lateCallbacksAreHarmless() {
+        TestSite site = TestSite.create(2, 4);
+        TestCaller caller = site.submit(TestSite.REPEATABLE, "a");
+        site.run(1);
+        Attempt first = caller.last();
+        first.beginSend();
+        first.failed(Attempt.Failure.RESET);
+        first.failed(Attempt.Failure.ANSWER_TIMEOUT);
+        first.answered(200);
+        site.run(500);
+        assertEquals(caller.attempts.size(), 2);
+        assertFalse(first.beginSend());
+        caller.last().beginSend();
+        caller.last().answered(200);
+        caller.last().answered(200);
+        first.answered(200);
+        site.run(20_000);
+        assertTrue(caller.refusals.isEmpty());
+        assertEquals(site.violations(), 0);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** An idempotent request that fails on three distinct servers is set aside. */
+    @Test
+    public void poisonousRequestIsSetAside() {
+        TestSite site = TestSite.create(8, 4);
+        TestCaller caller = site.submit(TestSite.REPEATABLE, "a");
+        caller.script = attempt -> {
+            attempt.beginSend();
+            attempt.failed(Attempt.Failure.RESET);
+        };
+        site.run(2_000);
+        Set<String> servers = new HashSet<>();
+        caller.attempts.forEach(attempt -> servers.add(attempt.server().name()));
+        assertEquals(servers.size(), 3);
+        assertEquals(caller.refusal().code(), Code.SET_ASIDE);
+        assertEquals(caller.refusal().outcome(), Outcome.UNKNOWN);
+    }
+
+    /** When every server fails, attempts stay within 1.1 times the requests. */
+    @Test
+    public void failingPoolSeesNoRetryStorm() {
+        TestSite site = TestSite.create(8, 8);
+        int attempts = 0;
+        List<TestCaller> callers = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            TestCaller caller = site.submit(TestSite.REPEATABLE, "a");
+            caller.script = attempt -> attempt.failed(Attempt.Failure.CONNECT_REFUSED);
+            callers.add(caller);
+            site.run(10);
+        }
+        for (TestCaller caller : callers) {
+            attempts += caller.attempts.size();
+        }
+        assertTrue(attempts <= 1_100, "attempts " + attempts);
+    }
+
+    /** A host without authority refuses truthfully, also at the last moment before sending. */
+    @Test
+    public void withoutAuthorityNothingIsSent() {
+        TestSite site = TestSite.create(1, 1);
+        TestCaller offered = site.submit(TestSite.ONCE, "a");
+        TestCaller waiting = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        site.authorised = false;
+        assertFalse(offered.last().beginSend());
+        site.run(100);
+        assertEquals(offered.refusal().code(), Code.STALE);
+        assertEquals(waiting.refusal().code(), Code.STALE);
+        assertEquals(refusalOf(site, site.submit(TestSite.ONCE, "a")).outcome(), Outcome.NOT_RUN);
+    }
+
+    /** The unit of a request that may still run is kept until the request's deadline. */
+    @Test
+    public void lostAnswerKeepsUnitUntilDeadline() {
+        TestSite site = TestSite.create(1, 4);
+        TestCaller caller = site.submit(TestSite.ONCE, "a");
+        site.run(1);
+        caller.last().beginSend();
+        caller.last().failed(Attempt.Failure.CALLER_GONE);
+        site.run(5_000);
+        assertEquals(site.unitsHeld(), 1);
+        site.run(5_000);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** Claims: a duplicate is refused, a claim that can't commit is refused, an unused claim is withdrawn. */
+    @Test
+    public void claimsAreHeldBeforeSending() {
+        TestSite site = TestSite.create(2, 4);
+        TestCaller first = site.submit(TestSite.withId(TestSite.ONCE, "a", "id-1"));
+        site.run(1);
+        assertTrue(first.attempts.isEmpty());
+        site.run(10);
+        assertTrue(first.last().beginSend());
+        TestCaller second = site.submit(TestSite.withId(TestSite.ONCE, "a", "id-1"));
+        assertEquals(refusalOf(site, second).code(), Code.ALREADY_CLAIMED);
+        TestCaller unsent = site.submit(TestSite.withId(TestSite.ONCE, "a", "id-2"));
+        site.run(10);
+        unsent.last().failed(Attempt.Failure.CALLER_BODY_FAILED);
+        site.run(10);
+        assertFalse(site.claims.containsKey("id-2"));
+        site.claimResult = new RequestClaims.Unavailable("store is down");
+        TestCaller third = site.submit(TestSite.withId(TestSite.ONCE, "a", "id-3"));
+        assertEquals(refusalOf(site, third).code(), Code.CLAIM_UNAVAILABLE);
+        first.last().answered(200);
+        site.run(20_000);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** No team holds more units than allotted, and waiting requests start when units return. */
+    @Test
+    public void limitHoldsRequestsBack() {
+        TestSite site = TestSite.create(2, 4);
+        site.allotted.put("a", 2);
+        List<TestCaller> callers = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            callers.add(site.submit(TestSite.ONCE, "a"));
+        }
+        site.run(30);
+        assertEquals(callers.stream().filter(c -> !c.attempts.isEmpty()).count(), 2);
+        callers.get(0).last().beginSend();
+        callers.get(0).last().answered(200);
+        site.run(1);
+        assertEquals(callers.stream().filter(c -> !c.attempts.isEmpty()).count(), 3);
+        assertEquals(site.mostUnits, 2);
+    }
+
+    /** A request that waits past the time at which it could still end is refused before its deadline. */
+    @Test
+    public void waitingRequestIsRefusedByDeadline() {
+        TestSite site = TestSite.create(1, 1);
+        site.submit(TestSite.ONCE, "a");
+        TestCaller waiting =
+                site.submit(TestSite.spec(TestSite.ONCE, "a", RequestSpec.Priority.NORMAL, Duration.ofMillis(300)));
+        site.run(310);
+        assertEquals(waiting.refusal().code(), Code.DEADLINE);
+        assertEquals(waiting.refusal().outcome(), Outcome.NOT_RUN);
+    }
+
+    /** Cancelling ten thousand waiting requests leaves nothing behind. */
+    @Test
+    public void cancellationsInWavesLeaveNothing() {
+        TestSite site = TestSite.create(1, 1);
+        site.put(new org.basilswitch.configuration.Queue(
+                TestSite.ONCE, TestSite.POOL, false, false, 60_000, 60_000, 1 << 20, 100_000));
+        List<TestCaller> callers = new ArrayList<>();
+        for (int i = 0; i < 10_000; i++) {
+            callers.add(site.submit(TestSite.ONCE, i % 2 == 0 ? "a" : "b"));
+        }
+        site.run(1);
+        callers.forEach(caller -> caller.handle.cancel());
+        callers.forEach(caller -> caller.handle.cancel());
+        site.run(10);
+        assertEquals(site.broker.openRequests(), 1);
+        assertEquals(callers.stream().filter(c -> c.refusals.size() == 1).count(), 9_999);
+        assertEquals(site.violations(), 0);
+    }
+
+    /** A draining broker refuses new requests and completes the others. */
+    @Test
+    public void drainCompletesAcceptedRequests() {
+        TestSite site = TestSite.create(1, 1);
+        TestCaller running = site.submit(TestSite.ONCE, "a");
+        TestCaller waiting = site.submit(TestSite.ONCE, "a");
+        site.broker.drain();
+        assertEquals(refusalOf(site, site.submit(TestSite.ONCE, "a")).code(), Code.DRAINING);
+        running.last().beginSend();
+        running.last().answered(200);
+        site.run(10);
+        assertTrue(waiting.last().beginSend());
+        waiting.last().answered(200);
+        site.run(10);
+        assertEquals(site.broker.openRequests(), 0);
+    }
+
+    /** A server that is draining by configuration or leaving by the live-host list gets no new work. */
+    @Test
+    public void leavingServersGetNoNewWork() {
+        TestSite site = TestSite.create(3, 100);
+        site.put(TestSite.host("s0", 100, HostState.DRAINING));
+        site.presences.put("s1", org.basilswitch.placement.LiveHosts.Presence.LEAVING);
+        for (int i = 0; i < 50; i++) {
+            TestCaller caller = site.submit(TestSite.REPEATABLE, "a");
+            site.run(1);
+            assertEquals(caller.last().server().name(), "s2");
+        }
+        site.presences.put("s2", org.basilswitch.placement.LiveHosts.Presence.LEAVING);
+        assertEquals(refusalOf(site, site.submit(TestSite.REPEATABLE, "a")).code(), Code.NO_SERVER);
+    }
+
+    /** Urgent requests go first, and room is asked for when none starts. */
+    @Test
+    public void urgentGoesFirst() {
+        TestSite site = TestSite.create(1, 1);
+        TestCaller running = site.submit(TestSite.ONCE, "a");
+        TestCaller normal = site.submit(TestSite.ONCE, "a");
+        TestCaller urgent =
+                site.submit(TestSite.spec(TestSite.ONCE, "a", RequestSpec.Priority.URGENT, Duration.ofSeconds(10)));
+        site.run(30);
+        assertFalse(site.roomAsked.isEmpty());
+        running.last().beginSend();
+        running.last().answered(200);
+        site.run(1);
+        assertEquals(urgent.attempts.size(), 1);
+        assertTrue(normal.attempts.isEmpty());
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/TestSite.java
@@ -0,0 +1,248 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.admission.FleetUsage;
+import org.basilswitch.admission.KeyCheck;
+import org.basilswitch.admission.SharePolicy;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.configuration.Team;
+import org.basilswitch.configuration.TeamKey;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.limit.TeamLimits;
+import org.basilswitch.membership.Member;
+import org.basilswitch.membership.ServingAuthority;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.placement.Placement;
+import org.basilswitch.time.VirtualTime;
+
+/** One broker on virtual time with settable fakes around it. */
+final class TestSite implements TeamLimits, RequestClaims, ServingAuthority, Telemetry {
+    static final String ONCE = "once";
+    static final String REPEATABLE = "repeatable";
+    static final String OPEN = "open-queue";
+    static final String POOL = "pool";
+
+    final VirtualTime time = VirtualTime.create();
+    final Member self = new Member(new MemberId("e1"), "e1", "127.0.0.1:1", "z1");
+    final Map<String, ConfigurationRecord> records = new HashMap<>();
+    final Map<String, Integer> counts = new HashMap<>();
+    final Map<String, Integer> busy = new HashMap<>();
+    final Map<String, Integer> allotted = new HashMap<>();
+    final Map<String, LiveHosts.Presence> presences = new HashMap<>();
+    final Map<String, Integer> claims = new HashMap<>();
+    final List<String> roomAsked = new ArrayList<>();
+    final List<Consumer<String>> listeners = new ArrayList<>();
+    final FleetUsage usage = FleetUsage.create(time);
+    SiteConfiguration configuration = SiteConfiguration.empty();
+    ClaimResult claimResult = new Granted();
+    Duration claimDelay = Duration.ofMillis(5);
+    boolean authorised = true;
+    long revision;
+    int mostUnits;
+    Broker broker;
+
+    private TestSite() {}
+
+    /** A pool of servers of some slots each, three queues and the teams {@code a} and {@code b}. */
+    static TestSite create(int servers, int slots) {
+        return create(servers, slots, Placement.standard(), 1);
+    }
+
+    static TestSite create(int servers, int slots, Placement placement, long seed) {
+        TestSite site = new TestSite();
+        site.put(new Pool(POOL, 0, false));
+        site.put(new Queue(ONCE, POOL, false, false, 60_000, 10_000, 1 << 20, 100));
+        site.put(new Queue(REPEATABLE, POOL, false, true, 60_000, 10_000, 1 << 20, 100));
+        site.put(new Queue(OPEN, POOL, true, true, 60_000, 10_000, 1 << 20, 100));
+        for (String team : List.of("a", "b")) {
+            site.put(new Team(team, 1, 1_000));
+            String hash = KeyCheck.hash(Optional.of("secret-" + team)).orElseThrow();
+            site.put(new TeamKey("key-" + team, team, hash));
+        }
+        for (int i = 0; i < servers; i++) {
+            site.put(host("s" + i, slots, HostState.ACTIVE));
+        }
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        site.broker = Broker.create(new BrokerParts(
+                site.self,
+                () -> List.of(site.self),
+                () -> site.configuration,
+                site,
+                site,
+                site,
+                site.usage,
+                host -> site.presences.getOrDefault(host, LiveHosts.Presence.UNKNOWN),
+                (pool, requests) -> site.roomAsked.add(pool),
+                new SharePolicy.Weighted(),
+                placement,
+                site.time,
+                site.time,
+                random,
+                site));
+        return site;
+    }
+
+    static Host host(String name, int slots, HostState state) {
+        return new Host(name, "127.0.0.1:9000", "z1", "r1", POOL, state, slots, 64, 8, 1L << 30, 0);
+    }
+
+    void put(ConfigurationRecord record) {
+        records.put(ConfigurationRecord.kind(record.getClass()) + record.name(), record);
+        configuration = SiteConfiguration.of(++revision, records.values());
+    }
+
+    void remove(ConfigurationRecord record) {
+        records.remove(ConfigurationRecord.kind(record.getClass()) + record.name());
+        configuration = SiteConfiguration.of(++revision, records.values());
+    }
+
+    TestCaller submit(String queue, String team) {
+        return submit(spec(queue, Optional.of("secret-" + team)));
+    }
+
+    TestCaller submit(RequestSpec spec) {
+        TestCaller caller = new TestCaller();
+        caller.handle = broker.submit(spec, caller);
+        return caller;
+    }
+
+    static RequestSpec spec(String queue, Optional<String> key) {
+        return new RequestSpec(queue, key, Optional.empty(), Optional.empty(), RequestSpec.Priority.NORMAL);
+    }
+
+    static RequestSpec spec(String queue, String team, RequestSpec.Priority priority, Duration deadline) {
+        return new RequestSpec(queue, Optional.of("secret-" + team), Optional.empty(), Optional.of(deadline), priority);
+    }
+
+    static RequestSpec withId(String queue, String team, String id) {
+        return new RequestSpec(
+                queue, Optional.of("secret-" + team), Optional.of(id), Optional.empty(), RequestSpec.Priority.NORMAL);
+    }
+
+    void run(long millis) {
+        time.runFor(Duration.ofMillis(millis));
+    }
+
+    int violations() {
+        return count(CounterCode.INVARIANT_VIOLATIONS);
+    }
+
+    int count(CounterCode counter) {
+        return counts.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(counter.name() + ":"))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    int unitsHeld() {
+        return busy.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    @Override
+    public boolean tryAcquire(String team) {
+        if (busy.getOrDefault(team, 0) >= allotted(team)) {
+            return false;
+        }
+        mostUnits = Math.max(mostUnits, busy.merge(team, 1, Integer::sum));
+        return true;
+    }
+
+    @Override
+    public void release(String team) {
+        busy.merge(team, -1, Integer::sum);
+        listeners.forEach(listener -> listener.accept(team));
+    }
+
+    @Override
+    public void onAvailable(Consumer<String> listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public int allotted(String team) {
+        return allotted.getOrDefault(team, 1_000);
+    }
+
+    @Override
+    public CompletionStage<ClaimResult> claim(
+            String queue, String idempotencyKey, Duration claimTime, Duration timeout) {
+        CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+        time.schedule(claimDelay, () -> {
+            boolean first = claimResult instanceof Granted && claims.merge(idempotencyKey, 1, Integer::sum) > 1;
+            result.complete(first ? new Duplicate() : claimResult);
+        });
+        return result;
+    }
+
+    @Override
+    public void release(String queue, String idempotencyKey) {
+        claims.remove(idempotencyKey);
+    }
+
+    @Override
+    public boolean mayStart() {
+        return authorised;
+    }
+
+    @Override
+    public Duration remaining() {
+        return authorised ? Duration.ofSeconds(5) : Duration.ZERO;
+    }
+
+    @Override
+    public void event(EventCode code, String detail) {}
+
+    @Override
+    public void count(CounterCode counter, String tag) {
+        counts.merge(counter.name() + ":" + tag, 1, Integer::sum);
+    }
+
+    /** A caller that keeps what it was told. */
+    static final class TestCaller implements RequestBroker.RequestObserver {
+        final List<Attempt> attempts = new ArrayList<>();
+        final List<Refusal> refusals = new ArrayList<>();
+        RequestBroker.RequestHandle handle;
+        Consumer<Attempt> script = attempt -> {};
+
+        @Override
+        public void attempt(Attempt attempt) {
+            attempts.add(attempt);
+            script.accept(attempt);
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            refusals.add(refusal);
+        }
+
+        Attempt last() {
+            return attempts.get(attempts.size() - 1);
+        }
+
+        Refusal refusal() {
+            if (refusals.size() != 1) {
+                throw new AssertionError("expected one refusal: " + refusals);
+            }
+            return refusals.get(0);
+        }
+    }
+}
