--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -10,6 +10,7 @@
     CLAIMS("basilswitch.claims", "verdict"),
     CLAIM_COMMITS("basilswitch.claim.commits", "result"),
     LIMIT_COMMITS("basilswitch.limit.commits", "result"),
+    SERVERS_EJECTED("basilswitch.servers.ejected", "reason"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
 
     private final String metric;
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -30,7 +30,13 @@
     CLAIM_BUCKET_TAKEN(1301, Severity.INFO, "this entry host holds a claim bucket"),
     CLAIM_BUCKET_LOST(1302, Severity.INFO, "another entry host holds a claim bucket"),
     CLAIM_COMMIT_UNKNOWN(1303, Severity.WARN, "the answer to a claim commit was lost; reading the bucket back"),
-    CLAIM_STORE_FAILED(1304, Severity.WARN, "a claim bucket can't be read or written; claims are refused");
+    CLAIM_STORE_FAILED(1304, Severity.WARN, "a claim bucket can't be read or written; claims are refused"),
+    REQUEST_SET_ASIDE(1401, Severity.WARN, "request failed on several distinct backend servers and was set aside"),
+    INVARIANT_VIOLATED(1402, Severity.ERROR, "an invariant of request handling was violated; report this as a defect"),
+    RETRY_BUDGET_EMPTY(1403, Severity.WARN, "retry budget of the queue is used up; failures are not retried"),
+    URGENT_WAITING(1404, Severity.INFO, "urgent requests wait for slots held by background work"),
+    SERVER_EJECTED(1501, Severity.WARN, "backend server ejected for failing or staying silent"),
+    SERVER_RETURNED(1502, Severity.INFO, "backend server answered its probes and is let back");
 
     private final int number;
     private final Severity severity;
