--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -5,8 +5,13 @@
 import java.util.concurrent.CompletionStage;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.admission.FleetUsage;
+import org.basilswitch.admission.SharePolicy;
 import org.basilswitch.configuration.ConfigurationFollower;
 import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.dispatch.BackgroundWork;
+import org.basilswitch.dispatch.Broker;
+import org.basilswitch.dispatch.BrokerParts;
 import org.basilswitch.dispatch.RequestBroker;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.membership.InForce;
@@ -17,6 +22,8 @@
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.peer.PeerLink;
 import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.placement.Placement;
 import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.Clock;
@@ -54,8 +61,25 @@
         Membership.Settings settings =
                 new Membership.Settings(options.self(), keys, times, options.heartbeatInterval());
         Membership membership = Membership.create(settings, clock, scheduler, store, follower, peers, telemetry);
-        RequestBroker broker =
-                FirstServerBroker.create(clock, scheduler, random, follower::current, telemetry, options.self());
+        SingleHost alone = new SingleHost(follower::current);
+        FleetUsage usage = FleetUsage.create(clock);
+        membership.reportUsage(usage);
+        RequestBroker broker = Broker.create(new BrokerParts(
+                options.self(),
+                () -> membership.view().members(),
+                follower::current,
+                membership.leases(),
+                alone,
+                alone,
+                usage,
+                LiveHosts.unknown(),
+                BackgroundWork.none(),
+                new SharePolicy.Weighted(),
+                Placement.standard(),
+                clock,
+                scheduler,
+                random,
+                telemetry));
         return new EntryHost(options, follower, membership, broker);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -22,7 +22,13 @@
     MEMBER_EXPELLED(1105, Severity.WARN, "other entry hosts removed this one; joining again"),
     MEMBERS_CHANGED(1106, Severity.INFO, "the members record has changed"),
     SERVING_STARTED(1107, Severity.INFO, "a majority of the members promises; work may start"),
-    SERVING_STOPPED(1108, Severity.WARN, "no majority of the members promises; work is refused as not run");
+    SERVING_STOPPED(1108, Severity.WARN, "no majority of the members promises; work is refused as not run"),
+    REQUEST_SET_ASIDE(1401, Severity.WARN, "request failed on several distinct backend servers and was set aside"),
+    INVARIANT_VIOLATED(1402, Severity.ERROR, "an invariant of request handling was violated; report this as a defect"),
+    RETRY_BUDGET_EMPTY(1403, Severity.WARN, "retry budget of the queue is used up; failures are not retried"),
+    URGENT_WAITING(1404, Severity.INFO, "urgent requests wait for slots held by background work"),
+    SERVER_EJECTED(1501, Severity.WARN, "backend server ejected for failing or staying silent"),
+    SERVER_RETURNED(1502, Severity.INFO, "backend server answered its probes and is let back");
 
     private final int number;
     private final Severity severity;
