--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,7 +7,12 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
-    INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
+    INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant"),
+    CALLERS_REJECTED("basilswitch.callers.rejected", "reason"),
+    WORKER_ANSWERS_DROPPED("basilswitch.worker.answers.dropped", "reason"),
+    PEER_MESSAGES_DROPPED("basilswitch.peer.messages.dropped", "reason"),
+    PEER_FRAMES_INVALID("basilswitch.peer.frames.invalid", "reason"),
+    EVENTS_SUPPRESSED("basilswitch.events.suppressed", "event");
 
     private final String metric;
     private final String tagName;
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -12,7 +12,30 @@
     CONFIGURATION_APPLIED(1002, Severity.INFO, "configuration changes applied"),
     CONFIGURATION_COMPACTED(1003, Severity.WARN, "configuration watch was compacted; reading again"),
     CONFIGURATION_RECORD_INVALID(1004, Severity.ERROR, "configuration record can't be decoded; keeping the last one"),
-    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying");
+    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying"),
+    CALLER_REQUEST_MALFORMED(2001, Severity.INFO, "caller's request is malformed; refused"),
+    CALLER_HEADERS_TOO_LARGE(2002, Severity.INFO, "caller's headers are too large; refused"),
+    CALLER_BODY_TOO_LARGE(2003, Severity.INFO, "caller's body is over the limit; refused"),
+    CALLER_HEADERS_STALLED(2004, Severity.INFO, "caller sent no whole request head in time; connection closed"),
+    CALLER_BODY_STALLED(2005, Severity.INFO, "caller stopped sending the body; refused"),
+    CALLER_GONE(2006, Severity.DEBUG, "caller closed the connection before its answer; request cancelled"),
+    WORKER_ANSWER_MISMATCHED(2007, Severity.WARN, "backend server answered another request; answer dropped"),
+    WORKER_ANSWER_CUT(2008, Severity.WARN, "backend server's answer broke off; caller's connection cut"),
+    PEER_CONNECTED(2201, Severity.INFO, "peer connected"),
+    PEER_DISCONNECTED(2202, Severity.INFO, "peer disconnected"),
+    PEER_CONNECT_FAILED(2203, Severity.WARN, "peer can't be reached; retrying with backoff"),
+    PEER_FRAME_INVALID(2204, Severity.WARN, "invalid data on the peer port; connection closed"),
+    PEER_QUEUE_FULL(2205, Severity.WARN, "send queue to a peer is full; messages dropped"),
+    TLS_RELOADED(2301, Severity.INFO, "TLS files reloaded"),
+    TLS_RELOAD_FAILED(2302, Severity.ERROR, "TLS files can't be loaded; keeping the last ones"),
+    ENTRY_HOST_STARTED(2401, Severity.INFO, "entry host listens on its ports"),
+    ENTRY_HOST_READY(2402, Severity.INFO, "entry host is ready for callers"),
+    SHUTDOWN_STARTED(2403, Severity.INFO, "shutdown started; not ready from now on"),
+    SHUTDOWN_DRAINING(2404, Severity.INFO, "shutdown drains open requests"),
+    SHUTDOWN_TIMED_OUT(2405, Severity.ERROR, "shutdown grace passed with requests open; closing them"),
+    SHUTDOWN_COMPLETED(2406, Severity.INFO, "shutdown completed"),
+    START_FAILED(2407, Severity.ERROR, "entry host can't start"),
+    EVENTS_SUPPRESSED(2408, Severity.WARN, "events of one number came too often; some were not logged");
 
     private final int number;
     private final Severity severity;
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/AdministrationRoutes.java
@@ -0,0 +1,32 @@
+package org.basilswitch.daemon;
+
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.Router;
+import org.basilswitch.entry.EntryHost;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** Adds routes to an entry host's administration port. */
+@FunctionalInterface
+public interface AdministrationRoutes {
+
+    /** Adds the routes; called once, on the entry host's event loop. */
+    void mount(Router router, Parts parts);
+
+    /** No further routes. */
+    static AdministrationRoutes none() {
+        return (router, parts) -> {};
+    }
+
+    /** What routes may use. */
+    record Parts(
+            Vertx vertx,
+            EntryHost host,
+            PlatformStore store,
+            Clock clock,
+            Scheduler scheduler,
+            Telemetry telemetry,
+            DaemonOptions options) {}
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -0,0 +1,249 @@
+package org.basilswitch.daemon;
+
+import java.time.Duration;
+import java.util.UUID;
+
+import io.vertx.core.Context;
+import io.vertx.core.Deployable;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.daemon.caller.CallerPort;
+import org.basilswitch.daemon.peer.FrameCodec;
+import org.basilswitch.daemon.peer.PeerMeters;
+import org.basilswitch.daemon.peer.PeerTransport;
+import org.basilswitch.daemon.telemetry.DaemonTelemetry;
+import org.basilswitch.daemon.telemetry.MeteredStore;
+import org.basilswitch.daemon.telemetry.Meters;
+import org.basilswitch.daemon.telemetry.ProcessMeters;
+import org.basilswitch.daemon.tls.TlsReloader;
+import org.basilswitch.daemon.worker.WorkerClients;
+import org.basilswitch.daemon.worker.WorkerExchange;
+import org.basilswitch.entry.EntryHost;
+import org.basilswitch.entry.EntryHostOptions;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.store.PlatformStore;
+
+/**
+ * One entry host with its ports, on one event loop.
+ *
+ * <p>Methods may be called from any thread.
+ */
+public final class EntryHostServer implements AutoCloseable {
+    private static final Duration TLS_CHECK_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
+
+    private final Vertx vertx;
+    private final DaemonOptions options;
+    private final Parts parts;
+    private final SystemClock clock = SystemClock.create();
+    private final Meters meters = Meters.create();
+    private final Telemetry telemetry;
+    private Context context;
+    private TlsReloader tls;
+    private PeerTransport peers;
+    private WorkerClients workers;
+    private EntryHost host;
+    private CallerPort callers;
+    private AdministrationPort administration;
+    private volatile boolean stopping;
+    private volatile String deploymentId;
+
+    private EntryHostServer(Vertx vertx, DaemonOptions options, Parts parts) {
+        this.vertx = vertx;
+        this.options = options;
+        this.parts = parts;
+        this.telemetry = DaemonTelemetry.create(meters, clock, options.node());
+    }
+
+    /**
+     * What an entry host is assembled with.
+     *
+     * @param store creates the client of the platform's store
+     * @param codec codec of the peer protocol
+     * @param routes routes of the administration interface
+     */
+    public record Parts(StoreFactory store, FrameCodec codec, AdministrationRoutes routes) {}
+
+    /** Starts an entry host; completes when its ports listen, and fails when one of them can't. */
+    public static Future<EntryHostServer> start(Vertx vertx, DaemonOptions options, Parts parts) {
+        EntryHostServer server = new EntryHostServer(vertx, options, parts);
+        return vertx.deployVerticle(new Deployment(server)).map(server::deployed);
+    }
+
+    private EntryHostServer deployed(String id) {
+        deploymentId = id;
+        return this;
+    }
+
+    private Future<Void> open(Context eventLoop) {
+        context = eventLoop;
+        MemberId id = new MemberId(UUID.randomUUID().toString());
+        tls = TlsReloader.create(vertx, telemetry, TLS_CHECK_INTERVAL);
+        peers = PeerTransport.create(
+                vertx,
+                options.peers(),
+                options.site(),
+                id,
+                parts.codec(),
+                telemetry,
+                PeerMeters.create(meters.registry()));
+        ProcessMeters.register(meters.registry());
+        return peers.listen(options.peers(), tls)
+                .compose(listening -> openHost(id))
+                .onSuccess(listening -> report())
+                .onFailure(error -> telemetry.event(EventCode.START_FAILED, error.toString()));
+    }
+
+    private Future<Void> openHost(MemberId id) {
+        VertxScheduler scheduler = VertxScheduler.create(vertx, context);
+        PlatformStore store =
+                MeteredStore.create(parts.store().create(vertx, clock, scheduler), meters.registry(), clock);
+        String peerAddress = options.peers().ip() + ":" + peers.actualPort();
+        Member self = new Member(id, options.node(), peerAddress, options.zone());
+        EntryHostOptions hostOptions = new EntryHostOptions(
+                options.site(),
+                self,
+                options.timing().promiseTime(),
+                options.timing().heartbeatInterval(),
+                options.timing().clockDriftRatio());
+        host = EntryHost.create(
+                hostOptions, clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(), store, peers, telemetry);
+        peers.start(host::members, host::receive);
+        openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
+        host.start();
+        return Future.join(callers.listen(options.callers(), tls), administration.listen(options.administration(), tls))
+                .mapEmpty();
+    }
+
+    private void openPorts(AdministrationRoutes.Parts routeParts) {
+        workers = WorkerClients.create(vertx, options.worker());
+        WorkerExchange.Tools tools = new WorkerExchange.Tools(vertx, clock, options.worker(), workers, telemetry);
+        callers = CallerPort.create(vertx, options.callers(), options.caller(), host, tools, meters);
+        administration = AdministrationPort.create(
+                vertx, options.administration(), meters, this::isReady, parts.routes(), routeParts);
+    }
+
+    private void report() {
+        telemetry.event(
+                EventCode.ENTRY_HOST_STARTED,
+                "callers=" + callerPort() + " administration=" + administrationPort() + " peers=" + peerPort());
+        reportReady();
+    }
+
+    private void reportReady() {
+        if (isReady()) {
+            telemetry.event(EventCode.ENTRY_HOST_READY, "node=" + options.node());
+        } else if (!stopping) {
+            vertx.setTimer(POLL_INTERVAL.toMillis(), id -> reportReady());
+        }
+    }
+
+    /** The callers' port. */
+    public int callerPort() {
+        return callers.actualPort();
+    }
+
+    /** The administration port. */
+    public int administrationPort() {
+        return administration.actualPort();
+    }
+
+    /** The peer port. */
+    public int peerPort() {
+        return peers.actualPort();
+    }
+
+    /** The meters. */
+    public Meters meters() {
+        return meters;
+    }
+
+    private boolean isReady() {
+        return !stopping && host.ready();
+    }
+
+    /**
+     * Shuts down without cutting a request: not ready, wait for the balancer, drain, leave the members, close.
+     *
+     * @return completes when all ports are closed
+     */
+    public Future<Void> shutdown() {
+        Promise<Void> done = Promise.promise();
+        context.runOnContext(turn -> beginShutdown(done));
+        return done.future();
+    }
+
+    private void beginShutdown(Promise<Void> done) {
+        if (stopping) {
+            done.fail(new IllegalStateException("shutdown has been started already"));
+            return;
+        }
+        stopping = true;
+        telemetry.event(
+                EventCode.SHUTDOWN_STARTED, "balancer=" + options.shutdown().balancerTime());
+        after(options.shutdown().balancerTime(), () -> drain(done));
+    }
+
+    private void drain(Promise<Void> done) {
+        telemetry.event(EventCode.SHUTDOWN_DRAINING, "open=" + callers.openRequests());
+        callers.drain();
+        host.broker().drain();
+        long limitNanos =
+                clock.monotonicNanos() + options.shutdown().drainTime().toNanos();
+        awaitRequests(limitNanos, done);
+    }
+
+    private void awaitRequests(long limitNanos, Promise<Void> done) {
+        if (callers.openRequests() == 0 && host.broker().openRequests() == 0) {
+            leave(done);
+        } else if (clock.monotonicNanos() - limitNanos > 0) {
+            telemetry.event(EventCode.SHUTDOWN_TIMED_OUT, "open=" + callers.openRequests());
+            callers.cutAll();
+            leave(done);
+        } else {
+            after(POLL_INTERVAL, () -> awaitRequests(limitNanos, done));
+        }
+    }
+
+    private void leave(Promise<Void> done) {
+        Promise<Void> left = Promise.promise();
+        host.leave().whenComplete((result, error) -> left.tryComplete());
+        vertx.setTimer(options.timing().promiseTime().toMillis(), id -> left.tryComplete());
+        left.future().compose(gone -> closePorts()).onComplete(closed -> {
+            telemetry.event(EventCode.SHUTDOWN_COMPLETED, "node=" + options.node());
+            done.complete();
+        });
+    }
+
+    private Future<Void> closePorts() {
+        host.close();
+        tls.close();
+        workers.close();
+        return Future.join(callers.shutdown(), administration.shutdown(), peers.shutdown())
+                .transform(closed -> vertx.undeploy(deploymentId))
+                .otherwiseEmpty();
+    }
+
+    private void after(Duration delay, Runnable action) {
+        vertx.setTimer(Math.max(1, delay.toMillis()), id -> action.run());
+    }
+
+    /** Closes the ports at once, as a crash would. */
+    @Override
+    public void close() {
+        stopping = true;
+        context.runOnContext(turn -> closePorts());
+    }
+
+    private record Deployment(EntryHostServer server) implements Deployable {
+        @Override
+        public Future<?> deploy(Context context) {
+            return server.open(context);
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SystemClock.java
@@ -0,0 +1,25 @@
+package org.basilswitch.daemon;
+
+import java.time.Instant;
+
+import org.basilswitch.time.Clock;
+
+/** The machine's clocks. */
+public final class SystemClock implements Clock {
+    private SystemClock() {}
+
+    /** Creates the clock. */
+    public static SystemClock create() {
+        return new SystemClock();
+    }
+
+    @Override
+    public Instant instant() {
+        return Instant.now();
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return System.nanoTime();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerPort.java
@@ -0,0 +1,303 @@
+package org.basilswitch.daemon.caller;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.daemon.CallerOptions;
+import org.basilswitch.daemon.ListenOptions;
+import org.basilswitch.daemon.telemetry.Meters;
+import org.basilswitch.daemon.tls.TlsReloader;
+import org.basilswitch.daemon.worker.RequestBody;
+import org.basilswitch.daemon.worker.WorkerExchange;
+import org.basilswitch.dispatch.Refusal;
+import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.entry.EntryHost;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.time.Clock;
+
+/** The callers' port of an entry host. All of its methods run on the entry host's event loop. */
+public final class CallerPort implements AutoCloseable {
+    private static final String PATH_PREFIX = "/v1/queues/";
+    private static final String PATH_SUFFIX = "/requests";
+    private static final String UNKNOWN_QUEUE = "unknown";
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
+    private static final Duration DISCARD_TIME = Duration.ofSeconds(2);
+    private static final long DISCARD_LIMIT_BYTES = 1024 * 1024;
+
+    private final Vertx vertx;
+    private final CallerOptions options;
+    private final EntryHost host;
+    private final WorkerExchange.Tools tools;
+    private final Meters meters;
+    private final Set<CallerRequest> open = new LinkedHashSet<>();
+    private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
+    private final HttpServer server;
+    private boolean draining;
+
+    private CallerPort(
+            Vertx vertx,
+            ListenOptions listen,
+            CallerOptions options,
+            EntryHost host,
+            WorkerExchange.Tools tools,
+            Meters meters) {
+        this.vertx = vertx;
+        this.options = options;
+        this.host = host;
+        this.tools = tools;
+        this.meters = meters;
+        this.server = vertx.createHttpServer(serverOptions(listen, options));
+    }
+
+    /** Creates the port; it accepts nobody before {@link #listen}. */
+    public static CallerPort create(
+            Vertx vertx,
+            ListenOptions listen,
+            CallerOptions options,
+            EntryHost host,
+            WorkerExchange.Tools tools,
+            Meters meters) {
+        return new CallerPort(vertx, listen, options, host, tools, meters);
+    }
+
+    private static HttpServerOptions serverOptions(ListenOptions listen, CallerOptions options) {
+        HttpServerOptions http = new HttpServerOptions()
+                .setHost(listen.ip())
+                .setPort(listen.port())
+                .setMaxHeaderSize(options.maxHeaderBytes())
+                .setMaxInitialLineLength(options.maxHeaderBytes())
+                .setHttp2ClearTextEnabled(false)
+                .setAlpnVersions(List.of(io.vertx.core.http.HttpVersion.HTTP_1_1));
+        listen.tls().ifPresent(files -> http.setSsl(true));
+        return http;
+    }
+
+    /** Starts listening. */
+    public Future<Void> listen(ListenOptions listen, TlsReloader tls) {
+        server.requestHandler(this::onRequest);
+        server.invalidRequestHandler(this::onInvalidRequest);
+        server.connectionHandler(this::onConnection);
+        vertx.setPeriodic(SWEEP_INTERVAL.toMillis(), id -> sweep());
+        return tls.apply(listen.tls(), material -> server.updateSSLOptions(material.serverOptions()))
+                .compose(done -> server.listen())
+                .mapEmpty();
+    }
+
+    /** The port listened on. */
+    public int actualPort() {
+        return server.actualPort();
+    }
+
+    private void onConnection(HttpConnection connection) {
+        connections.put(connection, CallerConnection.opened(tools.clock().monotonicNanos()));
+        connection.closeHandler(closed -> connections.remove(connection));
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        CallerConnection connection = connections.get(request.connection());
+        if (connection != null) {
+            connection.onRequest();
+        }
+        Optional<String> queue = queueOf(request);
+        if (queue.isEmpty()) {
+            refuseAtEdge(request, EventCode.CALLER_REQUEST_MALFORMED, Refusal.Code.PATH_UNKNOWN, "");
+            return;
+        }
+        RequestHeaders.parse(queue.get(), request.headers())
+                .peekLeft(detail -> refuseAtEdge(
+                        request, EventCode.CALLER_REQUEST_MALFORMED, Refusal.Code.REQUEST_MALFORMED, detail))
+                .peek(spec -> {
+                    RequestBody body = bodyOf(request, spec.queue());
+                    if (body.declaredTooLarge()) {
+                        refuseAtEdge(
+                                request,
+                                EventCode.CALLER_BODY_TOO_LARGE,
+                                Refusal.Code.BODY_TOO_LARGE,
+                                "the limit is " + limitBytes(spec.queue()) + " bytes");
+                        return;
+                    }
+                    request.pause();
+                    open.add(CallerRequest.accept(this, request, spec, body));
+                });
+    }
+
+    private static Optional<String> queueOf(HttpServerRequest request) {
+        String path = request.path();
+        if (path == null || request.method() != HttpMethod.POST) {
+            return Optional.empty();
+        }
+        int end = path.length() - PATH_SUFFIX.length();
+        boolean matches = path.startsWith(PATH_PREFIX) && path.endsWith(PATH_SUFFIX) && end > PATH_PREFIX.length();
+        return matches ? Optional.of(path.substring(PATH_PREFIX.length(), end)) : Optional.empty();
+    }
+
+    private RequestBody bodyOf(HttpServerRequest request, String queue) {
+        return RequestBody.of(request, limitBytes(queue), options.replayBodyBytes());
+    }
+
+    private long limitBytes(String queue) {
+        Queue configured = host.configuration().queues().get(queue);
+        return configured == null
+                ? options.maxBodyBytes()
+                : Math.min(configured.bodyLimitBytes(), options.maxBodyBytes());
+    }
+
+    private void onInvalidRequest(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        Refusal.Code code = tooLarge ? Refusal.Code.HEADERS_TOO_LARGE : Refusal.Code.REQUEST_MALFORMED;
+        reject(
+                code,
+                tooLarge ? EventCode.CALLER_HEADERS_TOO_LARGE : EventCode.CALLER_REQUEST_MALFORMED,
+                "from=" + request.remoteAddress());
+        request.response().putHeader("Connection", "close");
+        Problem.of(Refusal.notRun(code)).writeTo(request.response());
+    }
+
+    private void refuseAtEdge(HttpServerRequest request, EventCode event, Refusal.Code code, String detail) {
+        reject(code, event, "from=" + request.remoteAddress() + (detail.isEmpty() ? "" : " " + detail));
+        meters.requestEnded(UNKNOWN_QUEUE, Refusal.Outcome.NOT_RUN, 0);
+        RequestBody body = RequestBody.of(request, options.maxBodyBytes(), 0);
+        refuse(request, body, detail.isEmpty() ? Problem.of(Refusal.notRun(code)) : Problem.notRun(code, detail));
+    }
+
+    /** Counts and logs a rejection of something a caller sent. */
+    void reject(Refusal.Code code, EventCode event, String detail) {
+        telemetry().count(CounterCode.CALLERS_REJECTED, code.text());
+        telemetry().event(event, detail);
+    }
+
+    /** Writes a refusal and gets rid of the rest of the body. */
+    void refuse(HttpServerRequest request, RequestBody body, Problem problem) {
+        if (request.response().closed()) {
+            return;
+        }
+        prepare(request.response());
+        problem.writeTo(request.response());
+        discardRest(request, body);
+    }
+
+    /** Sets what every answer carries. */
+    void prepare(HttpServerResponse response) {
+        if (draining) {
+            response.putHeader("Connection", "close");
+        }
+    }
+
+    /**
+     * Reads on what a caller sends of a body that nobody wants, for a short while, so that the answer is not lost with
+     * a connection closed on unread data.
+     */
+    void discardRest(HttpServerRequest request, RequestBody body) {
+        idle(request.connection());
+        if (body.ended() || request.isEnded()) {
+            return;
+        }
+        long timer = vertx.setTimer(
+                DISCARD_TIME.toMillis(), id -> request.connection().close());
+        long[] discardedBytes = new long[1];
+        request.handler(chunk -> {
+            discardedBytes[0] += chunk.length();
+            if (discardedBytes[0] > DISCARD_LIMIT_BYTES) {
+                request.connection().close();
+            }
+        });
+        request.endHandler(end -> vertx.cancelTimer(timer));
+        request.resume();
+    }
+
+    private void idle(HttpConnection connection) {
+        CallerConnection state = connections.get(connection);
+        if (state != null) {
+            state.onAnswer(tools.clock().monotonicNanos());
+        }
+    }
+
+    private void sweep() {
+        List.copyOf(open).forEach(request -> request.checkProgress(options.bodyIdleTimeout()));
+        long now = tools.clock().monotonicNanos();
+        for (Map.Entry<HttpConnection, CallerConnection> entry : List.copyOf(connections.entrySet())) {
+            if (entry.getValue().waitedLonger(now, options.headTimeout())) {
+                closeIdle(entry.getKey(), entry.getValue());
+            }
+        }
+    }
+
+    private void closeIdle(HttpConnection connection, CallerConnection state) {
+        if (state.requests() == 0) {
+            telemetry().count(CounterCode.CALLERS_REJECTED, "headers-stalled");
+            telemetry().event(EventCode.CALLER_HEADERS_STALLED, "from=" + connection.remoteAddress());
+        }
+        connection.close();
+    }
+
+    /** Records a request's end. */
+    void ended(CallerRequest request, String queue, Refusal.Outcome outcome, long durationNanos) {
+        open.remove(request);
+        boolean known = host.configuration().queues().containsKey(queue);
+        meters.requestEnded(known ? queue : UNKNOWN_QUEUE, outcome, durationNanos);
+    }
+
+    /** Requests accepted and not yet answered or refused. */
+    public int openRequests() {
+        return open.size();
+    }
+
+    /** Tells callers with each answer to close their connections. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Cuts the requests that are still open. */
+    public void cutAll() {
+        List.copyOf(open).forEach(CallerRequest::cut);
+    }
+
+    RequestBroker broker() {
+        return host.broker();
+    }
+
+    WorkerExchange.Tools tools() {
+        return tools;
+    }
+
+    int entryHosts() {
+        return host.members().size();
+    }
+
+    Clock clock() {
+        return tools.clock();
+    }
+
+    Telemetry telemetry() {
+        return tools.telemetry();
+    }
+
+    /** Stops listening and closes all connections. */
+    public Future<Void> shutdown() {
+        return server.close();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -0,0 +1,210 @@
+package org.basilswitch.daemon.peer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import org.basilswitch.daemon.ListenOptions;
+import org.basilswitch.daemon.tls.TlsReloader;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerLink;
+import org.basilswitch.peer.PeerMessage;
+
+/**
+ * Carries messages between entry hosts over TCP: each host sends on connections that it made and receives on those
+ * made to it. All methods run on the entry host's event loop.
+ */
+public final class PeerTransport implements PeerLink, AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(5);
+
+    private final Vertx vertx;
+    private final String site;
+    private final MemberId self;
+    private final FrameCodec codec;
+    private final Telemetry telemetry;
+    private final PeerMeters meters;
+    private final NetServer server;
+    private final NetClient client;
+    private final Map<MemberId, PeerConnection> connections = new HashMap<>();
+    private final Set<NetSocket> accepted = new HashSet<>();
+    private Supplier<List<Member>> members = List::of;
+    private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
+
+    private PeerTransport(
+            Vertx vertx,
+            ListenOptions listen,
+            String site,
+            MemberId self,
+            FrameCodec codec,
+            Telemetry telemetry,
+            PeerMeters meters) {
+        this.vertx = vertx;
+        this.site = site;
+        this.self = self;
+        this.codec = codec;
+        this.telemetry = telemetry;
+        this.meters = meters;
+        boolean tls = listen.tls().isPresent();
+        this.server = vertx.createNetServer(new NetServerOptions()
+                .setHost(listen.ip())
+                .setPort(listen.port())
+                .setSsl(tls));
+        this.client = vertx.createNetClient(new NetClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setSsl(tls)
+                .setHostnameVerificationAlgorithm(""));
+    }
+
+    /** Creates a transport; nothing is received before {@link #listen} and {@link #start}. */
+    public static PeerTransport create(
+            Vertx vertx,
+            ListenOptions listen,
+            String site,
+            MemberId self,
+            FrameCodec codec,
+            Telemetry telemetry,
+            PeerMeters meters) {
+        return new PeerTransport(vertx, listen, site, self, codec, telemetry, meters);
+    }
+
+    /** Starts listening; the peer port is known afterwards. */
+    public Future<Void> listen(ListenOptions listen, TlsReloader tls) {
+        server.connectHandler(this::onAccepted);
+        return tls.apply(
+                        listen.tls(),
+                        material -> Future.join(
+                                server.updateSSLOptions(material.serverOptions()),
+                                client.updateSSLOptions(material.clientOptions())))
+                .compose(done -> server.listen())
+                .mapEmpty();
+    }
+
+    /** Starts delivering messages and finding peers' addresses. */
+    public void start(Supplier<List<Member>> memberList, BiConsumer<MemberId, PeerMessage> messageReceiver) {
+        members = memberList;
+        receiver = messageReceiver;
+        vertx.setPeriodic(PRUNE_INTERVAL.toMillis(), id -> prune());
+    }
+
+    /** The port listened on. */
+    public int actualPort() {
+        return server.actualPort();
+    }
+
+    @Override
+    public void send(MemberId to, PeerMessage message) {
+        PeerConnection connection = connections.get(to);
+        if (connection == null) {
+            Optional<Member> peer = find(to);
+            if (peer.isEmpty()) {
+                telemetry.count(CounterCode.PEER_MESSAGES_DROPPED, "unknown-member");
+                return;
+            }
+            Buffer hello = FrameReader.frame(Hello.of(site, self).encode());
+            connection = PeerConnection.open(vertx, client, peer.get(), hello, telemetry, meters);
+            connections.put(to, connection);
+        }
+        connection.send(FrameReader.frame(codec.encode(message)));
+    }
+
+    private Optional<Member> find(MemberId id) {
+        return members.get().stream().filter(member -> member.id().equals(id)).findFirst();
+    }
+
+    private void prune() {
+        Set<MemberId> present = new HashSet<>();
+        members.get().forEach(member -> present.add(member.id()));
+        connections.entrySet().removeIf(entry -> {
+            boolean gone = !present.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().close();
+            }
+            return gone;
+        });
+    }
+
+    private void onAccepted(NetSocket socket) {
+        accepted.add(socket);
+        Inbound inbound = new Inbound(socket);
+        socket.handler(FrameReader.create(inbound::onFrame, inbound::onInvalidLength));
+        socket.exceptionHandler(error -> socket.close());
+        socket.closeHandler(closed -> accepted.remove(socket));
+    }
+
+    /** Closes all connections and stops listening. */
+    public Future<Void> shutdown() {
+        connections.values().forEach(PeerConnection::close);
+        connections.clear();
+        return Future.join(server.close(), client.close()).mapEmpty();
+    }
+
+    @Override
+    public void close() {
+        shutdown();
+    }
+
+    /** One connection made by a peer. */
+    private final class Inbound {
+        private final NetSocket socket;
+        private Optional<MemberId> sender = Optional.empty();
+
+        private Inbound(NetSocket socket) {
+            this.socket = socket;
+        }
+
+        private void onFrame(byte[] frame) {
+            meters.received(FrameReader.LENGTH_BYTES + frame.length);
+            if (sender.isEmpty()) {
+                onHello(frame);
+            } else {
+                onMessage(sender.get(), frame);
+            }
+        }
+
+        private void onHello(byte[] frame) {
+            Optional<Hello> hello = Hello.decode(frame);
+            if (hello.isEmpty()) {
+                reject("hello", "no greeting");
+            } else if (!hello.get().site().equals(site)) {
+                reject("site", "site=" + hello.get().site());
+            } else {
+                sender = Optional.of(new MemberId(hello.get().member()));
+            }
+        }
+
+        private void onMessage(MemberId from, byte[] frame) {
+            codec.decode(frame)
+                    .peekLeft(error -> reject("message", error))
+                    .peek(message -> message.ifPresent(known -> receiver.accept(from, known)));
+        }
+
+        private void onInvalidLength(int length) {
+            reject("length", "length=" + length);
+        }
+
+        private void reject(String reason, String detail) {
+            telemetry.count(CounterCode.PEER_FRAMES_INVALID, reason);
+            telemetry.event(EventCode.PEER_FRAME_INVALID, "from=" + socket.remoteAddress() + " " + detail);
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/Meters.java
@@ -0,0 +1,73 @@
+package org.basilswitch.daemon.telemetry;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.basilswitch.dispatch.Refusal;
+import org.basilswitch.event.CounterCode;
+
+/** The meters of one entry host. Its methods are called on the entry host's event loop, except {@link #scrape}. */
+public final class Meters implements AutoCloseable {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<CounterCode, Map<String, Counter>> counters = new EnumMap<>(CounterCode.class);
+    private final Map<String, Map<Refusal.Outcome, Timer>> requestTimers = new HashMap<>();
+
+    private Meters() {}
+
+    /** Creates a registry of its own. */
+    public static Meters create() {
+        return new Meters();
+    }
+
+    /** The registry, for further meters. */
+    public PrometheusMeterRegistry registry() {
+        return registry;
+    }
+
+    /** Counts once. */
+    public void count(CounterCode code, String tag) {
+        counters.computeIfAbsent(code, key -> new HashMap<>())
+                .computeIfAbsent(tag, value -> counter(code, value))
+                .increment();
+    }
+
+    private Counter counter(CounterCode code, String tag) {
+        Counter.Builder builder = Counter.builder(code.metric());
+        if (!code.tagName().isEmpty()) {
+            builder.tag(code.tagName(), tag);
+        }
+        return builder.register(registry);
+    }
+
+    /** Records a request's time from its head to its end. */
+    public void requestEnded(String queue, Refusal.Outcome outcome, long durationNanos) {
+        requestTimers
+                .computeIfAbsent(queue, key -> new EnumMap<>(Refusal.Outcome.class))
+                .computeIfAbsent(outcome, key -> requestTimer(queue, outcome))
+                .record(durationNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private Timer requestTimer(String queue, Refusal.Outcome outcome) {
+        return Timer.builder("basilswitch.request.duration")
+                .tag("queue", queue)
+                .tag("outcome", outcome.text())
+                .serviceLevelObjectives(LatencyBuckets.all())
+                .register(registry);
+    }
+
+    /** The page in the Prometheus text format. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    @Override
+    public void close() {
+        registry.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/ProcessMeters.java
@@ -0,0 +1,41 @@
+package org.basilswitch.daemon.telemetry;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+import java.lang.management.MemoryUsage;
+
+import com.sun.management.OperatingSystemMXBean;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+
+/** Processor time and live heap of the process. */
+public final class ProcessMeters {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private ProcessMeters() {}
+
+    /** Registers the meters. */
+    public static void register(MeterRegistry registry) {
+        OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        FunctionCounter.builder(
+                        "basilswitch.process.cpu.seconds", system, bean -> bean.getProcessCpuTime() / NANOS_PER_SECOND)
+                .register(registry);
+        Gauge.builder("basilswitch.process.heap.live.bytes", ProcessMeters::liveHeapBytes)
+                .strongReference(true)
+                .register(registry);
+    }
+
+    /** Heap in use after the last collection of each of its pools, in bytes. */
+    public static long liveHeapBytes() {
+        long bytes = 0;
+        for (MemoryPoolMXBean pool : ManagementFactory.getMemoryPoolMXBeans()) {
+            MemoryUsage usage = pool.getCollectionUsage();
+            if (pool.getType() == MemoryType.HEAP && usage != null) {
+                bytes += usage.getUsed();
+            }
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsMaterial.java
@@ -0,0 +1,67 @@
+package org.basilswitch.daemon.tls;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.Arrays;
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.ClientAuth;
+import io.vertx.core.net.ClientSSLOptions;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.PemTrustOptions;
+import io.vertx.core.net.ServerSSLOptions;
+
+/** The contents of a port's PEM files at one time. */
+public final class TlsMaterial {
+    private final byte[] certificateChain;
+    private final byte[] privateKey;
+    private final Optional<byte[]> authority;
+
+    private TlsMaterial(byte[] certificateChain, byte[] privateKey, Optional<byte[]> authority) {
+        this.certificateChain = certificateChain;
+        this.privateKey = privateKey;
+        this.authority = authority;
+    }
+
+    /** Reads the files; blocks. */
+    static TlsMaterial read(TlsFiles files) throws IOException {
+        Optional<byte[]> authority = files.clientAuthority().isPresent()
+                ? Optional.of(Files.readAllBytes(files.clientAuthority().get()))
+                : Optional.empty();
+        return new TlsMaterial(
+                Files.readAllBytes(files.certificateChain()), Files.readAllBytes(files.privateKey()), authority);
+    }
+
+    boolean sameAs(TlsMaterial other) {
+        return Arrays.equals(certificateChain, other.certificateChain)
+                && Arrays.equals(privateKey, other.privateKey)
+                && Arrays.equals(authority.orElse(null), other.authority.orElse(null));
+    }
+
+    private PemKeyCertOptions identity() {
+        return new PemKeyCertOptions()
+                .addCertValue(Buffer.buffer(certificateChain))
+                .addKeyValue(Buffer.buffer(privateKey));
+    }
+
+    /** A server's options; clients must show a certificate when an authority is given. */
+    public ServerSSLOptions serverOptions() {
+        ServerSSLOptions options = new ServerSSLOptions();
+        options.setKeyCertOptions(identity());
+        authority.ifPresent(pem -> {
+            options.setClientAuth(ClientAuth.REQUIRED);
+            options.setTrustOptions(new PemTrustOptions().addCertValue(Buffer.buffer(pem)));
+        });
+        return options;
+    }
+
+    /** The options of a client that shows the same certificate and trusts the same authority. */
+    public ClientSSLOptions clientOptions() {
+        ClientSSLOptions options = new ClientSSLOptions();
+        options.setKeyCertOptions(identity());
+        options.setHostnameVerificationAlgorithm("");
+        authority.ifPresent(pem -> options.setTrustOptions(new PemTrustOptions().addCertValue(Buffer.buffer(pem))));
+        return options;
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsReloader.java
@@ -0,0 +1,103 @@
+package org.basilswitch.daemon.tls;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+
+/** Gives ports their TLS options from PEM files and gives them again when the files are replaced. */
+public final class TlsReloader implements AutoCloseable {
+    private final Vertx vertx;
+    private final Telemetry telemetry;
+    private final Duration interval;
+    private final List<Entry> entries = new ArrayList<>();
+    private Optional<Long> timerId = Optional.empty();
+
+    private TlsReloader(Vertx vertx, Telemetry telemetry, Duration interval) {
+        this.vertx = vertx;
+        this.telemetry = telemetry;
+        this.interval = interval;
+    }
+
+    /** Creates a reloader that compares the files' contents at an interval. */
+    public static TlsReloader create(Vertx vertx, Telemetry telemetry, Duration interval) {
+        return new TlsReloader(vertx, telemetry, interval);
+    }
+
+    /**
+     * Loads a port's files and passes their contents on, now and after each change.
+     *
+     * @param files the files; when empty, nothing is done
+     * @param target takes the contents
+     * @return completes when the target has taken the first contents; fails when they can't be loaded
+     */
+    public Future<Void> apply(Optional<TlsFiles> files, Function<TlsMaterial, Future<?>> target) {
+        if (files.isEmpty()) {
+            return Future.succeededFuture();
+        }
+        Entry entry = new Entry(files.get(), target);
+        return read(entry.files).compose(material -> {
+            entries.add(entry);
+            startTimer();
+            entry.material = material;
+            return target.apply(material).mapEmpty();
+        });
+    }
+
+    private void startTimer() {
+        if (timerId.isEmpty()) {
+            timerId = Optional.of(vertx.setPeriodic(interval.toMillis(), id -> check()));
+        }
+    }
+
+    private Future<TlsMaterial> read(TlsFiles files) {
+        return vertx.executeBlocking(() -> TlsMaterial.read(files), false);
+    }
+
+    private void check() {
+        for (Entry entry : entries) {
+            read(entry.files).onSuccess(material -> reload(entry, material)).onFailure(error -> report(entry, error));
+        }
+    }
+
+    private void reload(Entry entry, TlsMaterial material) {
+        if (material.sameAs(entry.material)) {
+            return;
+        }
+        entry.material = material;
+        entry.target
+                .apply(material)
+                .onSuccess(done -> telemetry.event(EventCode.TLS_RELOADED, entry.detail()))
+                .onFailure(error -> report(entry, error));
+    }
+
+    private void report(Entry entry, Throwable error) {
+        telemetry.event(EventCode.TLS_RELOAD_FAILED, entry.detail() + " error=" + error.getMessage());
+    }
+
+    @Override
+    public void close() {
+        timerId.ifPresent(vertx::cancelTimer);
+    }
+
+    private static final class Entry {
+        private final TlsFiles files;
+        private final Function<TlsMaterial, Future<?>> target;
+        private TlsMaterial material;
+
+        private Entry(TlsFiles files, Function<TlsMaterial, Future<?>> target) {
+            this.files = files;
+            this.target = target;
+        }
+
+        private String detail() {
+            return "file=" + files.certificateChain().getFileName();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/AnswerSink.java
@@ -0,0 +1,21 @@
+package org.basilswitch.daemon.worker;
+
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerResponse;
+import org.basilswitch.dispatch.Attempt;
+
+/** The caller's side of an exchange with a backend server. */
+public interface AnswerSink {
+
+    /** Writes the answer's status and headers and returns the response to stream the body into. */
+    HttpServerResponse begin(HttpClientResponse answer);
+
+    /** The whole answer has been passed on. */
+    void completed(int status);
+
+    /** The exchange ended without a whole answer; {@code begun} tells whether a part was passed on. */
+    void failed(Attempt.Failure failure, boolean begun);
+
+    /** The caller's body is defective; the exchange has ended. */
+    void bodyDefect(RequestBody.Defect defect);
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerClients.java
@@ -0,0 +1,82 @@
+package org.basilswitch.daemon.worker;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.SocketAddress;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.daemon.WorkerOptions;
+
+/**
+ * Connections to backend servers. Each server's connection limit is divided among the entry hosts, so that all of them
+ * together stay within it.
+ */
+public final class WorkerClients implements AutoCloseable {
+    private static final String PATH = "/v1/run";
+
+    private final Vertx vertx;
+    private final WorkerOptions options;
+    private final Map<Integer, HttpClient> clientsByConnections = new HashMap<>();
+    private final Map<String, SocketAddress> addresses = new HashMap<>();
+
+    private WorkerClients(Vertx vertx, WorkerOptions options) {
+        this.vertx = vertx;
+        this.options = options;
+    }
+
+    /** Creates clients without connections. */
+    public static WorkerClients create(Vertx vertx, WorkerOptions options) {
+        return new WorkerClients(vertx, options);
+    }
+
+    /** Gets a connection to a backend server for one request, or fails without having sent anything. */
+    Future<HttpClientRequest> request(Host server, int entryHosts, long timeoutMs) {
+        SocketAddress address = addresses.computeIfAbsent(server.address(), WorkerClients::parse);
+        int connections = Math.max(1, server.connections() / Math.max(1, entryHosts));
+        RequestOptions request = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(address.host())
+                .setPort(address.port())
+                .setURI(PATH)
+                .setConnectTimeout(Math.min(timeoutMs, options.connectTimeout().toMillis()));
+        return clientsByConnections
+                .computeIfAbsent(connections, this::createClient)
+                .request(request);
+    }
+
+    private HttpClient createClient(int connections) {
+        HttpClientOptions http = new HttpClientOptions()
+                .setConnectTimeout((int) options.connectTimeout().toMillis())
+                .setKeepAliveTimeout((int) options.idleConnectionTime().toSeconds());
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(connections);
+        return vertx.createHttpClient(http, pool);
+    }
+
+    private static SocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        return SocketAddress.inetSocketAddress(
+                Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon));
+    }
+
+    /** Closes the connections that no request uses, and the others when their requests end. */
+    public Future<Void> shutdown(long timeoutMs) {
+        return Future.join(clientsByConnections.values().stream()
+                        .map(client -> client.shutdown(timeoutMs, TimeUnit.MILLISECONDS))
+                        .toList())
+                .mapEmpty();
+    }
+
+    @Override
+    public void close() {
+        clientsByConnections.values().forEach(HttpClient::close);
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -0,0 +1,281 @@
+package org.basilswitch.daemon.worker;
+
+import java.time.Duration;
+import java.util.Map;
+
+import io.vertx.core.AsyncResult;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.ConnectionPoolTooBusyException;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerResponse;
+import org.basilswitch.daemon.WorkerOptions;
+import org.basilswitch.dispatch.Attempt;
+import org.basilswitch.dispatch.Attempt.Failure;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.time.Clock;
+
+/** Carries out one attempt: connects, streams the request's body out and the answer back, within the time allowed. */
+public final class WorkerExchange {
+    private static final int BUSY_STATUS = 503;
+    private static final int TOO_LATE_STATUS = 412;
+
+    private final Vertx vertx;
+    private final Clock clock;
+    private final WorkerOptions options;
+    private final Telemetry telemetry;
+    private final Attempt attempt;
+    private final String queue;
+    private final RequestBody body;
+    private final AnswerSink sink;
+    private long timerId;
+    private HttpClientRequest request;
+    private boolean sent;
+    private boolean begun;
+    private boolean ended;
+
+    private WorkerExchange(Tools tools, Attempt attempt, String queue, RequestBody body, AnswerSink sink) {
+        this.vertx = tools.vertx();
+        this.clock = tools.clock();
+        this.options = tools.options();
+        this.telemetry = tools.telemetry();
+        this.attempt = attempt;
+        this.queue = queue;
+        this.body = body;
+        this.sink = sink;
+    }
+
+    /** What all exchanges of an entry host share. */
+    public record Tools(Vertx vertx, Clock clock, WorkerOptions options, WorkerClients clients, Telemetry telemetry) {}
+
+    /** Starts an attempt; its end is reported to the attempt first and then to the sink. */
+    public static WorkerExchange start(
+            Tools tools,
+            Attempt attempt,
+            String queue,
+            int entryHosts,
+            MultiMap callerHeaders,
+            RequestBody body,
+            AnswerSink sink) {
+        WorkerExchange exchange = new WorkerExchange(tools, attempt, queue, body, sink);
+        long timeoutMs = Math.max(1, attempt.timeout().toMillis());
+        exchange.timerId = tools.vertx().setTimer(timeoutMs, id -> exchange.onTimeout());
+        tools.clients()
+                .request(attempt.server(), entryHosts, timeoutMs)
+                .onComplete(connected -> exchange.onConnected(connected, callerHeaders));
+        return exchange;
+    }
+
+    private void onConnected(AsyncResult<HttpClientRequest> connected, MultiMap callerHeaders) {
+        if (connected.failed()) {
+            fail(connectFailure(connected.cause()));
+            return;
+        }
+        request = connected.result();
+        if (ended || !attempt.beginSend()) {
+            finish();
+            request.reset();
+            return;
+        }
+        sent = true;
+        setHeaders(callerHeaders);
+        request.exceptionHandler(error -> fail(Failure.RESET));
+        request.response().onComplete(this::onAnswer);
+        body.sendTo(request, this::onBodyDefect);
+    }
+
+    private static Failure connectFailure(Throwable cause) {
+        if (cause instanceof ConnectionPoolTooBusyException) {
+            return Failure.SERVER_BUSY;
+        }
+        boolean timeout = cause instanceof java.util.concurrent.TimeoutException
+                || cause instanceof io.netty.channel.ConnectTimeoutException;
+        return timeout ? Failure.CONNECT_TIMEOUT : Failure.CONNECT_REFUSED;
+    }
+
+    private void setHeaders(MultiMap callerHeaders) {
+        Duration timeout = attempt.timeout();
+        Duration window = options.startWindow().compareTo(timeout) < 0 ? options.startWindow() : timeout;
+        request.putHeader(WorkerHeaders.REQUEST_ID, attempt.requestId());
+        request.putHeader(WorkerHeaders.ATTEMPT, Integer.toString(attempt.number()));
+        request.putHeader(WorkerHeaders.TEAM, attempt.team());
+        request.putHeader(WorkerHeaders.QUEUE, queue);
+        request.putHeader(WorkerHeaders.DEADLINE_MS, Long.toString(timeout.toMillis()));
+        request.putHeader(
+                WorkerHeaders.START_BEFORE, clock.instant().plus(window).toString());
+        for (String name : WorkerHeaders.PASSED_ON) {
+            String value = callerHeaders.get(name);
+            if (value != null) {
+                request.putHeader(name, value);
+            }
+        }
+    }
+
+    private void onAnswer(AsyncResult<HttpClientResponse> answered) {
+        if (ended) {
+            return;
+        }
+        if (answered.failed()) {
+            fail(Failure.RESET);
+            return;
+        }
+        HttpClientResponse answer = answered.result();
+        if (!matches(answer)) {
+            telemetry.count(CounterCode.WORKER_ANSWERS_DROPPED, "mismatched");
+            telemetry.event(EventCode.WORKER_ANSWER_MISMATCHED, detail());
+            failAndReset(Failure.ANSWER_MALFORMED);
+        } else if (certainlyNotRun(answer)) {
+            failAndReset(Failure.SERVER_BUSY);
+        } else {
+            forward(answer);
+        }
+    }
+
+    private boolean matches(HttpClientResponse answer) {
+        return attempt.requestId().equals(answer.getHeader(WorkerHeaders.REQUEST_ID))
+                && Integer.toString(attempt.number()).equals(answer.getHeader(WorkerHeaders.ATTEMPT));
+    }
+
+    private static boolean certainlyNotRun(HttpClientResponse answer) {
+        boolean busy =
+                answer.statusCode() == BUSY_STATUS && WorkerHeaders.BUSY.equals(answer.getHeader(WorkerHeaders.WORKER));
+        return busy || answer.statusCode() == TOO_LATE_STATUS;
+    }
+
+    private void forward(HttpClientResponse answer) {
+        begun = true;
+        HttpServerResponse response = sink.begin(answer);
+        for (Map.Entry<String, String> header : answer.headers()) {
+            if (WorkerHeaders.forwarded(header.getKey())) {
+                response.headers().add(header.getKey(), header.getValue());
+            }
+        }
+        AnswerPipe.start(answer, response, () -> complete(answer.statusCode()), () -> failAndReset(Failure.RESET));
+    }
+
+    private void complete(int status) {
+        if (finish()) {
+            attempt.answered(status);
+            sink.completed(status);
+        }
+    }
+
+    private void onTimeout() {
+        failAndReset(sent ? Failure.ANSWER_TIMEOUT : Failure.CONNECT_TIMEOUT);
+    }
+
+    private void onBodyDefect(RequestBody.Defect defect) {
+        if (finish()) {
+            reset();
+            sink.bodyDefect(defect);
+            attempt.failed(Failure.CALLER_BODY_FAILED);
+        }
+    }
+
+    /** Ends the attempt because the caller is gone or its body is defective. */
+    public void cancel(Failure failure) {
+        if (finish()) {
+            reset();
+            attempt.failed(failure);
+        }
+    }
+
+    /** Ends the attempt because the caller stopped sending its body. */
+    public void stalled() {
+        onBodyDefect(RequestBody.Defect.STALLED);
+    }
+
+    private void failAndReset(Failure failure) {
+        boolean first = !ended;
+        fail(failure);
+        if (first) {
+            reset();
+        }
+    }
+
+    private void fail(Failure failure) {
+        if (!finish()) {
+            return;
+        }
+        if (begun) {
+            telemetry.event(EventCode.WORKER_ANSWER_CUT, detail() + " failure=" + failure);
+        }
+        sink.failed(failure, begun);
+        attempt.failed(failure);
+    }
+
+    private boolean finish() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        vertx.cancelTimer(timerId);
+        body.detach();
+        return true;
+    }
+
+    private void reset() {
+        if (request != null) {
+            request.reset();
+        }
+    }
+
+    private String detail() {
+        return "request=" + attempt.requestId() + " attempt=" + attempt.number() + " host="
+                + attempt.server().name();
+    }
+
+    /** Streams an answer's body with back-pressure; its declared length decides whether it is whole. */
+    private static final class AnswerPipe {
+        private final HttpClientResponse answer;
+        private final HttpServerResponse response;
+        private final Runnable onComplete;
+        private final long declaredBytes;
+        private long receivedBytes;
+        private boolean done;
+
+        private AnswerPipe(HttpClientResponse answer, HttpServerResponse response, Runnable onComplete) {
+            this.answer = answer;
+            this.response = response;
+            this.onComplete = onComplete;
+            String length = answer.getHeader(io.vertx.core.http.HttpHeaders.CONTENT_LENGTH);
+            this.declaredBytes = length == null ? -1 : Long.parseLong(length);
+        }
+
+        private static void start(
+                HttpClientResponse answer, HttpServerResponse response, Runnable onComplete, Runnable onBroken) {
+            AnswerPipe pipe = new AnswerPipe(answer, response, onComplete);
+            if (pipe.declaredBytes < 0) {
+                response.setChunked(true);
+            }
+            answer.exceptionHandler(error -> onBroken.run());
+            answer.handler(pipe::onChunk);
+            answer.endHandler(end -> pipe.onEnd());
+        }
+
+        private void onChunk(Buffer chunk) {
+            receivedBytes += chunk.length();
+            if (receivedBytes == declaredBytes) {
+                done = true;
+                response.end(chunk);
+                return;
+            }
+            response.write(chunk);
+            if (response.writeQueueFull()) {
+                answer.pause();
+                response.drainHandler(drained -> answer.resume());
+            }
+        }
+
+        private void onEnd() {
+            if (!done) {
+                response.end();
+            }
+            onComplete.run();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerHeaders.java
@@ -0,0 +1,66 @@
+package org.basilswitch.daemon.worker;
+
+import java.util.List;
+
+import io.vertx.core.http.HttpHeaders;
+
+/** Names of the headers between entry hosts and backend servers. */
+public final class WorkerHeaders {
+    /** Identifier of the request, echoed in the answer. */
+    public static final CharSequence REQUEST_ID = HttpHeaders.createOptimized("Basilswitch-Request-Id");
+
+    /** Number of the attempt, echoed in the answer. */
+    public static final CharSequence ATTEMPT = HttpHeaders.createOptimized("Basilswitch-Attempt");
+
+    /** Team that the request runs for. */
+    public static final CharSequence TEAM = HttpHeaders.createOptimized("Basilswitch-Team");
+
+    /** Queue that the request came through. */
+    public static final CharSequence QUEUE = HttpHeaders.createOptimized("Basilswitch-Queue");
+
+    /** Time until the request's deadline, in milliseconds. */
+    public static final CharSequence DEADLINE_MS = HttpHeaders.createOptimized("Basilswitch-Deadline-Ms");
+
+    /** UTC instant after which the backend server refuses to start the request, with status 412. */
+    public static final CharSequence START_BEFORE = HttpHeaders.createOptimized("Basilswitch-Start-Before");
+
+    /** Set to {@code busy} on a status 503 by which a backend server refuses a request that it has not started. */
+    public static final CharSequence WORKER = HttpHeaders.createOptimized("Basilswitch-Worker");
+
+    static final String BUSY = "busy";
+
+    /** A caller's headers that are passed on. */
+    static final List<String> PASSED_ON = List.of(
+            "content-type",
+            "content-encoding",
+            "content-language",
+            "accept",
+            "accept-language",
+            "traceparent",
+            "tracestate");
+
+    /** Headers of an answer that belong to the connection, or to the exchange with the entry host. */
+    private static final List<String> NOT_FORWARDED = List.of(
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "te",
+            "trailer",
+            "upgrade",
+            "proxy-connection",
+            "basilswitch-request-id",
+            "basilswitch-attempt",
+            "basilswitch-worker",
+            "basilswitch-outcome");
+
+    private WorkerHeaders() {}
+
+    static boolean forwarded(String name) {
+        for (String excluded : NOT_FORWARDED) {
+            if (excluded.equalsIgnoreCase(name)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/CallerPathTest.java
@@ -0,0 +1,140 @@
+package org.basilswitch.daemon;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Black-box tests of a caller's request through one entry host to a backend server. */
+public final class CallerPathTest {
+    private SiteFixture site;
+
+    /** Starts the site. */
+    @BeforeClass
+    public void start() {
+        site = SiteFixture.start();
+    }
+
+    /** Makes the worker answer with what it got. */
+    @BeforeMethod
+    public void resetWorker() {
+        site.worker.handle(FakeWorker::echo);
+    }
+
+    /** Stops the site. */
+    @AfterClass
+    public void stop() {
+        site.close();
+    }
+
+    /** Body, content type, status and headers pass through; the outcome is told. */
+    @Test
+    public void answerIsTheWorkers() {
+        site.worker.handle(request -> request.body()
+                .onSuccess(body -> FakeWorker.answer(request)
+                        .setStatusCode(202)
+                        .putHeader("X-Seen-Type", request.getHeader("Content-Type"))
+                        .end("got " + body)));
+        HttpResponse<String> answer = site.send(site.post(HttpRequest.BodyPublishers.ofString("truck 7"))
+                .header("Content-Type", "text/x-route")
+                .build());
+        assertEquals(answer.statusCode(), 202);
+        assertEquals(answer.body(), "got truck 7");
+        assertEquals(answer.headers().firstValue("X-Seen-Type").orElseThrow(), "text/x-route");
+        assertEquals(answer.headers().firstValue("Basilswitch-Outcome").orElseThrow(), "ran");
+        assertTrue(answer.headers().firstValue("Basilswitch-Request-Id").isEmpty());
+    }
+
+    /** The key's secret does not reach the backend server; the typed headers do. */
+    @Test
+    public void workerGetsTypedHeaders() {
+        JsonObject seen = new JsonObject();
+        site.worker.handle(request -> {
+            request.headers().forEach(header -> seen.put(header.getKey().toLowerCase(), header.getValue()));
+            FakeWorker.answer(request).end();
+        });
+        site.send(site.post(HttpRequest.BodyPublishers.noBody())
+                .header("Basilswitch-Deadline-Ms", "5000")
+                .build());
+        assertEquals(seen.getString("basilswitch-queue"), SiteFixture.QUEUE);
+        assertEquals(seen.getString("basilswitch-attempt"), "1");
+        assertTrue(Long.parseLong(seen.getString("basilswitch-deadline-ms")) <= 5000);
+        assertTrue(seen.containsKey("basilswitch-start-before"));
+        assertTrue(!seen.containsKey("authorization"));
+    }
+
+    /** An unknown queue is refused truthfully, as a problem document that names the remedy. */
+    @Test
+    public void unknownQueueIsRefused() {
+        HttpResponse<String> answer = site.send(HttpRequest.newBuilder(site.requests("nowhere"))
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build());
+        JsonObject problem = new JsonObject(answer.body());
+        assertEquals(answer.statusCode(), 404);
+        assertEquals(answer.headers().firstValue("Content-Type").orElseThrow(), "application/problem+json");
+        assertEquals(problem.getString("code"), "queue-unknown");
+        assertEquals(problem.getString("outcome"), "not-run");
+        assertTrue(!problem.getString("remedy").isEmpty());
+    }
+
+    /** A body of several megabytes arrives whole both ways. */
+    @Test
+    public void largeBodiesStream() {
+        byte[] bytes = Buffer.buffer("0123456789abcdef".repeat(200_000)).getBytes();
+        HttpResponse<String> answer = site.send(
+                site.post(HttpRequest.BodyPublishers.ofByteArray(bytes)).build());
+        assertEquals(answer.statusCode(), 200);
+        assertEquals(answer.body().length(), bytes.length);
+        assertEquals(answer.body(), new String(bytes));
+    }
+
+    /** An answer that names another request is dropped, not forwarded. */
+    @Test
+    public void crossedAnswerIsNotForwarded() {
+        site.worker.handle(request -> request.response()
+                .putHeader("Basilswitch-Request-Id", "another")
+                .putHeader("Basilswitch-Attempt", "1")
+                .end("another's invoice"));
+        HttpResponse<String> answer =
+                site.send(site.post(HttpRequest.BodyPublishers.ofString("x")).build());
+        assertEquals(answer.statusCode(), 502);
+        assertEquals(new JsonObject(answer.body()).getString("outcome"), "unknown");
+        assertTrue(!answer.body().contains("invoice"));
+    }
+
+    /** When the caller goes away, the backend server's request is reset. */
+    @Test
+    public void callerGoneCancelsWorker() {
+        AtomicBoolean reset = new AtomicBoolean();
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        site.worker.handle(request -> {
+            request.connection().closeHandler(closed -> reset.set(true));
+            arrived.complete(null);
+        });
+        CompletableFuture<HttpResponse<String>> answer = site.client.sendAsync(
+                site.post(HttpRequest.BodyPublishers.ofString("x")).build(), HttpResponse.BodyHandlers.ofString());
+        arrived.join();
+        answer.cancel(true);
+        SiteFixture.await(reset::get);
+    }
+
+    /** A deadline that passes at the backend server leaves the outcome unknown. */
+    @Test
+    public void deadlineEndsAttempt() {
+        site.worker.handle(request -> {});
+        HttpResponse<String> answer = site.send(site.post(HttpRequest.BodyPublishers.ofString("x"))
+                .header("Basilswitch-Deadline-Ms", "200")
+                .build());
+        assertEquals(new JsonObject(answer.body()).getString("outcome"), "unknown");
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/FakeWorker.java
@@ -0,0 +1,64 @@
+package org.basilswitch.daemon;
+
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+
+/** A backend server on loopback whose handler the test gives. */
+final class FakeWorker implements AutoCloseable {
+    private final HttpServer server;
+    private final CopyOnWriteArrayList<String> requestIds = new CopyOnWriteArrayList<>();
+    private volatile Handler<HttpServerRequest> handler = FakeWorker::echo;
+
+    private FakeWorker(Vertx vertx) {
+        server = vertx.createHttpServer().requestHandler(this::onRequest);
+    }
+
+    static FakeWorker start(Vertx vertx) {
+        FakeWorker worker = new FakeWorker(vertx);
+        worker.server.listen(0, "127.0.0.1").await();
+        return worker;
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        requestIds.add(request.getHeader("Basilswitch-Request-Id"));
+        handler.handle(request);
+    }
+
+    void handle(Handler<HttpServerRequest> next) {
+        handler = next;
+    }
+
+    /** Identifiers of the requests whose head has arrived. */
+    CopyOnWriteArrayList<String> requestIds() {
+        return requestIds;
+    }
+
+    /** An answer that carries the request's identity. */
+    static HttpServerResponse answer(HttpServerRequest request) {
+        return request.response()
+                .putHeader("Basilswitch-Request-Id", request.getHeader("Basilswitch-Request-Id"))
+                .putHeader("Basilswitch-Attempt", request.getHeader("Basilswitch-Attempt"));
+    }
+
+    static void echo(HttpServerRequest request) {
+        HttpServerResponse response = answer(request).setChunked(true);
+        request.pipeTo(response);
+    }
+
+    Host host(String name, int connections) {
+        String address = "127.0.0.1:" + server.actualPort();
+        return new Host(name, address, "z1", "r1", "pool", HostState.ACTIVE, 8, connections, 4, 1L << 30, 0);
+    }
+
+    @Override
+    public void close() {
+        server.close().await();
+    }
+}
