--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/CheckCommand.java
@@ -0,0 +1,48 @@
+package org.basilswitch.cli;
+
+import java.io.PrintWriter;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import org.basilswitch.daemon.settings.Settings;
+import org.basilswitch.daemon.settings.SettingsPage;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ExitCode;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Checks settings without talking to anything. */
+@Command(name = "check", description = "Checks settings offline and names every fault at once.")
+final class CheckCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @ArgGroup(exclusive = true, multiplicity = "1")
+    private What what;
+
+    /** What to do. */
+    static final class What {
+        @ArgGroup(exclusive = false)
+        private SettingsFiles files;
+
+        @Option(names = "--fields", description = "Prints the page docs/SETTINGS.md instead.")
+        private boolean fields;
+    }
+
+    @Override
+    public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        if (what.fields) {
+            out.print(SettingsPage.render());
+            out.flush();
+            return ExitCode.OK;
+        }
+        Optional<Settings> settings = what.files.load(spec.commandLine().getErr());
+        settings.ifPresent(found -> out.println("site " + found.site() + ": settings are complete and consistent, "
+                + found.entryHosts().size() + " entry hosts, "
+                + found.records().size() + " records"));
+        return settings.isPresent() ? ExitCode.OK : ExitCode.SOFTWARE;
+    }
+}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/SettingsFiles.java
@@ -0,0 +1,40 @@
+package org.basilswitch.cli;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.basilswitch.daemon.settings.Settings;
+import org.basilswitch.daemon.settings.SettingsProblem;
+import picocli.CommandLine.Option;
+
+/** The options that name a base and its overlays. */
+final class SettingsFiles {
+    @Option(
+            names = "--settings",
+            required = true,
+            paramLabel = "FILE",
+            description = "The base file, JSON with comments.")
+    private Path base;
+
+    @Option(
+            names = "--overlay",
+            paramLabel = "FILE",
+            description = "A site's overlay, holding only what differs; may be repeated.")
+    private List<Path> overlays = new ArrayList<>();
+
+    /** Loads the settings, or prints every problem. */
+    Optional<Settings> load(PrintWriter errors) {
+        return Settings.load(base, overlays)
+                .peekLeft(problems -> print(problems, errors))
+                .toJavaOptional();
+    }
+
+    static void print(List<SettingsProblem> problems, PrintWriter errors) {
+        problems.forEach(problem -> errors.println(problem.text()));
+        errors.println(problems.size() + (problems.size() == 1 ? " problem" : " problems"));
+        errors.flush();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsBinder.java
@@ -0,0 +1,196 @@
+package org.basilswitch.daemon.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.configuration.Team;
+import org.basilswitch.configuration.TeamKey;
+
+/** Builds typed settings from values that have been found complete and consistent. */
+final class SettingsBinder {
+    private final Values values;
+
+    private SettingsBinder(Values values) {
+        this.values = values;
+    }
+
+    /** Builds the settings. */
+    static Settings bind(Values values) {
+        SettingsBinder binder = new SettingsBinder(values);
+        return new Settings(
+                binder.text("site"),
+                binder.each("entryHosts", binder::entryHost),
+                binder.tls(),
+                binder.store(),
+                binder.membership(),
+                binder.limits(),
+                binder.each("operators", binder::operator),
+                new Settings.LiveHostsSettings(
+                        values.address("liveHosts.address"), binder.time("liveHosts.pollIntervalMs")),
+                binder.topology(),
+                binder.records(),
+                values.all());
+    }
+
+    private <T> List<T> each(String section, Function<String, T> builder) {
+        return values.names(section).stream().map(builder).toList();
+    }
+
+    private String text(String path) {
+        return values.text(path).orElseThrow();
+    }
+
+    private long whole(String path) {
+        return values.whole(path).orElseThrow();
+    }
+
+    private int number(String path) {
+        return Math.toIntExact(whole(path));
+    }
+
+    private boolean flag(String path) {
+        return values.flag(path).orElseThrow();
+    }
+
+    private Duration time(String path) {
+        return Duration.ofMillis(whole(path));
+    }
+
+    private Settings.EntryHostSettings entryHost(String name) {
+        String path = "entryHosts." + name;
+        return new Settings.EntryHostSettings(
+                name,
+                text(path + ".zone"),
+                values.address(path + ".callerAddress").orElseThrow(),
+                values.address(path + ".administrationAddress").orElseThrow(),
+                values.address(path + ".peerAddress").orElseThrow());
+    }
+
+    private Settings.TlsSettings tls() {
+        return new Settings.TlsSettings(
+                certificate("tls.caller"),
+                certificate("tls.administration"),
+                certificate("tls.peer"),
+                time("tls.reloadIntervalMs"));
+    }
+
+    private Optional<Settings.Certificate> certificate(String path) {
+        return values.text(path + ".certificatePath")
+                .map(certificate -> new Settings.Certificate(
+                        Path.of(certificate),
+                        Path.of(text(path + ".keyPath")),
+                        values.text(path + ".authorityPath").map(Path::of)));
+    }
+
+    private Settings.StoreSettings store() {
+        return new Settings.StoreSettings(
+                values.addresses("store.endpoints"),
+                time("store.callTimeoutMs"),
+                time("store.connectTimeoutMs"),
+                number("store.retryLimitAttempts"),
+                time("store.retryMinDelayMs"),
+                time("store.retryMaxDelayMs"));
+    }
+
+    private Settings.MembershipSettings membership() {
+        return new Settings.MembershipSettings(
+                time("membership.promiseTimeMs"),
+                time("membership.heartbeatIntervalMs"),
+                values.decimal("membership.clockDriftRatio").orElseThrow(),
+                time("membership.longestAutonomyMs"));
+    }
+
+    private Settings.DaemonLimits limits() {
+        return new Settings.DaemonLimits(
+                whole("limits.bodyLimitBytes"),
+                number("limits.headerLimitBytes"),
+                number("limits.administrationBodyLimitBytes"),
+                time("limits.callerIdleTimeoutMs"),
+                time("limits.serverIdleTimeoutMs"),
+                time("limits.shutdownGraceMs"),
+                time("limits.balancerWaitMs"));
+    }
+
+    private Settings.Operator operator(String name) {
+        String path = "operators." + name;
+        return new Settings.Operator(name, text(path + ".sha256Hex"), OperatorRole.of(text(path + ".role")));
+    }
+
+    private Settings.Topology topology() {
+        Map<String, String> regions = new LinkedHashMap<>();
+        values.names("zones").forEach(zone -> regions.put(zone, text("zones." + zone + ".region")));
+        Map<String, String> zones = new LinkedHashMap<>();
+        values.names("racks").forEach(rack -> zones.put(rack, text("racks." + rack + ".zone")));
+        return new Settings.Topology(regions, zones);
+    }
+
+    private List<ConfigurationRecord> records() {
+        List<ConfigurationRecord> records = new ArrayList<>();
+        records.addAll(each("teams", this::team));
+        records.addAll(each("keys", this::key));
+        records.addAll(each("pools", this::pool));
+        records.addAll(each("hosts", this::host));
+        records.addAll(each("queues", this::queue));
+        return records;
+    }
+
+    private Team team(String name) {
+        String path = "teams." + name;
+        return new Team(name, number(path + ".shareWeight"), number(path + ".limitTasks"));
+    }
+
+    private TeamKey key(String name) {
+        String path = "keys." + name;
+        return new TeamKey(name, text(path + ".team"), text(path + ".sha256Hex"));
+    }
+
+    private Pool pool(String name) {
+        String path = "pools." + name;
+        return new Pool(name, number(path + ".minAvailableHosts"), flag(path + ".spare"));
+    }
+
+    private Host host(String name) {
+        String path = "hosts." + name + ".";
+        String rack = text(path + "rack");
+        return new Host(
+                name,
+                values.address(path + "address").orElseThrow().toString(),
+                text("racks." + rack + ".zone"),
+                rack,
+                text(path + "pool"),
+                HostState.ACTIVE,
+                (int) hostNumber(path, "slots"),
+                (int) hostNumber(path, "connections"),
+                (int) hostNumber(path, "processors"),
+                hostNumber(path, "memoryBytes"),
+                (int) hostNumber(path, "accelerators"));
+    }
+
+    private long hostNumber(String hostPath, String field) {
+        return values.whole(hostPath + field).orElseGet(() -> whole("hostDefaults." + field));
+    }
+
+    private Queue queue(String name) {
+        String path = "queues." + name + ".";
+        return new Queue(
+                name,
+                text(path + "pool"),
+                flag(path + "openToAll"),
+                flag(path + "idempotent"),
+                whole(path + "claimTimeMs"),
+                whole(path + "deadlineMs"),
+                whole(path + "bodyLimitBytes"),
+                number(path + "queuedLimitRequests"));
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsNode.java
@@ -0,0 +1,44 @@
+package org.basilswitch.daemon.settings;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A parsed value of a settings file with its place; later sources have been merged over earlier ones. */
+sealed interface SettingsNode {
+
+    /** Where the value stands. */
+    Location location();
+
+    /** An object: fields or named records, in the order of the file. */
+    record Section(Location location, Map<String, SettingsNode> entries) implements SettingsNode {
+        /** Copies the map. */
+        public Section {
+            entries = new LinkedHashMap<>(entries);
+        }
+
+        /** Merges an overlay: objects field by field, {@code null} removes, everything else replaces. */
+        Section overlaidBy(Section overlay) {
+            Map<String, SettingsNode> merged = new LinkedHashMap<>(entries);
+            overlay.entries.forEach((name, node) -> {
+                if (node instanceof Absent) {
+                    merged.remove(name);
+                } else if (node instanceof Section over && merged.get(name) instanceof Section under) {
+                    merged.put(name, under.overlaidBy(over));
+                } else {
+                    merged.put(name, node);
+                }
+            });
+            return new Section(overlay.location, merged);
+        }
+    }
+
+    /** An array. */
+    record Items(Location location, List<SettingsNode> nodes) implements SettingsNode {}
+
+    /** A string, number or truth value, as {@link String}, {@link Long}, {@link Double} or {@link Boolean}. */
+    record Scalar(Location location, Object value) implements SettingsNode {}
+
+    /** The value {@code null}. */
+    record Absent(Location location) implements SettingsNode {}
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsProblem.java
@@ -0,0 +1,132 @@
+package org.basilswitch.daemon.settings;
+
+/** Something wrong with settings; every kind tells where it is and what to do. */
+public sealed interface SettingsProblem {
+
+    /** Where the problem is. */
+    Location location();
+
+    /** Path of the field, such as {@code pools.dispatch.spare}; empty when the whole file is meant. */
+    String field();
+
+    /** What is wrong. */
+    String fault();
+
+    /** What to do. */
+    String remedy();
+
+    /** The problem in one line: file, line, column, field, fault and remedy. */
+    default String text() {
+        String subject = field().isEmpty() ? "" : field() + ": ";
+        return location() + ": " + subject + fault() + "; " + remedy();
+    }
+
+    /** A file that can't be read. */
+    record Unreadable(String file, String reason) implements SettingsProblem {
+        @Override
+        public Location location() {
+            return new Location(file, 1, 1);
+        }
+
+        @Override
+        public String field() {
+            return "";
+        }
+
+        @Override
+        public String fault() {
+            return "the file can't be read (" + reason + ")";
+        }
+
+        @Override
+        public String remedy() {
+            return "check the path and the permissions";
+        }
+    }
+
+    /** Text that is not JSON with comments. */
+    record Malformed(Location location, String reason) implements SettingsProblem {
+        @Override
+        public String field() {
+            return "";
+        }
+
+        @Override
+        public String fault() {
+            return "malformed JSON (" + reason + ")";
+        }
+
+        @Override
+        public String remedy() {
+            return "correct the syntax here; comments are // and /* */";
+        }
+    }
+
+    /** A field that stands twice in one object. */
+    record Duplicate(Location location, String field) implements SettingsProblem {
+        @Override
+        public String fault() {
+            return "stands twice in one object";
+        }
+
+        @Override
+        public String remedy() {
+            return "remove one of the two";
+        }
+    }
+
+    /** A field that the schema does not know. */
+    record Unknown(Location location, String field, String known) implements SettingsProblem {
+        @Override
+        public String fault() {
+            return "unknown field";
+        }
+
+        @Override
+        public String remedy() {
+            return "remove it or use one of: " + known;
+        }
+    }
+
+    /** A required field that no file states. */
+    record Missing(Location location, String field, String expected) implements SettingsProblem {
+        @Override
+        public String fault() {
+            return "missing";
+        }
+
+        @Override
+        public String remedy() {
+            return "state it: " + expected;
+        }
+    }
+
+    /** A value of another type. */
+    record WrongType(Location location, String field, String found, String expected) implements SettingsProblem {
+        @Override
+        public String fault() {
+            return "is " + found;
+        }
+
+        @Override
+        public String remedy() {
+            return "write " + expected;
+        }
+    }
+
+    /** A value outside the field's range or form. */
+    record OutOfRange(Location location, String field, String found, String expected) implements SettingsProblem {
+        @Override
+        public String fault() {
+            return found + " is out of range";
+        }
+
+        @Override
+        public String remedy() {
+            return "write " + expected;
+        }
+    }
+
+    /** A value that clashes with another field's. */
+    record Contradictory(Location location, String field, String fault, String remedy) implements SettingsProblem {}
+}
