--- a/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.basilswitch.membership.UsageReports;
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.peer.PeerMessage.TeamUsage;
 import org.basilswitch.time.Clock;
@@ -18,7 +19,7 @@
  * <p>Entries are absolute values, sent when they change, so that a lost or repeated message does no lasting harm;
  * every entry is sent again within the refresh time. A peer that stays silent is forgotten.
  */
-public final class FleetUsage {
+public final class FleetUsage implements UsageReports {
     private static final Duration PEER_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration REFRESH_TIME = Duration.ofSeconds(4);
     private static final int ENTRY_OVERHEAD_BYTES = 6;
@@ -53,6 +54,7 @@
      * @param member the reporting entry host
      * @param usages the entries that changed; an empty list shows only that the peer is there
      */
+    @Override
     public void record(MemberId member, List<TeamUsage> usages) {
         Peer peer = peers.computeIfAbsent(member, id -> new Peer());
         peer.heardNanos = clock.monotonicNanos();
@@ -70,6 +72,7 @@
     }
 
     /** Returns the entries worth reporting to a peer now, the largest changes first, within the byte budget. */
+    @Override
     public List<TeamUsage> changesFor(MemberId member) {
         Peer peer = peers.computeIfAbsent(member, id -> new Peer());
         peer.refill(clock.monotonicNanos(), (double) bytesPerSecond / peers.size());
@@ -124,6 +127,7 @@
     }
 
     /** Forgets an entry host that has left the members record. */
+    @Override
     public void forget(MemberId member) {
         Peer peer = peers.remove(member);
         if (peer != null) {
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -114,7 +114,7 @@
         AllotmentService limits = AllotmentService.create(
                 self, keys, store, clock, scheduler, peers, membership, follower::current, telemetry);
         FleetUsage usage = FleetUsage.create(clock);
-        membership.reportUsage(new UsageExchange(usage));
+        membership.reportUsage(usage);
         RequestBroker broker = Broker.create(new BrokerParts(
                 options.self(),
                 () -> membership.view().members(),
