Measure an entry host against a bare pass-through: basilswitch bench proxy

Load is sent from two event loops at a fixed rate by due time, so that a late answer counts from when its request was due; the proxy's event loop's processor time for each request is printed too, which other load on the machine disturbs less.

--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/proxy/EventLoops.java
@@ -0,0 +1,24 @@
+package org.basilswitch.bench.proxy;
+
+import java.lang.management.ManagementFactory;
+
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+
+/** Processor time of event loops. */
+final class EventLoops {
+    private EventLoops() {}
+
+    /** Identifier of the thread of a Vert.x instance that has one event loop. */
+    static long threadId(Vertx vertx) {
+        Promise<Long> id = Promise.promise();
+        vertx.getOrCreateContext()
+                .runOnContext(turn -> id.complete(Thread.currentThread().threadId()));
+        return id.future().await();
+    }
+
+    /** Processor time that a thread has used, in nanoseconds. */
+    static long cpuNanos(long threadId) {
+        return ManagementFactory.getThreadMXBean().getThreadCpuTime(threadId);
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/proxy/ProxyBench.java
@@ -0,0 +1,117 @@
+package org.basilswitch.bench.proxy;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Measures an entry host against a bare pass-through: each on one event loop, in alternating rounds, with the same
+ * load and backend server on event loops of their own.
+ */
+public final class ProxyBench {
+    private static final Duration WARM_UP = Duration.ofSeconds(4);
+    private static final double HALF = 0.5;
+    private static final double P50 = 50;
+    private static final double P99 = 99;
+
+    private final ProxyBenchOptions options;
+    private final Consumer<String> progress;
+    private long failedRequests;
+
+    private ProxyBench(ProxyBenchOptions options, Consumer<String> progress) {
+        this.options = options;
+        this.progress = progress;
+    }
+
+    /**
+     * Runs the measurement.
+     *
+     * @param options shape of the load
+     * @param progress is given a line for each round
+     * @return the figures
+     */
+    public static ProxyReport run(ProxyBenchOptions options, Consumer<String> progress) {
+        return new ProxyBench(options, progress).measure();
+    }
+
+    private ProxyReport measure() {
+        try (ProxyWorker worker = ProxyWorker.start(options.bodyBytes());
+                BenchSite entry = BenchSite.start(worker.port(), options.connections());
+                PassThrough bare = PassThrough.start(worker.port(), options.connections());
+                Load load = Load.create(options.connections(), options.bodyBytes(), BenchSite.SECRET)) {
+            load.saturate(entry, WARM_UP);
+            load.saturate(bare, WARM_UP);
+            Rounds entryRounds = new Rounds();
+            Rounds bareRounds = new Rounds();
+            saturate(load, entry, bare, entryRounds, bareRounds);
+            double rate = bareRounds.median(LoadResult::perSecond) * HALF;
+            Rounds entryPaced = new Rounds();
+            Rounds barePaced = new Rounds();
+            pace(load, entry, bare, rate, entryPaced, barePaced);
+            return new ProxyReport(
+                    entryRounds.median(LoadResult::perSecond),
+                    bareRounds.median(LoadResult::perSecond),
+                    rate,
+                    entryPaced.median(result -> result.latencyMs(P99)),
+                    barePaced.median(result -> result.latencyMs(P99)),
+                    entryPaced.median(result -> result.latencyMs(P50)),
+                    barePaced.median(result -> result.latencyMs(P50)),
+                    entryRounds.median(LoadResult::cpuMicros),
+                    bareRounds.median(LoadResult::cpuMicros),
+                    failedRequests,
+                    entry.coldStart(),
+                    liveHeapBytes());
+        }
+    }
+
+    private void saturate(Load load, ProxyUnderTest entry, ProxyUnderTest bare, Rounds entryRounds, Rounds bareRounds) {
+        for (int round = 1; round <= options.rounds(); round++) {
+            entryRounds.add(report("entry host", load.saturate(entry, options.roundTime())));
+            bareRounds.add(report("pass-through", load.saturate(bare, options.roundTime())));
+        }
+    }
+
+    private void pace(
+            Load load, ProxyUnderTest entry, ProxyUnderTest bare, double rate, Rounds entryRounds, Rounds bareRounds) {
+        for (int round = 1; round <= options.rounds(); round++) {
+            entryRounds.add(report("entry host, half load", load.pace(entry, options.roundTime(), rate)));
+            bareRounds.add(report("pass-through, half load", load.pace(bare, options.roundTime(), rate)));
+        }
+    }
+
+    private LoadResult report(String name, LoadResult result) {
+        failedRequests += result.failed();
+        progress.accept(String.format(
+                java.util.Locale.ROOT,
+                "%-24s %8.0f/s  p50 %7.3f ms  p99 %7.3f ms  cpu %6.1f us  failed %d",
+                name,
+                result.perSecond(),
+                result.latencyMs(P50),
+                result.latencyMs(P99),
+                result.cpuMicros(),
+                result.failed()));
+        return result;
+    }
+
+    private static long liveHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /** Results of the rounds of one contender. */
+    private static final class Rounds {
+        private final List<LoadResult> results = new ArrayList<>();
+
+        private void add(LoadResult result) {
+            results.add(result);
+        }
+
+        private double median(ToDoubleFunction<LoadResult> figure) {
+            double[] sorted = results.stream().mapToDouble(figure).sorted().toArray();
+            return sorted[sorted.length / 2];
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.basilswitch.cli;
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -51,6 +51,7 @@
     private CallerPort callers;
     private AdministrationPort administration;
     private volatile boolean stopping;
+    private volatile boolean ready;
     private volatile String deploymentId;
 
     private EntryHostServer(Vertx vertx, DaemonOptions options, Parts parts) {
@@ -137,6 +138,7 @@
 
     private void reportReady() {
         if (isReady()) {
+            ready = true;
             telemetry.event(EventCode.ENTRY_HOST_READY, "node=" + options.node());
         } else if (!stopping) {
             vertx.setTimer(POLL_INTERVAL.toMillis(), id -> reportReady());
@@ -163,6 +165,11 @@
         return meters;
     }
 
+    /** Whether the entry host has been ready for callers. */
+    public boolean ready() {
+        return ready;
+    }
+
     private boolean isReady() {
         return !stopping && host.ready();
     }
