Bring about bad input, worker faults, shutdown and TLS replacement over loopback

Found and mended on the way: TLS options can only be updated on a port that listens (the first ones are set before); a backend server's busy answer closed its connection; a crossed answer's reset was logged as an unhandled error.

--- a/basilswitch-core/src/main/java/org/basilswitch/entry/FirstServerBroker.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/FirstServerBroker.java
@@ -144,8 +144,11 @@
         @Override
         public void failed(Failure failure) {
             open--;
+            boolean mayHaveRun = sent && failure != Failure.SERVER_BUSY;
             observer.refused(
-                    sent ? Refusal.unknown(Refusal.Code.ANSWER_LOST) : Refusal.notRun(Refusal.Code.RETRIES_EXHAUSTED));
+                    mayHaveRun
+                            ? Refusal.unknown(Refusal.Code.ANSWER_LOST)
+                            : Refusal.notRun(Refusal.Code.RETRIES_EXHAUSTED));
         }
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/AdministrationPort.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/AdministrationPort.java
@@ -1,5 +1,6 @@
 package org.basilswitch.daemon;
 
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
@@ -9,6 +10,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import org.basilswitch.daemon.telemetry.Meters;
+import org.basilswitch.daemon.tls.TlsMaterial;
 import org.basilswitch.daemon.tls.TlsReloader;
 
 /** The administration port: health, readiness, metrics, and the routes of the administration interface. */
@@ -16,29 +18,27 @@
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
 
-    private final HttpServer server;
+    private final Vertx vertx;
+    private final Router router;
+    private HttpServer server;
 
-    private AdministrationPort(HttpServer server) {
-        this.server = server;
+    private AdministrationPort(Vertx vertx, Router router) {
+        this.vertx = vertx;
+        this.router = router;
     }
 
     static AdministrationPort create(
             Vertx vertx,
-            ListenOptions listen,
             Meters meters,
             BooleanSupplier ready,
             AdministrationRoutes routes,
             AdministrationRoutes.Parts parts) {
-        HttpServerOptions options = new HttpServerOptions()
-                .setHost(listen.ip())
-                .setPort(listen.port())
-                .setSsl(listen.tls().isPresent());
         Router router = Router.router(vertx);
         router.get("/healthz").handler(context -> answer(context, true, "alive"));
         router.get("/readyz").handler(context -> answer(context, ready.getAsBoolean(), "ready"));
         router.get("/metrics").handler(context -> metrics(vertx, context, meters));
         routes.mount(router, parts);
-        return new AdministrationPort(vertx.createHttpServer(options).requestHandler(router));
+        return new AdministrationPort(vertx, router);
     }
 
     private static void answer(RoutingContext context, boolean good, String word) {
@@ -57,9 +57,17 @@
     }
 
     Future<Void> listen(ListenOptions listen, TlsReloader tls) {
-        return tls.apply(listen.tls(), material -> server.updateSSLOptions(material.serverOptions()))
-                .compose(done -> server.listen())
-                .mapEmpty();
+        return tls.open(
+                listen.tls(),
+                material -> listen(listen, material),
+                material -> server.updateSSLOptions(material.serverOptions()));
+    }
+
+    private Future<HttpServer> listen(ListenOptions listen, Optional<TlsMaterial> tls) {
+        HttpServerOptions options = new HttpServerOptions().setHost(listen.ip()).setPort(listen.port());
+        tls.ifPresent(material -> material.applyTo(options));
+        server = vertx.createHttpServer(options).requestHandler(router);
+        return server.listen();
     }
 
     int actualPort() {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
@@ -13,6 +13,7 @@
  * @param administration administration port
  * @param peers peer port
  * @param storeEndpoints URLs of the platform's store
+ * @param tlsCheckInterval time between looks at the TLS files
  * @param timing peer lease timing
  * @param caller bounds on callers
  * @param worker backend servers' connections
@@ -26,6 +27,7 @@
         ListenOptions administration,
         ListenOptions peers,
         List<String> storeEndpoints,
+        Duration tlsCheckInterval,
         PeerTiming timing,
         CallerOptions caller,
         WorkerOptions worker,
@@ -46,6 +48,7 @@
                 ListenOptions.loopback(),
                 ListenOptions.loopback(),
                 List.of(),
+                Duration.ofSeconds(10),
                 PeerTiming.defaults(),
                 CallerOptions.defaults(),
                 WorkerOptions.defaults(),
@@ -55,19 +58,69 @@
     /** The same with other bounds on callers. */
     public DaemonOptions withCaller(CallerOptions next) {
         return new DaemonOptions(
-                site, node, zone, callers, administration, peers, storeEndpoints, timing, next, worker, shutdown);
+                site,
+                node,
+                zone,
+                callers,
+                administration,
+                peers,
+                storeEndpoints,
+                tlsCheckInterval,
+                timing,
+                next,
+                worker,
+                shutdown);
     }
 
     /** The same with other shutdown steps. */
     public DaemonOptions withShutdown(ShutdownOptions next) {
         return new DaemonOptions(
-                site, node, zone, callers, administration, peers, storeEndpoints, timing, caller, worker, next);
+                site,
+                node,
+                zone,
+                callers,
+                administration,
+                peers,
+                storeEndpoints,
+                tlsCheckInterval,
+                timing,
+                caller,
+                worker,
+                next);
+    }
+
+    /** The same with another time between looks at the TLS files. */
+    public DaemonOptions withTlsCheckInterval(Duration next) {
+        return new DaemonOptions(
+                site,
+                node,
+                zone,
+                callers,
+                administration,
+                peers,
+                storeEndpoints,
+                next,
+                timing,
+                caller,
+                worker,
+                shutdown);
     }
 
     /** The same with other ports. */
     public DaemonOptions withPorts(ListenOptions nextCallers, ListenOptions nextAdmin, ListenOptions nextPeers) {
         return new DaemonOptions(
-                site, node, zone, nextCallers, nextAdmin, nextPeers, storeEndpoints, timing, caller, worker, shutdown);
+                site,
+                node,
+                zone,
+                nextCallers,
+                nextAdmin,
+                nextPeers,
+                storeEndpoints,
+                tlsCheckInterval,
+                timing,
+                caller,
+                worker,
+                shutdown);
     }
 
     /**
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -34,7 +34,6 @@
  * <p>Methods may be called from any thread.
  */
 public final class EntryHostServer implements AutoCloseable {
-    private static final Duration TLS_CHECK_INTERVAL = Duration.ofSeconds(5);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     private final Vertx vertx;
@@ -52,6 +51,7 @@
     private AdministrationPort administration;
     private volatile boolean stopping;
     private volatile boolean ready;
+    private volatile boolean closed;
     private volatile String deploymentId;
 
     private EntryHostServer(Vertx vertx, DaemonOptions options, Parts parts) {
@@ -84,15 +84,9 @@
     private Future<Void> open(Context eventLoop) {
         context = eventLoop;
         MemberId id = new MemberId(UUID.randomUUID().toString());
-        tls = TlsReloader.create(vertx, telemetry, TLS_CHECK_INTERVAL);
+        tls = TlsReloader.create(vertx, telemetry, options.tlsCheckInterval());
         peers = PeerTransport.create(
-                vertx,
-                options.peers(),
-                options.site(),
-                id,
-                parts.codec(),
-                telemetry,
-                PeerMeters.create(meters.registry()));
+                vertx, options.site(), id, parts.codec(), telemetry, PeerMeters.create(meters.registry()));
         ProcessMeters.register(meters.registry());
         return peers.listen(options.peers(), tls)
                 .compose(listening -> openHost(id))
@@ -124,9 +118,8 @@
     private void openPorts(AdministrationRoutes.Parts routeParts) {
         workers = WorkerClients.create(vertx, options.worker());
         WorkerExchange.Tools tools = new WorkerExchange.Tools(vertx, clock, options.worker(), workers, telemetry);
-        callers = CallerPort.create(vertx, options.callers(), options.caller(), host, tools, meters);
-        administration = AdministrationPort.create(
-                vertx, options.administration(), meters, this::isReady, parts.routes(), routeParts);
+        callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
+        administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
 
     private void report() {
@@ -228,6 +221,7 @@
     }
 
     private Future<Void> closePorts() {
+        closed = true;
         host.close();
         tls.close();
         workers.close();
@@ -243,8 +237,10 @@
     /** Closes the ports at once, as a crash would. */
     @Override
     public void close() {
-        stopping = true;
-        context.runOnContext(turn -> closePorts());
+        if (!closed) {
+            stopping = true;
+            context.runOnContext(turn -> closePorts());
+        }
     }
 
     private record Deployment(EntryHostServer server) implements Deployable {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerPort.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerPort.java
@@ -22,6 +22,7 @@
 import org.basilswitch.daemon.CallerOptions;
 import org.basilswitch.daemon.ListenOptions;
 import org.basilswitch.daemon.telemetry.Meters;
+import org.basilswitch.daemon.tls.TlsMaterial;
 import org.basilswitch.daemon.tls.TlsReloader;
 import org.basilswitch.daemon.worker.RequestBody;
 import org.basilswitch.daemon.worker.WorkerExchange;
@@ -49,36 +50,25 @@
     private final Meters meters;
     private final Set<CallerRequest> open = new LinkedHashSet<>();
     private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
-    private final HttpServer server;
+    private HttpServer server;
     private boolean draining;
 
-    private CallerPort(
-            Vertx vertx,
-            ListenOptions listen,
-            CallerOptions options,
-            EntryHost host,
-            WorkerExchange.Tools tools,
-            Meters meters) {
+    private CallerPort(Vertx vertx, CallerOptions options, EntryHost host, WorkerExchange.Tools tools, Meters meters) {
         this.vertx = vertx;
         this.options = options;
         this.host = host;
         this.tools = tools;
         this.meters = meters;
-        this.server = vertx.createHttpServer(serverOptions(listen, options));
     }
 
     /** Creates the port; it accepts nobody before {@link #listen}. */
     public static CallerPort create(
-            Vertx vertx,
-            ListenOptions listen,
-            CallerOptions options,
-            EntryHost host,
-            WorkerExchange.Tools tools,
-            Meters meters) {
-        return new CallerPort(vertx, listen, options, host, tools, meters);
+            Vertx vertx, CallerOptions options, EntryHost host, WorkerExchange.Tools tools, Meters meters) {
+        return new CallerPort(vertx, options, host, tools, meters);
     }
 
-    private static HttpServerOptions serverOptions(ListenOptions listen, CallerOptions options) {
+    private static HttpServerOptions serverOptions(
+            ListenOptions listen, CallerOptions options, Optional<TlsMaterial> tls) {
         HttpServerOptions http = new HttpServerOptions()
                 .setHost(listen.ip())
                 .setPort(listen.port())
@@ -86,19 +76,25 @@
                 .setMaxInitialLineLength(options.maxHeaderBytes())
                 .setHttp2ClearTextEnabled(false)
                 .setAlpnVersions(List.of(io.vertx.core.http.HttpVersion.HTTP_1_1));
-        listen.tls().ifPresent(files -> http.setSsl(true));
+        tls.ifPresent(material -> material.applyTo(http));
         return http;
     }
 
     /** Starts listening. */
     public Future<Void> listen(ListenOptions listen, TlsReloader tls) {
+        vertx.setPeriodic(SWEEP_INTERVAL.toMillis(), id -> sweep());
+        return tls.open(
+                listen.tls(),
+                material -> listen(serverOptions(listen, options, material)),
+                material -> server.updateSSLOptions(material.serverOptions()));
+    }
+
+    private Future<HttpServer> listen(HttpServerOptions http) {
+        server = vertx.createHttpServer(http);
         server.requestHandler(this::onRequest);
         server.invalidRequestHandler(this::onInvalidRequest);
         server.connectionHandler(this::onConnection);
-        vertx.setPeriodic(SWEEP_INTERVAL.toMillis(), id -> sweep());
-        return tls.apply(listen.tls(), material -> server.updateSSLOptions(material.serverOptions()))
-                .compose(done -> server.listen())
-                .mapEmpty();
+        return server.listen();
     }
 
     /** The port listened on. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -19,6 +19,7 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import org.basilswitch.daemon.ListenOptions;
+import org.basilswitch.daemon.tls.TlsMaterial;
 import org.basilswitch.daemon.tls.TlsReloader;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
@@ -42,60 +43,52 @@
     private final FrameCodec codec;
     private final Telemetry telemetry;
     private final PeerMeters meters;
-    private final NetServer server;
-    private final NetClient client;
+    private NetServer server;
+    private NetClient client;
     private final Map<MemberId, PeerConnection> connections = new HashMap<>();
     private final Set<NetSocket> accepted = new HashSet<>();
     private Supplier<List<Member>> members = List::of;
     private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
 
     private PeerTransport(
-            Vertx vertx,
-            ListenOptions listen,
-            String site,
-            MemberId self,
-            FrameCodec codec,
-            Telemetry telemetry,
-            PeerMeters meters) {
+            Vertx vertx, String site, MemberId self, FrameCodec codec, Telemetry telemetry, PeerMeters meters) {
         this.vertx = vertx;
         this.site = site;
         this.self = self;
         this.codec = codec;
         this.telemetry = telemetry;
         this.meters = meters;
-        boolean tls = listen.tls().isPresent();
-        this.server = vertx.createNetServer(new NetServerOptions()
-                .setHost(listen.ip())
-                .setPort(listen.port())
-                .setSsl(tls));
-        this.client = vertx.createNetClient(new NetClientOptions()
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                .setSsl(tls)
-                .setHostnameVerificationAlgorithm(""));
     }
 
     /** Creates a transport; nothing is received before {@link #listen} and {@link #start}. */
     public static PeerTransport create(
-            Vertx vertx,
-            ListenOptions listen,
-            String site,
-            MemberId self,
-            FrameCodec codec,
-            Telemetry telemetry,
-            PeerMeters meters) {
-        return new PeerTransport(vertx, listen, site, self, codec, telemetry, meters);
+            Vertx vertx, String site, MemberId self, FrameCodec codec, Telemetry telemetry, PeerMeters meters) {
+        return new PeerTransport(vertx, site, self, codec, telemetry, meters);
     }
 
     /** Starts listening; the peer port is known afterwards. */
     public Future<Void> listen(ListenOptions listen, TlsReloader tls) {
-        server.connectHandler(this::onAccepted);
-        return tls.apply(
-                        listen.tls(),
-                        material -> Future.join(
-                                server.updateSSLOptions(material.serverOptions()),
-                                client.updateSSLOptions(material.clientOptions())))
-                .compose(done -> server.listen())
-                .mapEmpty();
+        return tls.open(listen.tls(), material -> listen(listen, material), this::update);
+    }
+
+    private Future<NetServer> listen(ListenOptions listen, Optional<TlsMaterial> tls) {
+        NetServerOptions serverOptions =
+                new NetServerOptions().setHost(listen.ip()).setPort(listen.port());
+        NetClientOptions clientOptions = new NetClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setHostnameVerificationAlgorithm("");
+        tls.ifPresent(material -> {
+            material.applyTo(serverOptions);
+            material.applyTo(clientOptions);
+        });
+        client = vertx.createNetClient(clientOptions);
+        server = vertx.createNetServer(serverOptions).connectHandler(this::onAccepted);
+        return server.listen();
+    }
+
+    private Future<?> update(TlsMaterial material) {
+        return Future.join(
+                server.updateSSLOptions(material.serverOptions()), client.updateSSLOptions(material.clientOptions()));
     }
 
     /** Starts delivering messages and finding peers' addresses. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsMaterial.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsMaterial.java
@@ -8,6 +8,8 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.ClientAuth;
 import io.vertx.core.net.ClientSSLOptions;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.PemTrustOptions;
 import io.vertx.core.net.ServerSSLOptions;
@@ -45,13 +47,29 @@
                 .addKeyValue(Buffer.buffer(privateKey));
     }
 
+    /** Sets a server's options before it listens. */
+    public void applyTo(NetServerOptions options) {
+        options.setSsl(true).setKeyCertOptions(identity());
+        authority.ifPresent(pem -> options.setClientAuth(ClientAuth.REQUIRED).setTrustOptions(trust(pem)));
+    }
+
+    /** Sets a client's options before it connects. */
+    public void applyTo(NetClientOptions options) {
+        options.setSsl(true).setKeyCertOptions(identity());
+        authority.ifPresent(pem -> options.setTrustOptions(trust(pem)));
+    }
+
+    private static PemTrustOptions trust(byte[] pem) {
+        return new PemTrustOptions().addCertValue(Buffer.buffer(pem));
+    }
+
     /** A server's options; clients must show a certificate when an authority is given. */
     public ServerSSLOptions serverOptions() {
         ServerSSLOptions options = new ServerSSLOptions();
         options.setKeyCertOptions(identity());
         authority.ifPresent(pem -> {
             options.setClientAuth(ClientAuth.REQUIRED);
-            options.setTrustOptions(new PemTrustOptions().addCertValue(Buffer.buffer(pem)));
+            options.setTrustOptions(trust(pem));
         });
         return options;
     }
@@ -61,7 +79,7 @@
         ClientSSLOptions options = new ClientSSLOptions();
         options.setKeyCertOptions(identity());
         options.setHostnameVerificationAlgorithm("");
-        authority.ifPresent(pem -> options.setTrustOptions(new PemTrustOptions().addCertValue(Buffer.buffer(pem))));
+        authority.ifPresent(pem -> options.setTrustOptions(trust(pem)));
         return options;
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsReloader.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/tls/TlsReloader.java
@@ -31,23 +31,30 @@
     }
 
     /**
-     * Loads a port's files and passes their contents on, now and after each change.
+     * Loads a port's files, opens the port with them, and from then on passes changed contents on.
      *
-     * @param files the files; when empty, nothing is done
-     * @param target takes the contents
-     * @return completes when the target has taken the first contents; fails when they can't be loaded
+     * @param files the files; when empty, the port is opened without TLS
+     * @param open opens the port
+     * @param update takes changed contents while the port is open
+     * @return completes when the port is open; fails when it can't be, or when the files can't be loaded
      */
-    public Future<Void> apply(Optional<TlsFiles> files, Function<TlsMaterial, Future<?>> target) {
+    public Future<Void> open(
+            Optional<TlsFiles> files,
+            Function<Optional<TlsMaterial>, Future<?>> open,
+            Function<TlsMaterial, Future<?>> update) {
         if (files.isEmpty()) {
-            return Future.succeededFuture();
+            return open.apply(Optional.empty()).mapEmpty();
         }
-        Entry entry = new Entry(files.get(), target);
-        return read(entry.files).compose(material -> {
-            entries.add(entry);
-            startTimer();
-            entry.material = material;
-            return target.apply(material).mapEmpty();
-        });
+        Entry entry = new Entry(files.get(), update);
+        return read(entry.files)
+                .compose(material -> {
+                    entry.material = material;
+                    return open.apply(Optional.of(material)).onSuccess(opened -> {
+                        entries.add(entry);
+                        startTimer();
+                    });
+                })
+                .mapEmpty();
     }
 
     private void startTimer() {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerClients.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerClients.java
@@ -57,7 +57,7 @@
         HttpClientOptions http = new HttpClientOptions()
                 .setConnectTimeout((int) options.connectTimeout().toMillis())
                 .setKeepAliveTimeout((int) options.idleConnectionTime().toSeconds());
-        PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(connections);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(-1);
         return vertx.createHttpClient(http, pool);
     }
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -124,12 +124,13 @@
             return;
         }
         HttpClientResponse answer = answered.result();
+        answer.exceptionHandler(error -> fail(Failure.RESET));
         if (!matches(answer)) {
             telemetry.count(CounterCode.WORKER_ANSWERS_DROPPED, "mismatched");
             telemetry.event(EventCode.WORKER_ANSWER_MISMATCHED, detail());
             failAndReset(Failure.ANSWER_MALFORMED);
         } else if (certainlyNotRun(answer)) {
-            failAndReset(Failure.SERVER_BUSY);
+            refusedByServer();
         } else {
             forward(answer);
         }
@@ -146,6 +147,15 @@
         return busy || answer.statusCode() == TOO_LATE_STATUS;
     }
 
+    /** Keeps the connection when the backend server has read the whole request, as its short answer will end soon. */
+    private void refusedByServer() {
+        if (body.ended()) {
+            fail(Failure.SERVER_BUSY);
+        } else {
+            failAndReset(Failure.SERVER_BUSY);
+        }
+    }
+
     private void forward(HttpClientResponse answer) {
         begun = true;
         HttpServerResponse response = sink.begin(answer);
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/BadInputTest.java
@@ -0,0 +1,207 @@
+package org.basilswitch.daemon;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.basilswitch.event.EventCode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * What callers and strangers may send wrong. Each case gets its refusal, counter and log event, while a request that
+ * was under way at the time gets its answer.
+ */
+public final class BadInputTest {
+    private static final String PATH = "/v1/queues/" + SiteFixture.QUEUE + "/requests";
+    private static final String REJECTED = "basilswitch_callers_rejected_total{reason=\"%s\"}";
+    private static final Duration SHORT = Duration.ofMillis(400);
+    private static final int HEADER_LIMIT_BYTES = 8 * 1024;
+
+    private SiteFixture site;
+    private LogCapture log;
+    private CompletableFuture<Void> release;
+    private CompletableFuture<HttpResponse<String>> bystander;
+
+    /** Starts a site with short time limits and a request that waits for its answer. */
+    @BeforeMethod
+    public void start() {
+        log = LogCapture.open();
+        CallerOptions bounds = CallerOptions.defaults();
+        site = SiteFixture.start(SiteFixture.options()
+                .withCaller(new CallerOptions(
+                        HEADER_LIMIT_BYTES, bounds.maxBodyBytes(), bounds.replayBodyBytes(), SHORT, SHORT)));
+        release = new CompletableFuture<>();
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        site.worker.handle(request -> {
+            arrived.complete(null);
+            release.thenRun(() -> FakeWorker.answer(request).end("ok"));
+        });
+        bystander = site.client.sendAsync(
+                site.post(HttpRequest.BodyPublishers.ofString("bystander")).build(),
+                HttpResponse.BodyHandlers.ofString());
+        arrived.join();
+        site.worker.handle(
+                request -> request.endHandler(end -> FakeWorker.answer(request).end("whole")));
+    }
+
+    /** The request under way was not disturbed, and a new one is answered. */
+    @AfterMethod
+    public void checkBystander() {
+        release.complete(null);
+        assertEquals(bystander.join().body(), "ok");
+        assertEquals(
+                site.send(site.post(HttpRequest.BodyPublishers.ofString("next")).build())
+                        .body(),
+                "whole");
+        site.close();
+        log.close();
+    }
+
+    private void assertRejected(String reason, EventCode event) {
+        SiteFixture.await(() -> site.metric(String.format(REJECTED, reason)) == 1);
+        SiteFixture.await(() -> log.has(event));
+    }
+
+    private static void assertRefusal(String answer, int status, String code) {
+        assertTrue(answer.matches("(?s)HTTP/1\\.[01] " + status + " .*"), answer);
+        assertTrue(answer.contains("application/problem+json"), answer);
+        assertTrue(answer.contains("\"code\":\"" + code + "\""), answer);
+        assertTrue(answer.contains("\"remedy\""), answer);
+    }
+
+    /** Headers over the limit. */
+    @Test
+    public void oversizeHeader() throws IOException {
+        String answer = site.raw("POST " + PATH + " HTTP/1.1\r\nHost: x\r\nX-Long: " + "a".repeat(HEADER_LIMIT_BYTES)
+                + "\r\nContent-Length: 0\r\n\r\n");
+        assertRefusal(answer, 431, "headers-too-large");
+        assertRejected("headers-too-large", EventCode.CALLER_HEADERS_TOO_LARGE);
+    }
+
+    /** Not HTTP at all. */
+    @Test
+    public void garbage() throws IOException {
+        String answer = site.raw("\u0001\u0002 garbage\r\n\r\n");
+        assertRefusal(answer, 400, "request-malformed");
+        assertRejected("request-malformed", EventCode.CALLER_REQUEST_MALFORMED);
+    }
+
+    /** Typed headers out of their ranges, each named in the detail. */
+    @Test
+    public void malformedTypedHeaders() {
+        String[][] cases = {
+            {"Basilswitch-Deadline-Ms", "soon"},
+            {"Basilswitch-Deadline-Ms", "-5"},
+            {"Basilswitch-Priority", "first"},
+            {"Authorization", "Basic abc"},
+            {"Idempotency-Key", "k".repeat(300)},
+        };
+        for (String[] header : cases) {
+            HttpResponse<String> answer = site.send(site.post(HttpRequest.BodyPublishers.ofString("x"))
+                    .header(header[0], header[1])
+                    .build());
+            assertEquals(answer.statusCode(), 400, header[0]);
+            assertTrue(answer.body().contains(header[0]), answer.body());
+            assertTrue(answer.body().contains("not-run"), answer.body());
+        }
+        assertEquals(site.metric(String.format(REJECTED, "request-malformed")), cases.length * 1.0);
+    }
+
+    /** A declared body over the queue's limit is refused before it is sent. */
+    @Test
+    public void oversizeDeclaredBody() throws IOException {
+        String answer = site.raw("POST " + PATH + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                + (SiteFixture.QUEUE_LIMIT_BYTES + 1) + "\r\n\r\nstart");
+        assertRefusal(answer, 413, "body-too-large");
+        assertRejected("body-too-large", EventCode.CALLER_BODY_TOO_LARGE);
+    }
+
+    /** A chunked body that never ends is cut at the queue's limit. */
+    @Test
+    public void bodyWithoutEnd() throws IOException {
+        try (Socket socket = open()) {
+            String head = "POST " + PATH + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+            write(socket, head);
+            String chunk = "2000\r\n" + "a".repeat(0x2000) + "\r\n";
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> readAll(socket));
+            try {
+                while (!answer.isDone()) {
+                    write(socket, chunk);
+                }
+            } catch (IOException e) {
+                // The entry host has closed the connection, as it should.
+            }
+            assertRefusal(answer.join(), 413, "body-too-large");
+        }
+        assertRejected("body-too-large", EventCode.CALLER_BODY_TOO_LARGE);
+    }
+
+    /** A caller that stops within the body. */
+    @Test
+    public void stalledBody() throws IOException {
+        String answer = site.raw("POST " + PATH + " HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+        assertRefusal(answer, 408, "body-stalled");
+        assertRejected("body-stalled", EventCode.CALLER_BODY_STALLED);
+    }
+
+    /** A caller that stops within the head; there is no request to answer, so the connection is closed. */
+    @Test
+    public void stalledHead() throws IOException {
+        assertEquals(site.raw("POST " + PATH + " HTTP/1.1\r\nHos"), "");
+        assertRejected("headers-stalled", EventCode.CALLER_HEADERS_STALLED);
+    }
+
+    /** Garbage and wrong greetings on the peer port close the connection. */
+    @Test
+    public void garbageOnPeerPort() throws IOException {
+        assertPeerRejects("GET / HTTP/1.1\r\n\r\n", "length");
+        assertPeerRejects("\u0000\u0000\u0000\u0005hello", "hello");
+        String other = "{\"protocol\":\"basilswitch-peer\",\"site\":\"other\",\"member\":\"m\"}";
+        assertPeerRejects("\u0000\u0000\u0000" + (char) other.length() + other, "site");
+        String same = "{\"protocol\":\"basilswitch-peer\",\"site\":\"test\",\"member\":\"m\"}";
+        assertPeerRejects("\u0000\u0000\u0000" + (char) same.length() + same + "\u0000\u0000\u0000\u0002xx", "message");
+        assertTrue(log.has(EventCode.PEER_FRAME_INVALID));
+    }
+
+    private void assertPeerRejects(String bytes, String reason) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", site.server.peerPort())) {
+            write(socket, bytes);
+            assertEquals(readAll(socket), "");
+        }
+        SiteFixture.await(() -> site.metric("basilswitch_peer_frames_invalid_total{reason=\"" + reason + "\"}") == 1);
+    }
+
+    private Socket open() throws IOException {
+        return new Socket("127.0.0.1", site.server.callerPort());
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private static String readAll(Socket socket) {
+        StringBuilder text = new StringBuilder();
+        try {
+            int next = socket.getInputStream().read();
+            while (next >= 0) {
+                text.append((char) next);
+                next = socket.getInputStream().read();
+            }
+        } catch (IOException e) {
+            // A reset after the answer ends the reading too.
+        }
+        return text.toString();
+    }
+}
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
@@ -1,5 +1,7 @@
 package org.basilswitch.daemon;
 
+import javax.net.ssl.SSLContext;
+
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URI;
@@ -42,12 +44,13 @@
     final Vertx vertx = Vertx.vertx();
     final FakeWorker worker;
     final EntryHostServer server;
-    final HttpClient client = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(PATIENCE)
-            .build();
+    final HttpClient client;
+
+    private final String scheme;
 
-    private SiteFixture(DaemonOptions options, int connections) {
+    private SiteFixture(DaemonOptions options, int connections, HttpClient client, String scheme) {
+        this.client = client;
+        this.scheme = scheme;
         worker = FakeWorker.start(vertx);
         StoreFactory stores = (unused, clock, scheduler) -> store(clock, scheduler, connections);
         EntryHostServer.Parts parts = new EntryHostServer.Parts(stores, new NoMessages(), AdministrationRoutes.none());
@@ -60,11 +63,20 @@
     }
 
     static SiteFixture start(DaemonOptions options) {
-        return new SiteFixture(options, 64);
+        return new SiteFixture(options, 64, client().build(), "http");
     }
 
     static SiteFixture startWithConnections(int connections) {
-        return new SiteFixture(options(), connections);
+        return new SiteFixture(options(), connections, client().build(), "http");
+    }
+
+    /** Starts with options whose callers' and administration ports use TLS, and trusts an authority. */
+    static SiteFixture startTls(DaemonOptions options, SSLContext trusting) {
+        return new SiteFixture(options, 64, client().sslContext(trusting).build(), "https");
+    }
+
+    private static HttpClient.Builder client() {
+        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE);
     }
 
     static DaemonOptions options() {
@@ -88,7 +100,7 @@
     }
 
     URI requests(String queue) {
-        return URI.create("http://127.0.0.1:" + server.callerPort() + "/v1/queues/" + queue + "/requests");
+        return URI.create(scheme + "://127.0.0.1:" + server.callerPort() + "/v1/queues/" + queue + "/requests");
     }
 
     HttpRequest.Builder post(HttpRequest.BodyPublisher body) {
@@ -104,7 +116,7 @@
     }
 
     HttpResponse<String> administration(String path) {
-        return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.administrationPort() + path))
+        return send(HttpRequest.newBuilder(URI.create(scheme + "://127.0.0.1:" + server.administrationPort() + path))
                 .timeout(PATIENCE)
                 .build());
     }
@@ -150,7 +162,6 @@
 
     @Override
     public void close() {
-        server.close();
         vertx.close().await();
     }
 
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/TlsTest.java
@@ -0,0 +1,120 @@
+package org.basilswitch.daemon;
+
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLHandshakeException;
+import javax.net.ssl.SSLSocket;
+import javax.net.ssl.TrustManagerFactory;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+
+import org.basilswitch.daemon.tls.TlsFiles;
+import org.basilswitch.event.EventCode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** TLS of the ports, and replacing its files while the entry host runs. */
+public final class TlsTest {
+    private TestAuthority authority;
+    private Path folder;
+    private SiteFixture site;
+    private LogCapture log;
+
+    /** Starts a site whose three ports use TLS. */
+    @BeforeMethod
+    public void start() throws IOException, GeneralSecurityException {
+        log = LogCapture.open();
+        authority = TestAuthority.create("authority");
+        folder = Files.createTempDirectory("basilswitch-tls");
+        TlsFiles plain = authority.issue(Files.createDirectory(folder.resolve("callers")), "first", false);
+        TlsFiles mutual = authority.issue(Files.createDirectory(folder.resolve("peers")), "peer", true);
+        site = SiteFixture.startTls(
+                SiteFixture.options()
+                        .withTlsCheckInterval(Duration.ofMillis(100))
+                        .withPorts(
+                                ListenOptions.loopback().withTls(plain),
+                                ListenOptions.loopback().withTls(plain),
+                                ListenOptions.loopback().withTls(mutual)),
+                trusting());
+    }
+
+    /** Stops the site. */
+    @AfterMethod
+    public void stop() {
+        site.close();
+        log.close();
+    }
+
+    private SSLSocket connect(int port) throws IOException, GeneralSecurityException {
+        SSLSocket socket = (SSLSocket) trusting().getSocketFactory().createSocket("127.0.0.1", port);
+        socket.startHandshake();
+        return socket;
+    }
+
+    private SSLContext trusting() throws IOException, GeneralSecurityException {
+        KeyStore trusted = KeyStore.getInstance(KeyStore.getDefaultType());
+        trusted.load(null, null);
+        trusted.setCertificateEntry("authority", authority.certificate());
+        TrustManagerFactory trust = TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+        trust.init(trusted);
+        SSLContext context = SSLContext.getInstance("TLS");
+        context.init(null, trust.getTrustManagers(), null);
+        return context;
+    }
+
+    private String subject(int port) {
+        try (SSLSocket socket = connect(port)) {
+            X509Certificate shown = (X509Certificate) socket.getSession().getPeerCertificates()[0];
+            return shown.getSubjectX500Principal().getName();
+        } catch (IOException | GeneralSecurityException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Replaced files are shown to new connections; those that are open stay. */
+    @Test
+    public void replacedFilesAreLoaded() throws IOException, GeneralSecurityException {
+        assertEquals(subject(site.server.callerPort()), "CN=first");
+        try (SSLSocket open = connect(site.server.callerPort())) {
+            authority.issue(folder.resolve("callers"), "second", false);
+            SiteFixture.await(() -> subject(site.server.callerPort()).equals("CN=second"));
+            SiteFixture.await(() -> subject(site.server.administrationPort()).equals("CN=second"));
+            open.getOutputStream().write("POST /nowhere HTTP/1.1\r\nContent-Length: 0\r\n\r\n".getBytes());
+            assertEquals(open.getInputStream().read(), 'H');
+        }
+        SiteFixture.await(() -> log.has(EventCode.TLS_RELOADED));
+    }
+
+    /** Files that are no certificates are reported and the last good ones stay in use. */
+    @Test
+    public void brokenFilesKeepTheLastOnes() throws IOException {
+        Files.writeString(folder.resolve("callers").resolve("chain.pem"), "not a certificate");
+        SiteFixture.await(() -> log.has(EventCode.TLS_RELOAD_FAILED));
+        assertEquals(subject(site.server.callerPort()), "CN=first");
+    }
+
+    /** The peer port wants a certificate of the authority. */
+    @Test
+    public void strangersAreNotPeers() throws IOException, GeneralSecurityException {
+        try (SSLSocket socket = connect(site.server.peerPort())) {
+            assertThrows(IOException.class, () -> readToEnd(socket));
+        } catch (SSLHandshakeException e) {
+            assertTrue(e.getMessage() != null);
+        }
+    }
+
+    private static void readToEnd(Socket socket) throws IOException {
+        socket.getInputStream().readAllBytes();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/WorkerFaultTest.java
@@ -0,0 +1,124 @@
+package org.basilswitch.daemon;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** Faults of backend servers, seen by the caller. */
+public final class WorkerFaultTest {
+    private static final int CONNECTIONS = 3;
+    private static final int CALLERS = 12;
+
+    /** An answer that breaks off is cut for the caller too, and is not taken for a whole one. */
+    @Test
+    public void brokenAnswerIsCut() {
+        try (SiteFixture site = SiteFixture.start()) {
+            site.worker.handle(request -> {
+                FakeWorker.answer(request).putHeader("Content-Length", "100").write("part");
+                site.vertx.setTimer(50, id -> request.connection().close());
+            });
+            CompletableFuture<HttpResponse<String>> answer = send(site);
+            assertThrows(CompletionException.class, answer::join);
+        }
+    }
+
+    /** A busy server has not run the request, and the refusal says so. */
+    @Test
+    public void busyServerHasNotRun() {
+        try (SiteFixture site = SiteFixture.start()) {
+            site.worker.handle(request -> FakeWorker.answer(request)
+                    .setStatusCode(503)
+                    .putHeader("Basilswitch-Worker", "busy")
+                    .end());
+            HttpResponse<String> answer = send(site).join();
+            assertEquals(answer.headers().firstValue("Basilswitch-Outcome").orElseThrow(), "not-run");
+        }
+    }
+
+    /** A connection that is closed after the request was sent leaves the outcome unknown. */
+    @Test
+    public void closedConnectionIsUnknown() {
+        try (SiteFixture site = SiteFixture.start()) {
+            site.worker.handle(request -> request.connection().close());
+            HttpResponse<String> answer = send(site).join();
+            assertEquals(answer.statusCode(), 502);
+            assertEquals(new JsonObject(answer.body()).getString("outcome"), "unknown");
+        }
+    }
+
+    /** No more connections to a server than its limit; the others wait for one. */
+    @Test
+    public void connectionsStayWithinLimit() {
+        try (SiteFixture site = SiteFixture.startWithConnections(CONNECTIONS)) {
+            Set<Object> connections = new HashSet<>();
+            AtomicInteger mostConnections = new AtomicInteger();
+            site.worker.handle(request -> {
+                connections.add(request.connection());
+                mostConnections.accumulateAndGet(connections.size(), Math::max);
+                site.vertx.setTimer(30, id -> FakeWorker.echo(request));
+                request.pause();
+            });
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                answers.add(send(site));
+            }
+            int answered = 0;
+            for (CompletableFuture<HttpResponse<String>> answer : answers) {
+                HttpResponse<String> got = answer.join();
+                boolean ran = got.statusCode() == 200;
+                assertTrue(ran
+                        || got.headers()
+                                .firstValue("Basilswitch-Outcome")
+                                .orElseThrow()
+                                .equals("not-run"));
+                answered += ran ? 1 : 0;
+            }
+            assertTrue(answered >= CONNECTIONS * 2, "answered " + answered);
+            assertTrue(mostConnections.get() <= CONNECTIONS, "connections " + mostConnections);
+        }
+    }
+
+    /** Answers that come in another order than the requests reach their own callers. */
+    @Test
+    public void answersInAnotherOrderReachTheirCallers() {
+        try (SiteFixture site = SiteFixture.start()) {
+            List<HttpServerRequest> waiting = new ArrayList<>();
+            site.worker.handle(request -> {
+                request.pause();
+                waiting.add(0, request);
+                if (waiting.size() == CALLERS) {
+                    waiting.forEach(FakeWorker::echo);
+                }
+            });
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                HttpRequest request = site.post(HttpRequest.BodyPublishers.ofString("caller " + i))
+                        .build();
+                answers.add(site.client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+            }
+            for (int i = 0; i < CALLERS; i++) {
+                assertEquals(answers.get(i).join().body(), "caller " + i);
+            }
+        }
+    }
+
+    private static CompletableFuture<HttpResponse<String>> send(SiteFixture site) {
+        HttpRequest request =
+                site.post(HttpRequest.BodyPublishers.ofString("x")).build();
+        return site.client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+}
