Serve a stand-in store over the etcd v3 JSON mapping and adapt it

The entry host needs the platform's store over a published protocol, and tests need one that is slow, down, over its rate or loses answers.

- core: messages of the mapping (store.etcd); a put under a lapsed lease is refused, as the published service does; MemoryStoreClient answers it so.
- stand-in: StoreServer counts calls by kind, enforces rates and 1 MB values, and takes faults over /control/faults.
- daemon: EtcdStore separates Refused (never sent, or refused) from Unknown; only reads and keep-alives are sent again; watches go on at the next revision.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -12,7 +12,10 @@
     CONFIGURATION_APPLIED(1002, Severity.INFO, "configuration changes applied"),
     CONFIGURATION_COMPACTED(1003, Severity.WARN, "configuration watch was compacted; reading again"),
     CONFIGURATION_RECORD_INVALID(1004, Severity.ERROR, "configuration record can't be decoded; keeping the last one"),
-    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying");
+    CONFIGURATION_READ_FAILED(1005, Severity.WARN, "configuration can't be read from the store; retrying"),
+    STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
+    STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
+    STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again");
 
     private final int number;
     private final Severity severity;
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStore.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStore.java
@@ -66,7 +66,7 @@
         return new PlatformStore.Range(revision, found);
     }
 
-    /** Applies a transaction. */
+    /** Applies a transaction; the caller has made sure by {@link #lapsedLease} that its leases are granted. */
     public CommitResult commit(Transaction transaction) {
         List<Optional<PlatformStore.Entry>> current = new ArrayList<>();
         boolean holds = true;
@@ -152,6 +152,18 @@
         return leases.containsKey(leaseId);
     }
 
+    /** The first lease that a transaction's puts name and that is not granted; empty when there is none. */
+    public OptionalLong lapsedLease(Transaction transaction) {
+        for (Transaction.Write write : transaction.writes()) {
+            if (write instanceof Transaction.Put put
+                    && put.leaseId().isPresent()
+                    && !hasLease(put.leaseId().getAsLong())) {
+                return put.leaseId();
+            }
+        }
+        return OptionalLong.empty();
+    }
+
     /** Forgets the history up to a revision; watches from before it are told so. */
     public void compact(long upToRevision) {
         compactRevision = Math.max(compactRevision, upToRevision);
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -89,7 +90,10 @@
 
     @Override
     public CompletionStage<Either<StoreError, CommitResult>> commit(Transaction transaction) {
-        return call(() -> Either.right(store.commit(transaction)));
+        return call(() -> {
+            OptionalLong lapsed = store.lapsedLease(transaction);
+            return lapsed.isPresent() ? lapsed(lapsed.getAsLong()) : Either.right(store.commit(transaction));
+        });
     }
 
     @Override
@@ -108,9 +112,11 @@
     }
 
     private static Either<StoreError, Long> lapsedUnless(boolean granted, long leaseId) {
-        return granted
-                ? Either.right(leaseId)
-                : Either.left(new StoreError.Refused(StoreError.Reason.LEASE_LAPSED, "lease " + leaseId));
+        return granted ? Either.right(leaseId) : lapsed(leaseId);
+    }
+
+    private static <T> Either<StoreError, T> lapsed(long leaseId) {
+        return Either.left(new StoreError.Refused(StoreError.Reason.LEASE_LAPSED, "lease " + leaseId));
     }
 
     @Override
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/store/Endpoints.java
@@ -0,0 +1,47 @@
+package org.basilswitch.daemon.store;
+
+import java.net.URI;
+import java.util.List;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+/** The store's endpoints: one is preferred until a call to it fails. */
+final class Endpoints {
+    private final List<URI> endpoints;
+    private int preferred;
+
+    private Endpoints(List<URI> endpoints) {
+        this.endpoints = endpoints;
+    }
+
+    static Endpoints of(List<URI> endpoints) {
+        return new Endpoints(endpoints);
+    }
+
+    URI preferred() {
+        return endpoints.get(preferred);
+    }
+
+    /** Prefers the next endpoint when the failed one is still the preferred one. */
+    void failed(URI endpoint) {
+        if (preferred().equals(endpoint)) {
+            preferred = (preferred + 1) % endpoints.size();
+        }
+    }
+
+    int size() {
+        return endpoints.size();
+    }
+
+    static RequestOptions request(URI endpoint, StoreCall call) {
+        boolean ssl = "https".equals(endpoint.getScheme());
+        int defaultPort = ssl ? 443 : 80;
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setSsl(ssl)
+                .setHost(endpoint.getHost())
+                .setPort(endpoint.getPort() < 0 ? defaultPort : endpoint.getPort())
+                .setURI(call.path());
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/store/EtcdStore.java
@@ -0,0 +1,239 @@
+package org.basilswitch.daemon.store;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreError.Reason;
+import org.basilswitch.store.Transaction;
+import org.basilswitch.store.etcd.EtcdJson;
+import org.basilswitch.store.etcd.EtcdMessages.LeaseGrantRequest;
+import org.basilswitch.store.etcd.EtcdMessages.LeaseKeepAliveResult;
+import org.basilswitch.store.etcd.EtcdMessages.LeaseRequest;
+import org.basilswitch.store.etcd.EtcdMessages.LeaseResponse;
+import org.basilswitch.store.etcd.EtcdMessages.RangeRequest;
+import org.basilswitch.store.etcd.EtcdMessages.RangeResponse;
+import org.basilswitch.store.etcd.EtcdMessages.TxnResponse;
+
+/**
+ * The platform's store over the etcd v3 JSON mapping, on Vert.x's HTTP client.
+ *
+ * <p>Reads and keep-alives are sent again a bounded number of times, to the next endpoint where there is one. A
+ * transaction, grant or revocation is sent again only when no byte of it can have left; once it may have, a missing
+ * answer is {@link StoreError.Unknown} and the caller has to read back what it wrote.
+ */
+public final class EtcdStore implements PlatformStore, AutoCloseable {
+    private static final int MAX_WATCHES = 64;
+    private static final Duration RETRY_DELAY = Duration.ofMillis(50);
+
+    private final Vertx vertx;
+    private final Context context;
+    private final EtcdStoreOptions options;
+    private final Telemetry telemetry;
+    private final Endpoints endpoints;
+    private final HttpClient client;
+    private final HttpClient watchClient;
+    private final Set<EtcdWatch> watches = new HashSet<>();
+    private boolean closed;
+
+    private EtcdStore(Vertx vertx, Context context, EtcdStoreOptions options, Telemetry telemetry) {
+        this.vertx = vertx;
+        this.context = context;
+        this.options = options;
+        this.telemetry = telemetry;
+        this.endpoints = Endpoints.of(options.endpoints());
+        this.client = vertx.createHttpClient(clientOptions(), new PoolOptions().setHttp1MaxSize(options.connections()));
+        this.watchClient = vertx.createHttpClient(
+                clientOptions().setKeepAlive(false), new PoolOptions().setHttp1MaxSize(MAX_WATCHES));
+    }
+
+    /** Creates an adapter whose stages complete on the event loop of a context; connects with the first call. */
+    public static EtcdStore create(Vertx vertx, Context context, EtcdStoreOptions options, Telemetry telemetry) {
+        return new EtcdStore(vertx, context, options, telemetry);
+    }
+
+    private HttpClientOptions clientOptions() {
+        return new HttpClientOptions()
+                .setConnectTimeout((int) options.connectTimeout().toMillis())
+                .setTcpNoDelay(true)
+                .setTcpKeepAlive(true);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Optional<Entry>>> get(String key) {
+        byte[] request = EtcdJson.encode(new RangeRequest(EtcdJson.keyBytes(key), null));
+        return call(StoreCall.GET, request, RangeResponse.class, EtcdTranslation::firstEntry);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Range>> range(String prefix) {
+        byte[] request = EtcdJson.encode(new RangeRequest(EtcdJson.keyBytes(prefix), EtcdJson.prefixEnd(prefix)));
+        return call(StoreCall.RANGE, request, RangeResponse.class, EtcdTranslation::range);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, CommitResult>> commit(Transaction transaction) {
+        byte[] request = EtcdJson.encode(EtcdTranslation.request(transaction));
+        return call(StoreCall.COMMIT, request, TxnResponse.class, EtcdTranslation::commitResult);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> grantLease(Duration timeToLive) {
+        byte[] request = EtcdJson.encode(new LeaseGrantRequest(EtcdTranslation.secondsRoundedUp(timeToLive)));
+        return call(
+                StoreCall.LEASE_GRANT,
+                request,
+                LeaseResponse.class,
+                answer -> answer.id() == 0 ? EtcdTranslation.malformed() : Either.right(answer.id()));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> keepAlive(long leaseId) {
+        byte[] request = EtcdJson.encode(new LeaseRequest(leaseId));
+        return call(
+                StoreCall.LEASE_KEEP_ALIVE,
+                request,
+                LeaseKeepAliveResult.class,
+                answer -> EtcdTranslation.keptAlive(leaseId, answer));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Long>> revokeLease(long leaseId) {
+        byte[] request = EtcdJson.encode(new LeaseRequest(leaseId));
+        return call(StoreCall.LEASE_REVOKE, request, Object.class, ignored -> Either.right(leaseId));
+    }
+
+    private <A, T> CompletionStage<Either<StoreError, T>> call(
+            StoreCall call, byte[] request, Class<A> answerType, Function<A, Either<StoreError, T>> translate) {
+        CompletableFuture<Either<StoreError, T>> stage = new CompletableFuture<>();
+        Function<Buffer, Either<StoreError, T>> decode = body ->
+                EtcdJson.decode(body.getBytes(), answerType).map(translate).orElseGet(EtcdTranslation::malformed);
+        context.runOnContext(ignored -> attempt(new Pending<>(call, request, decode, stage), 1));
+        return stage;
+    }
+
+    private <T> void attempt(Pending<T> pending, int number) {
+        if (closed) {
+            end(pending, Either.left(new StoreError.Refused(Reason.CLOSED, "the adapter is closed")));
+            return;
+        }
+        URI endpoint = endpoints.preferred();
+        UnaryCall.send(vertx, client, options.callTimeout(), endpoint, pending.call(), pending.request())
+                .onSuccess(result -> context.runOnContext(ignored -> ended(pending, number, endpoint, result)));
+    }
+
+    private <T> void ended(Pending<T> pending, int number, URI endpoint, Either<StoreError, Buffer> result) {
+        if (result.isRight()) {
+            end(pending, result.flatMap(pending.decode()));
+            return;
+        }
+        if (unreachable(result.getLeft())) {
+            endpoints.failed(endpoint);
+        }
+        if (!mayRetry(pending.call(), number, result.getLeft())) {
+            end(pending, Either.left(result.getLeft()));
+            return;
+        }
+        telemetry.count(CounterCode.STORE_RETRIES, pending.call().tag());
+        vertx.setTimer(RETRY_DELAY.toMillis(), ignored -> attempt(pending, number + 1));
+    }
+
+    private static boolean unreachable(StoreError error) {
+        return switch (error) {
+            case StoreError.Refused refused ->
+                refused.reason() == Reason.UNREACHABLE || refused.reason() == Reason.TIMEOUT;
+            case StoreError.Unknown unknown -> true;
+        };
+    }
+
+    private boolean mayRetry(StoreCall call, int number, StoreError error) {
+        if (call.idempotent()) {
+            return number < options.readAttempts() && unreachable(error);
+        }
+        boolean neverSent = error instanceof StoreError.Refused && unreachable(error);
+        return neverSent && number < endpoints.size();
+    }
+
+    private <T> void end(Pending<T> pending, Either<StoreError, T> result) {
+        String outcome = result.fold(EtcdStore::outcomeTag, ignored -> "ok");
+        telemetry.count(CounterCode.STORE_CALLS, pending.call().tag() + "." + outcome);
+        result.peekLeft(error -> telemetry.event(
+                EventCode.STORE_CALL_FAILED, "call=" + pending.call().tag() + " " + error));
+        pending.stage().complete(result);
+    }
+
+    private static String outcomeTag(StoreError error) {
+        return switch (error) {
+            case StoreError.Refused refused -> "refused-" + tag(refused.reason());
+            case StoreError.Unknown unknown -> "unknown-" + tag(unknown.reason());
+        };
+    }
+
+    private static String tag(Reason reason) {
+        return reason.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+
+    @Override
+    public Watch watch(String prefix, long fromRevision, WatchListener listener) {
+        EtcdWatch watch = EtcdWatch.create(
+                vertx,
+                context,
+                watchClient,
+                endpoints,
+                options.watchIdleTimeout(),
+                telemetry,
+                prefix,
+                fromRevision,
+                listener);
+        context.runOnContext(ignored -> open(watch));
+        return watch;
+    }
+
+    private void open(EtcdWatch watch) {
+        if (closed) {
+            watch.close();
+            return;
+        }
+        watches.removeIf(EtcdWatch::closed);
+        watches.add(watch);
+        watch.open();
+    }
+
+    @Override
+    public void close() {
+        context.runOnContext(ignored -> closeNow());
+    }
+
+    private void closeNow() {
+        closed = true;
+        new ArrayList<>(watches).forEach(EtcdWatch::close);
+        watches.clear();
+        List.of(client, watchClient).forEach(HttpClient::close);
+    }
+
+    private record Pending<T>(
+            StoreCall call,
+            byte[] request,
+            Function<Buffer, Either<StoreError, T>> decode,
+            CompletableFuture<Either<StoreError, T>> stage) {}
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/store/UnaryCall.java
@@ -0,0 +1,122 @@
+package org.basilswitch.daemon.store;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreError.Reason;
+import org.basilswitch.store.etcd.EtcdJson;
+import org.basilswitch.store.etcd.EtcdMessages.ErrorResponse;
+
+/**
+ * One attempt of a call: what can't have been sent, or was answered by a refusal, is {@link StoreError.Refused};
+ * everything else without a whole answer is {@link StoreError.Unknown}.
+ */
+final class UnaryCall {
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_BAD_REQUEST = 400;
+    private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_TOO_MANY_REQUESTS = 429;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final Duration timeout;
+    private final Promise<Either<StoreError, Buffer>> result = Promise.promise();
+    private Optional<HttpClientRequest> sent = Optional.empty();
+    private long timer;
+
+    private UnaryCall(Vertx vertx, HttpClient client, Duration timeout) {
+        this.vertx = vertx;
+        this.client = client;
+        this.timeout = timeout;
+    }
+
+    /** Makes one attempt; the future always succeeds. */
+    static Future<Either<StoreError, Buffer>> send(
+            Vertx vertx, HttpClient client, Duration timeout, URI endpoint, StoreCall call, byte[] body) {
+        UnaryCall attempt = new UnaryCall(vertx, client, timeout);
+        attempt.start(endpoint, call, body);
+        return attempt.result.future();
+    }
+
+    private void start(URI endpoint, StoreCall call, byte[] body) {
+        timer = vertx.setTimer(timeout.toMillis(), ignored -> timedOut());
+        client.request(Endpoints.request(endpoint, call))
+                .onFailure(cause -> end(refused(Reason.UNREACHABLE, "not connected: " + cause.getMessage())))
+                .onSuccess(request -> write(request, body));
+    }
+
+    private void write(HttpClientRequest request, byte[] body) {
+        if (result.future().isComplete()) {
+            request.reset();
+            return;
+        }
+        sent = Optional.of(request);
+        request.putHeader("Content-Type", "application/json")
+                .send(Buffer.buffer(body))
+                .onSuccess(this::answered)
+                .onFailure(cause -> end(unknown(Reason.UNREACHABLE, "connection lost: " + cause.getMessage())));
+    }
+
+    private void answered(HttpClientResponse response) {
+        response.body()
+                .onSuccess(body -> end(judge(response.statusCode(), body)))
+                .onFailure(cause -> end(unknown(Reason.UNREACHABLE, "answer cut off: " + cause.getMessage())));
+    }
+
+    private void timedOut() {
+        if (sent.isEmpty()) {
+            end(refused(Reason.TIMEOUT, "no connection within " + timeout.toMillis() + " ms"));
+            return;
+        }
+        end(unknown(Reason.TIMEOUT, "no answer within " + timeout.toMillis() + " ms"));
+        sent.get().reset();
+    }
+
+    private void end(Either<StoreError, Buffer> outcome) {
+        if (result.tryComplete(outcome)) {
+            vertx.cancelTimer(timer);
+        }
+    }
+
+    private static Either<StoreError, Buffer> judge(int status, Buffer body) {
+        if (status == HTTP_OK) {
+            return Either.right(body);
+        }
+        String message = EtcdJson.decode(body.getBytes(), ErrorResponse.class)
+                .map(ErrorResponse::message)
+                .orElse("status " + status);
+        return switch (status) {
+            case HTTP_TOO_MANY_REQUESTS -> refused(Reason.RATE_LIMITED, message);
+            case HTTP_NOT_FOUND -> refused(reasonOf(message), message);
+            case HTTP_BAD_REQUEST -> refused(reasonOf(message), message);
+            default -> unknown(Reason.UNREACHABLE, message);
+        };
+    }
+
+    private static Reason reasonOf(String message) {
+        String lower = message.toLowerCase(Locale.ROOT);
+        if (lower.contains("lease not found")) {
+            return Reason.LEASE_LAPSED;
+        }
+        return lower.contains("too large") ? Reason.VALUE_TOO_LARGE : Reason.MALFORMED_ANSWER;
+    }
+
+    private static <T> Either<StoreError, T> refused(Reason reason, String detail) {
+        return Either.left(new StoreError.Refused(reason, detail));
+    }
+
+    private static <T> Either<StoreError, T> unknown(Reason reason, String detail) {
+        return Either.left(new StoreError.Unknown(reason, detail));
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/store/EtcdStoreFaultsTest.java
@@ -0,0 +1,242 @@
+package org.basilswitch.daemon.store;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import io.vavr.control.Either;
+import org.basilswitch.standin.store.StoreCounts;
+import org.basilswitch.standin.store.StoreFaults;
+import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreError.Reason;
+import org.basilswitch.store.Transaction;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** The adapter while the store is down, slow, over its rate, refusing sizes, losing answers or compacted. */
+public final class EtcdStoreFaultsTest {
+    private static final StoreFaults UNBOUNDED = StoreFaults.none().withRates(0, 0);
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(200);
+
+    private StoreFixture fixture;
+
+    /** Starts a store. */
+    @BeforeMethod
+    public void start() throws Exception {
+        fixture = StoreFixture.start();
+    }
+
+    /** Stops it. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        fixture.close();
+    }
+
+    private static Transaction create(String key) {
+        return Transaction.builder()
+                .compare(key, Transaction.ABSENT)
+                .put(key, StoreFixture.bytes("value of " + key))
+                .build();
+    }
+
+    private static URI nothingListens() {
+        return URI.create("http://127.0.0.1:1");
+    }
+
+    /** A commit whose answer is lost is Unknown, was sent once, and can be read back. */
+    @Test
+    public void lostAnswerOfACommitIsUnknownAndNotSentAgain() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        fixture.server().setFaults(UNBOUNDED.withLostAnswerRatio(1));
+        StoreError error = StoreFixture.left(adapter.commit(create("a")));
+        assertTrue(error instanceof StoreError.Unknown, error.toString());
+        StoreCounts.Snapshot counts =
+                StoreFixture.await(fixture.server().counts().toCompletionStage());
+        assertEquals(counts.of(StoreCounts.Kind.TXN), 1);
+        assertEquals(counts.lostAnswers(), 1);
+        fixture.server().setFaults(UNBOUNDED);
+        Optional<PlatformStore.Entry> entry = StoreFixture.right(adapter.get("a"));
+        assertEquals(entry.map(StoreFixture::text), Optional.of("value of a"));
+    }
+
+    /** A read whose answers are lost is sent the bounded number of times, then Unknown. */
+    @Test
+    public void readsAreSentAgainABoundedNumberOfTimes() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options.withReadAttempts(4));
+        fixture.server().setFaults(UNBOUNDED.withLostAnswerRatio(1));
+        assertTrue(StoreFixture.left(adapter.get("a")) instanceof StoreError.Unknown);
+        StoreCounts.Snapshot counts =
+                StoreFixture.await(fixture.server().counts().toCompletionStage());
+        assertEquals(counts.of(StoreCounts.Kind.RANGE), 4);
+    }
+
+    /** A store slower than the time-out gives Unknown although the write takes effect later. */
+    @Test
+    public void slowCommitIsUnknownAndTakesEffect() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options.withCallTimeout(SHORT_TIMEOUT));
+        EtcdStore patient = fixture.adapter(options -> options.withCallTimeout(Duration.ofSeconds(10)));
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("s", 1, deliveries);
+        StoreFixture.right(patient.commit(create("s0")));
+        assertEquals(deliveries.next(), "s0=value of s0");
+        fixture.server().setFaults(UNBOUNDED.withDelayMs(600));
+        StoreError error = StoreFixture.left(adapter.commit(create("s1")));
+        assertTrue(error instanceof StoreError.Unknown unknown && unknown.reason() == Reason.TIMEOUT, error.toString());
+        CommitResult later = StoreFixture.right(patient.commit(create("s1")));
+        assertTrue(later instanceof CommitResult.Conflict, later.toString());
+        assertEquals(deliveries.next(), "s1=value of s1");
+    }
+
+    /** With nothing listening a commit is Refused: it was never sent. */
+    @Test
+    public void unreachableStoreRefuses() throws Exception {
+        EtcdStore adapter = fixture.adapter(List.of(nothingListens()), options -> options);
+        assertRefused(adapter.commit(create("a")), Reason.UNREACHABLE);
+        assertRefused(adapter.get("a"), Reason.UNREACHABLE);
+    }
+
+    /** A call that was never sent to one endpoint is sent to the next, a commit too. */
+    @Test
+    public void nextEndpointIsUsedWhenNothingWasSent() throws Exception {
+        EtcdStore adapter = fixture.adapter(List.of(nothingListens(), fixture.endpoint()), options -> options);
+        assertTrue(StoreFixture.right(adapter.commit(create("a"))) instanceof CommitResult.Committed);
+        assertTrue(StoreFixture.right(adapter.get("a")).isPresent());
+    }
+
+    /** Calls over the store's rates are Refused and had no effect. */
+    @Test
+    public void rateIsEnforcedAndRefusalsHadNoEffect() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        StoreFixture.right(adapter.get("a"));
+        fixture.server().setFaults(StoreFaults.none().withRates(10, 10));
+        int committed = 0;
+        int refused = 0;
+        for (int i = 0; i < 40; i++) {
+            Either<StoreError, CommitResult> result = StoreFixture.await(adapter.commit(create("k" + i)));
+            committed += result.isRight() ? 1 : 0;
+            refused += result.isLeft() && isRefused(result.getLeft(), Reason.RATE_LIMITED) ? 1 : 0;
+        }
+        assertEquals(committed + refused, 40);
+        assertTrue(refused > 0, "no call was refused");
+        fixture.server().setFaults(UNBOUNDED);
+        assertEquals(StoreFixture.right(adapter.range("k")).entries().size(), committed);
+    }
+
+    /** A value of one megabyte is stored, a larger one is Refused. */
+    @Test
+    public void valuesOverAMegabyteAreRefused() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options.withCallTimeout(Duration.ofSeconds(10)));
+        Transaction largest = Transaction.builder().put("m", new byte[1 << 20]).build();
+        assertTrue(StoreFixture.right(adapter.commit(largest)) instanceof CommitResult.Committed);
+        Transaction larger =
+                Transaction.builder().put("n", new byte[(1 << 20) + 1]).build();
+        assertRefused(adapter.commit(larger), Reason.VALUE_TOO_LARGE);
+        assertTrue(StoreFixture.right(adapter.get("n")).isEmpty());
+    }
+
+    /** A lapsed lease refuses keep-alives and puts; its keys are gone. */
+    @Test
+    public void lapsedLeaseRefusesPuts() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("l", 1, deliveries);
+        long lease = StoreFixture.right(adapter.grantLease(Duration.ofSeconds(1)));
+        Transaction put =
+                Transaction.builder().put("l1", StoreFixture.bytes("x"), lease).build();
+        StoreFixture.right(adapter.commit(put));
+        assertEquals(deliveries.next(), "l1=x");
+        assertEquals(deliveries.next(), "l1=deleted");
+        assertRefused(adapter.keepAlive(lease), Reason.LEASE_LAPSED);
+        assertRefused(adapter.commit(put), Reason.LEASE_LAPSED);
+    }
+
+    /** A watch goes on at the next revision after the store was down; nothing is missed or delivered twice. */
+    @Test
+    public void watchResumesAfterAnOutage() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("w", 1, deliveries);
+        StoreFixture.right(adapter.commit(create("w1")));
+        assertEquals(deliveries.next(), "w1=value of w1");
+        fixture.server().setFaults(UNBOUNDED.withDown(true));
+        StoreError down = StoreFixture.left(adapter.commit(create("w2")));
+        assertTrue(down instanceof StoreError.Unknown, down.toString());
+        fixture.server().setFaults(UNBOUNDED);
+        StoreFixture.right(adapter.commit(create("w3")));
+        assertEquals(deliveries.next(), "w3=value of w3");
+        assertTrue(deliveries.quietFor(Duration.ofMillis(300)));
+    }
+
+    /** A watch from a compacted revision tells its listener to read again. */
+    @Test
+    public void compactedWatchTellsItsListener() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        for (int i = 0; i < 3; i++) {
+            StoreFixture.right(adapter.commit(create("c" + i)));
+        }
+        StoreFixture.await(fixture.server().compact(3).toCompletionStage());
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("c", 2, deliveries);
+        assertEquals(deliveries.next(), "compacted 3");
+        adapter.watch("c", 4, deliveries);
+        assertEquals(deliveries.next(), "c2=value of c2");
+    }
+
+    /** A waiting watch is counted as one call however long it waits. */
+    @Test
+    public void waitingWatchCountsAsOneCall() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("o", 1, deliveries);
+        for (int i = 0; i < 5; i++) {
+            StoreFixture.right(adapter.commit(create("o" + i)));
+            assertEquals(deliveries.next(), "o" + i + "=value of o" + i);
+        }
+        StoreCounts.Snapshot counts =
+                StoreFixture.await(fixture.server().counts().toCompletionStage());
+        assertEquals(counts.of(StoreCounts.Kind.WATCH), 1);
+        assertEquals(counts.of(StoreCounts.Kind.TXN), 5);
+    }
+
+    /** A silent watch is opened again and goes on. */
+    @Test
+    public void silentWatchIsOpenedAgain() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options.withWatchIdleTimeout(Duration.ofMillis(300)));
+        StoreFixture.Deliveries deliveries = new StoreFixture.Deliveries();
+        adapter.watch("i", 1, deliveries);
+        StoreFixture.right(adapter.commit(create("i1")));
+        assertEquals(deliveries.next(), "i1=value of i1");
+        assertTrue(deliveries.quietFor(Duration.ofMillis(900)));
+        StoreFixture.right(adapter.commit(create("i2")));
+        assertEquals(deliveries.next(), "i2=value of i2");
+        StoreCounts.Snapshot counts =
+                StoreFixture.await(fixture.server().counts().toCompletionStage());
+        assertTrue(counts.of(StoreCounts.Kind.WATCH) >= 2, counts.toString());
+    }
+
+    /** After closing, calls are Refused. */
+    @Test
+    public void closedAdapterRefuses() throws Exception {
+        EtcdStore adapter = fixture.adapter(options -> options);
+        adapter.close();
+        assertRefused(adapter.commit(create("a")), Reason.CLOSED);
+    }
+
+    private static boolean isRefused(StoreError error, Reason reason) {
+        return error instanceof StoreError.Refused refused && refused.reason() == reason;
+    }
+
+    private static <T> void assertRefused(CompletionStage<Either<StoreError, T>> stage, Reason reason)
+            throws Exception {
+        StoreError error = StoreFixture.left(stage);
+        assertTrue(isRefused(error, reason), error.toString());
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/store/RateLimit.java
@@ -0,0 +1,48 @@
+package org.basilswitch.standin.store;
+
+import java.time.Duration;
+
+import org.basilswitch.time.Clock;
+
+/** A token bucket that holds the tokens of half a second. */
+final class RateLimit {
+    private static final double BURST_SECONDS = 0.5;
+    private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final Clock clock;
+    private double ratePerSecond;
+    private double tokens;
+    private long filledNanos;
+
+    private RateLimit(Clock clock) {
+        this.clock = clock;
+        this.filledNanos = clock.monotonicNanos();
+    }
+
+    static RateLimit create(Clock clock, long ratePerSecond) {
+        RateLimit limit = new RateLimit(clock);
+        limit.setRatePerSecond(ratePerSecond);
+        return limit;
+    }
+
+    /** Sets the rate and fills the bucket; 0 for no bound. */
+    void setRatePerSecond(long rate) {
+        ratePerSecond = rate;
+        tokens = rate * BURST_SECONDS;
+    }
+
+    boolean tryAcquire() {
+        if (ratePerSecond == 0) {
+            return true;
+        }
+        long nowNanos = clock.monotonicNanos();
+        double elapsedSeconds = (nowNanos - filledNanos) / NANOS_PER_SECOND;
+        filledNanos = nowNanos;
+        tokens = Math.min(Math.max(1, ratePerSecond * BURST_SECONDS), tokens + elapsedSeconds * ratePerSecond);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/store/StoreServer.java
@@ -0,0 +1,236 @@
+package org.basilswitch.standin.store;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.standin.ControlJson;
+import org.basilswitch.standin.HttpAnswers;
+import org.basilswitch.standin.VertxTime;
+import org.basilswitch.store.MemoryStore;
+import org.basilswitch.store.etcd.EtcdJson;
+import org.basilswitch.store.etcd.EtcdMessages.ErrorResponse;
+import org.basilswitch.store.etcd.EtcdMessages.WatchRequest;
+import org.basilswitch.store.etcd.EtcdPaths;
+
+/**
+ * The stand-in store: the etcd v3 JSON mapping over HTTP, with the platform's rates and sizes, and faults on demand.
+ *
+ * <p>{@code GET} and {@code POST /control/faults} read and set {@link StoreFaults}, {@code GET /control/counts} reads
+ * {@link StoreCounts.Snapshot}; these paths work whatever the faults.
+ */
+public final class StoreServer extends VerticleBase {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String CONTROL = "/control/";
+    private static final long LOST_ANSWER_SEED = 7;
+    private static final long COMPACTION_INTERVAL_MS = 60_000;
+    private static final Map<String, StoreCounts.Kind> KINDS = Map.of(
+            EtcdPaths.RANGE, StoreCounts.Kind.RANGE,
+            EtcdPaths.TXN, StoreCounts.Kind.TXN,
+            EtcdPaths.COMPACTION, StoreCounts.Kind.COMPACTION,
+            EtcdPaths.LEASE_GRANT, StoreCounts.Kind.LEASE_GRANT,
+            EtcdPaths.LEASE_KEEP_ALIVE, StoreCounts.Kind.LEASE_KEEP_ALIVE,
+            EtcdPaths.LEASE_REVOKE, StoreCounts.Kind.LEASE_REVOKE,
+            EtcdPaths.WATCH, StoreCounts.Kind.WATCH);
+
+    private final int requestedPort;
+    private final StoreCounts counts = new StoreCounts();
+    private final SplittableRandom random = new SplittableRandom(LOST_ANSWER_SEED);
+    private final Set<HttpConnection> watching = new HashSet<>();
+    private final AtomicReference<StoreFaults> wishedFaults = new AtomicReference<>(StoreFaults.none());
+    private StoreFaults faults = StoreFaults.none();
+    private MemoryStore store;
+    private StoreProtocol protocol;
+    private RateLimit writes;
+    private RateLimit reads;
+    private HttpServer server;
+    private long lastCompactionRevision;
+
+    private StoreServer(int port) {
+        this.requestedPort = port;
+    }
+
+    /** Starts a store on a loopback port; 0 takes a free one. */
+    public static Future<StoreServer> start(Vertx vertx, int port) {
+        StoreServer store = new StoreServer(port);
+        return vertx.deployVerticle(store).map(store);
+    }
+
+    @Override
+    public Future<?> start() {
+        VertxTime time = VertxTime.on(vertx, context);
+        store = MemoryStore.create(time, time);
+        protocol = StoreProtocol.on(store);
+        writes = RateLimit.create(time, faults.writesPerSecond());
+        reads = RateLimit.create(time, faults.readsPerSecond());
+        server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        server.requestHandler(this::handle);
+        vertx.setPeriodic(COMPACTION_INTERVAL_MS, ignored -> compactOldHistory());
+        return server.listen(requestedPort, LOOPBACK);
+    }
+
+    private void compactOldHistory() {
+        store.compact(lastCompactionRevision);
+        lastCompactionRevision = store.revision();
+    }
+
+    /** The port that the store listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Sets the faults; takes effect with the store's next turn. */
+    public void setFaults(StoreFaults next) {
+        wishedFaults.set(next);
+        context.runOnContext(ignored -> apply(next));
+    }
+
+    /** The faults last set. */
+    public StoreFaults faults() {
+        return wishedFaults.get();
+    }
+
+    /** Reads the counts. */
+    public Future<StoreCounts.Snapshot> counts() {
+        Promise<StoreCounts.Snapshot> promise = Promise.promise();
+        context.runOnContext(ignored -> promise.complete(counts.snapshot()));
+        return promise.future();
+    }
+
+    /** Forgets the history up to a revision, as the platform does from time to time. */
+    public Future<Void> compact(long revision) {
+        Promise<Void> promise = Promise.promise();
+        context.runOnContext(ignored -> {
+            store.compact(revision);
+            promise.complete();
+        });
+        return promise.future();
+    }
+
+    private void apply(StoreFaults next) {
+        if (next.writesPerSecond() != faults.writesPerSecond()) {
+            writes.setRatePerSecond(next.writesPerSecond());
+        }
+        if (next.readsPerSecond() != faults.readsPerSecond()) {
+            reads.setRatePerSecond(next.readsPerSecond());
+        }
+        faults = next;
+        if (faults.down()) {
+            Set.copyOf(watching).forEach(HttpConnection::close);
+        }
+    }
+
+    private void handle(HttpServerRequest request) {
+        if (request.path().startsWith(CONTROL)) {
+            request.body().onSuccess(body -> control(request, body));
+            return;
+        }
+        if (faults.down()) {
+            request.connection().close();
+            return;
+        }
+        Optional<StoreCounts.Kind> kind = Optional.ofNullable(KINDS.get(request.path()));
+        if (kind.isEmpty() || request.method() != HttpMethod.POST) {
+            answer(request, StoreProtocol.error(ErrorResponse.NOT_FOUND, "Not Found"));
+            return;
+        }
+        counts.called(kind.get());
+        request.body().onSuccess(body -> later(() -> dispatch(kind.get(), request, body)));
+    }
+
+    private void later(Runnable action) {
+        if (faults.delayMs() == 0) {
+            action.run();
+        } else {
+            vertx.setTimer(faults.delayMs(), ignored -> action.run());
+        }
+    }
+
+    private void dispatch(StoreCounts.Kind kind, HttpServerRequest request, Buffer body) {
+        if (faults.down()) {
+            request.connection().close();
+            return;
+        }
+        if (!(kind.write() ? writes : reads).tryAcquire()) {
+            counts.refused();
+            answer(request, StoreProtocol.error(ErrorResponse.RESOURCE_EXHAUSTED, "etcdserver: too many requests"));
+            return;
+        }
+        if (kind == StoreCounts.Kind.WATCH) {
+            watch(request, body);
+            return;
+        }
+        Object result = protocol.call(kind, body.getBytes());
+        if (result instanceof ErrorResponse) {
+            counts.refused();
+        }
+        if (random.nextDouble() < faults.lostAnswerRatio()) {
+            counts.lostAnswer();
+            request.connection().close();
+            return;
+        }
+        answer(request, result);
+    }
+
+    private void watch(HttpServerRequest request, Buffer body) {
+        Optional<WatchRequest> decoded = EtcdJson.decode(body.getBytes(), WatchRequest.class);
+        if (decoded.isEmpty() || decoded.get().createRequest() == null) {
+            answer(request, StoreProtocol.error(ErrorResponse.INVALID_ARGUMENT, "the body is not a WatchRequest"));
+            return;
+        }
+        watching.add(request.connection());
+        request.connection().closeHandler(ignored -> watching.remove(request.connection()));
+        WatchStream.open(store, vertx, request.response(), decoded.get().createRequest());
+    }
+
+    private static void answer(HttpServerRequest request, Object message) {
+        int status = message instanceof ErrorResponse error ? status(error.code()) : 200;
+        HttpAnswers.json(request.response(), status, EtcdJson.encode(message));
+    }
+
+    private static int status(int code) {
+        return switch (code) {
+            case ErrorResponse.NOT_FOUND -> 404;
+            case ErrorResponse.RESOURCE_EXHAUSTED -> 429;
+            case ErrorResponse.UNAVAILABLE -> 503;
+            default -> 400;
+        };
+    }
+
+    private void control(HttpServerRequest request, Buffer body) {
+        switch (request.path()) {
+            case CONTROL + "counts" -> HttpAnswers.json(request.response(), 200, RecordCodec.encode(counts.snapshot()));
+            case CONTROL + "faults" -> controlFaults(request, body);
+            default -> HttpAnswers.json(request.response(), 404, RecordCodec.encode("unknown control path"));
+        }
+    }
+
+    private void controlFaults(HttpServerRequest request, Buffer body) {
+        if (request.method() == HttpMethod.GET) {
+            HttpAnswers.json(request.response(), 200, RecordCodec.encode(faults));
+            return;
+        }
+        Optional<StoreFaults> next = ControlJson.merge(faults, body);
+        if (next.isEmpty() || !next.get().valid()) {
+            HttpAnswers.json(request.response(), 400, RecordCodec.encode("send the fields of GET /control/faults"));
+            return;
+        }
+        wishedFaults.set(next.get());
+        apply(next.get());
+        HttpAnswers.json(request.response(), 200, RecordCodec.encode(faults));
+    }
+}
