Add the stand-in worker: slots, faults, tasks under leases, its own record

The demo, the tests and the process runs need backend servers whose own record of what ran can be held against what callers were told. A worker answers 503 busy or 412 late for requests that it has certainly not run, and can fail everything, hang, answer late or crossed, slow down, drain, stop and reboot.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,7 +7,6 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
-    STORE_CALLS("basilswitch.store.calls", "call"),
     STORE_RETRIES("basilswitch.store.retries", "call"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant");
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/store/EtcdStore.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/store/EtcdStore.java
@@ -175,24 +175,11 @@
     }
 
     private <T> void end(Pending<T> pending, Either<StoreError, T> result) {
-        String outcome = result.fold(EtcdStore::outcomeTag, ignored -> "ok");
-        telemetry.count(CounterCode.STORE_CALLS, pending.call().tag() + "." + outcome);
         result.peekLeft(error -> telemetry.event(
                 EventCode.STORE_CALL_FAILED, "call=" + pending.call().tag() + " " + error));
         pending.stage().complete(result);
     }
 
-    private static String outcomeTag(StoreError error) {
-        return switch (error) {
-            case StoreError.Refused refused -> "refused-" + tag(refused.reason());
-            case StoreError.Unknown unknown -> "unknown-" + tag(unknown.reason());
-        };
-    }
-
-    private static String tag(Reason reason) {
-        return reason.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-    }
-
     @Override
     public Watch watch(String prefix, long fromRevision, WatchListener listener) {
         EtcdWatch watch = EtcdWatch.create(
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/RunRequest.java
@@ -0,0 +1,66 @@
+package org.basilswitch.standin.worker;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import org.basilswitch.configuration.RecordCodec;
+
+/**
+ * A request to run, as its headers and body state it.
+ *
+ * @param requestId identifier of the request
+ * @param attempt number of the attempt
+ * @param team team that it runs for
+ * @param queue queue that it came through
+ * @param startBefore when it must have started; empty when any time will do
+ * @param body the load generator's body; empty when the body is something else
+ */
+record RunRequest(
+        String requestId, int attempt, String team, String queue, Optional<Instant> startBefore, LoadBody body) {
+    static final String REQUEST_ID = "Basilswitch-Request-Id";
+    static final String ATTEMPT = "Basilswitch-Attempt";
+    private static final String TEAM = "Basilswitch-Team";
+    private static final String QUEUE = "Basilswitch-Queue";
+    private static final String START_BEFORE = "Basilswitch-Start-Before";
+    private static final String SERVICE_MS = "Basilswitch-Test-Service-Ms";
+
+    /** Decodes a request; empty when a header is missing or malformed. */
+    static Optional<RunRequest> decode(MultiMap headers, Buffer content) {
+        try {
+            String requestId = headers.get(REQUEST_ID);
+            if (requestId == null) {
+                return Optional.empty();
+            }
+            int attempt = Integer.parseInt(headers.get(ATTEMPT));
+            Optional<Instant> startBefore =
+                    Optional.ofNullable(headers.get(START_BEFORE)).map(Instant::parse);
+            LoadBody body = loadBody(headers, content);
+            return Optional.of(new RunRequest(
+                    requestId, attempt, text(headers.get(TEAM)), text(headers.get(QUEUE)), startBefore, body));
+        } catch (NumberFormatException | DateTimeParseException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static LoadBody loadBody(MultiMap headers, Buffer content) {
+        LoadBody body = RecordCodec.decode(content.getBytes(), LoadBody.class).orElse(LoadBody.none());
+        String serviceMs = headers.get(SERVICE_MS);
+        return serviceMs == null ? body : new LoadBody(body.testId(), Double.parseDouble(serviceMs));
+    }
+
+    private static String text(String header) {
+        return header == null ? "" : header;
+    }
+
+    /** The stated service time; empty when the worker's own distribution is to be used. */
+    Optional<Duration> serviceTime() {
+        return body.serviceMs() > 0
+                ? Optional.of(Duration.ofNanos(
+                        Math.round(body.serviceMs() * Duration.ofMillis(1).toNanos())))
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/ServiceTime.java
@@ -0,0 +1,40 @@
+package org.basilswitch.standin.worker;
+
+import java.util.SplittableRandom;
+
+/** Distribution of the time that a worker takes for a request. */
+public sealed interface ServiceTime {
+
+    /** The mean, in milliseconds. */
+    double meanMs();
+
+    /** Always the same time. */
+    record Fixed(double meanMs) implements ServiceTime {}
+
+    /** Exponentially distributed. */
+    record Exponential(double meanMs) implements ServiceTime {}
+
+    /** Evenly distributed from 0 to twice the mean. */
+    record Uniform(double meanMs) implements ServiceTime {}
+
+    /** Draws a time, in milliseconds. */
+    default double drawMs(SplittableRandom random) {
+        return switch (this) {
+            case Fixed fixed -> fixed.meanMs();
+            case Exponential exponential -> -Math.log(1 - random.nextDouble()) * exponential.meanMs();
+            case Uniform uniform -> random.nextDouble() * 2 * uniform.meanMs();
+        };
+    }
+
+    /** Creates a distribution by its name: {@code fixed}, {@code exponential} or {@code uniform}. */
+    static ServiceTime of(String name, double meanMs) {
+        return switch (name) {
+            case "fixed" -> new Fixed(meanMs);
+            case "exponential" -> new Exponential(meanMs);
+            case "uniform" -> new Uniform(meanMs);
+            default ->
+                throw new IllegalArgumentException(
+                        "unknown distribution " + name + ": use fixed, exponential or uniform");
+        };
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
@@ -0,0 +1,273 @@
+package org.basilswitch.standin.worker;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.standin.HttpAnswers;
+import org.basilswitch.standin.VertxTime;
+
+/**
+ * The stand-in worker: runs {@code POST /v1/run} in its slots, keeps tasks under leases, and is steered under
+ * {@code /control/}.
+ */
+public final class WorkerServer extends VerticleBase {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String RUN_PATH = "/v1/run";
+    private static final String BUSY_HEADER = "Basilswitch-Worker";
+    private static final int MICROS_PER_SECOND = 1_000_000;
+    private static final int NANOS_PER_MICRO = 1000;
+
+    private final WorkerOptions options;
+    private final RunRecord record;
+    private final AtomicReference<WorkerFaults> faults = new AtomicReference<>(WorkerFaults.none());
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private final Set<ActiveRun> active = new HashSet<>();
+    private final SplittableRandom random;
+    private TaskTable tasks;
+    private WorkerControl control;
+    private HttpServer server;
+    private volatile int port;
+    private volatile boolean draining;
+    private Optional<ActiveRun> waitingForPair = Optional.empty();
+
+    private WorkerServer(WorkerOptions options, RunRecord record) {
+        this.options = options;
+        this.record = record;
+        this.random = new SplittableRandom(options.name().hashCode());
+        this.port = options.port();
+    }
+
+    /** Starts a worker on loopback. */
+    public static Future<WorkerServer> start(Vertx vertx, WorkerOptions options, RunRecord record) {
+        WorkerServer worker = new WorkerServer(options, record);
+        return vertx.deployVerticle(worker).map(worker);
+    }
+
+    @Override
+    public Future<?> start() {
+        tasks = TaskTable.create(VertxTime.on(vertx, context));
+        vertx.setPeriodic(TaskTable.TICK.toMillis(), ignored -> tasks.tick());
+        control = WorkerControl.of(this, tasks);
+        return listen();
+    }
+
+    private Future<?> listen() {
+        server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        server.connectionHandler(this::accept);
+        server.requestHandler(this::handle);
+        return server.listen(port, LOOPBACK).onSuccess(listening -> port = listening.actualPort());
+    }
+
+    private void accept(HttpConnection connection) {
+        connections.add(connection);
+        connection.closeHandler(ignored -> connections.remove(connection));
+        if (connections.size() > options.connections()) {
+            record.refused("connections");
+            connection.close();
+        }
+    }
+
+    private void handle(HttpServerRequest request) {
+        if (!RUN_PATH.equals(request.path())) {
+            request.body().onSuccess(body -> control.handle(request, body));
+        } else if (request.method() != HttpMethod.POST) {
+            HttpAnswers.json(request.response(), 405, RecordCodec.encode("use POST"));
+        } else {
+            request.body().onSuccess(body -> run(request, body));
+        }
+    }
+
+    private void run(HttpServerRequest request, Buffer body) {
+        Optional<RunRequest> decoded = RunRequest.decode(request.headers(), body);
+        if (decoded.isEmpty()) {
+            HttpAnswers.json(request.response(), 400, RecordCodec.encode("a Basilswitch header is missing"));
+            return;
+        }
+        RunRequest run = decoded.get();
+        echo(run, request.response());
+        if (run.startBefore().filter(Instant.now()::isAfter).isPresent()) {
+            record.refused("late");
+            HttpAnswers.json(request.response(), 412, RecordCodec.encode("the time to start has passed"));
+        } else if (draining || active.size() >= options.slots()) {
+            record.refused(draining ? "draining" : "slots");
+            request.response().putHeader(BUSY_HEADER, "busy");
+            HttpAnswers.json(request.response(), 503, RecordCodec.encode("no free slot"));
+        } else {
+            begin(run, request.response());
+        }
+    }
+
+    private static void echo(RunRequest run, HttpServerResponse response) {
+        response.putHeader(RunRequest.REQUEST_ID, run.requestId());
+        response.putHeader(RunRequest.ATTEMPT, Integer.toString(run.attempt()));
+    }
+
+    private void begin(RunRequest request, HttpServerResponse response) {
+        Run run = new Run(
+                request.requestId(),
+                request.attempt(),
+                request.team(),
+                request.queue(),
+                request.body().testId(),
+                options.name(),
+                nowMicros(),
+                0);
+        ActiveRun started = new ActiveRun(request, response, record.started(run));
+        active.add(started);
+        WorkerFaults current = faults.get();
+        if (current.failEverything()) {
+            end(started);
+            HttpAnswers.json(response, 500, RecordCodec.encode("this worker fails everything"));
+        } else if (!current.hang()) {
+            vertx.setTimer(serviceMs(request, current), ignored -> finish(started));
+        }
+    }
+
+    private long serviceMs(RunRequest request, WorkerFaults current) {
+        double ms = request.serviceTime()
+                .map(time -> (double) time.toNanos() / Duration.ofMillis(1).toNanos())
+                .orElseGet(() -> options.serviceTime().drawMs(random));
+        return Math.max(1, Math.round(ms * current.slowFactor()));
+    }
+
+    private void finish(ActiveRun run) {
+        if (!end(run)) {
+            return;
+        }
+        WorkerFaults current = faults.get();
+        if (current.lateMs() > 0) {
+            vertx.setTimer(current.lateMs(), ignored -> answer(run, run.request()));
+        } else if (current.crossed()) {
+            answerCrossed(run);
+        } else {
+            answer(run, run.request());
+        }
+    }
+
+    private void answerCrossed(ActiveRun run) {
+        if (waitingForPair.isEmpty()) {
+            waitingForPair = Optional.of(run);
+            return;
+        }
+        ActiveRun other = waitingForPair.get();
+        waitingForPair = Optional.empty();
+        answer(run, other.request());
+        answer(other, run.request());
+    }
+
+    private void answer(ActiveRun run, RunRequest content) {
+        if (!run.response().ended() && !run.response().closed()) {
+            echo(content, run.response());
+        }
+        LoadAnswer answer =
+                new LoadAnswer(content.body().testId(), content.requestId(), content.attempt(), options.name());
+        HttpAnswers.json(run.response(), 200, RecordCodec.encode(answer));
+    }
+
+    private boolean end(ActiveRun run) {
+        boolean first = active.remove(run);
+        if (first) {
+            record.ended(run.number(), nowMicros());
+        }
+        return first;
+    }
+
+    private static long nowMicros() {
+        Instant now = Instant.now();
+        return now.getEpochSecond() * MICROS_PER_SECOND + now.getNano() / NANOS_PER_MICRO;
+    }
+
+    /** Name of the host. */
+    public String name() {
+        return options.name();
+    }
+
+    /** The port that the worker listens on, or listened on before it was stopped. */
+    public int port() {
+        return port;
+    }
+
+    /** The faults last set. */
+    public WorkerFaults faults() {
+        return faults.get();
+    }
+
+    /** Sets the faults of requests that are started or ended from now on. */
+    public void setFaults(WorkerFaults next) {
+        faults.set(next);
+    }
+
+    /** Refuses new requests as busy, or accepts them again; requests that run are finished. */
+    public void setDraining(boolean next) {
+        draining = next;
+    }
+
+    RunRecord record() {
+        return record;
+    }
+
+    /** Reads how many requests run now. */
+    public Future<Integer> running() {
+        Promise<Integer> promise = Promise.promise();
+        context.runOnContext(ignored -> promise.complete(active.size()));
+        return promise.future();
+    }
+
+    /** Stops at once, as when power is lost: what runs ends without an answer, and connections are refused. */
+    public Future<Void> stopNow() {
+        Promise<Void> promise = Promise.promise();
+        context.runOnContext(ignored -> {
+            Set.copyOf(active).forEach(this::end);
+            waitingForPair = Optional.empty();
+            tasks.clear();
+            Set.copyOf(connections).forEach(HttpConnection::close);
+            server.close().onComplete(closed -> promise.complete());
+        });
+        return promise.future();
+    }
+
+    /** Listens again on the same port after {@link #stopNow}. */
+    public Future<Void> startAgain() {
+        Promise<Void> promise = Promise.promise();
+        context.runOnContext(ignored -> listen().<Void>mapEmpty().onComplete(promise));
+        return promise.future();
+    }
+
+    /** Stops at once and listens again after a time. */
+    public Future<Void> reboot(Duration downTime) {
+        Promise<Void> promise = Promise.promise();
+        stopNow()
+                .onSuccess(ignored -> vertx.setTimer(
+                        Math.max(1, downTime.toMillis()), again -> startAgain().onComplete(promise)));
+        return promise.future();
+    }
+
+    private record ActiveRun(RunRequest request, HttpServerResponse response, long number) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof ActiveRun run && run.number == number;
+        }
+
+        @Override
+        public int hashCode() {
+            return Long.hashCode(number);
+        }
+    }
+}
