--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/load/LoadRequest.java
@@ -0,0 +1,161 @@
+package org.basilswitch.bench.load;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.standin.worker.LoadAnswer;
+import org.basilswitch.standin.worker.LoadBody;
+
+/** One caller's request: sent to an entry host, and perhaps sent again to others under the same id. */
+final class LoadRequest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final long RETRY_DELAY_MS = 200;
+    private static final String OUTCOME = "Basilswitch-Outcome";
+
+    private final Tools tools;
+    private final LoadStream stream;
+    private final LoadBody body;
+    private final Consumer<RequestResult> onEnd;
+    private final long startNanos = System.nanoTime();
+    private final Set<EntryTarget> refusedConnection = new HashSet<>();
+    private Optional<EntryTarget> last = Optional.empty();
+    private Optional<Outcome> lost = Optional.empty();
+    private int attempts;
+
+    private LoadRequest(Tools tools, LoadStream stream, LoadBody body, Consumer<RequestResult> onEnd) {
+        this.tools = tools;
+        this.stream = stream;
+        this.body = body;
+        this.onEnd = onEnd;
+    }
+
+    /** What all requests of a load share. */
+    record Tools(Vertx vertx, HttpClient client, Balancer balancer, int retries) {}
+
+    static void send(Tools tools, LoadStream stream, LoadBody body, Consumer<RequestResult> onEnd) {
+        new LoadRequest(tools, stream, body, onEnd).attempt();
+    }
+
+    private void attempt() {
+        attempts++;
+        Set<EntryTarget> excluded = new HashSet<>(refusedConnection);
+        last.ifPresent(excluded::add);
+        Optional<EntryTarget> target =
+                tools.balancer().choose(excluded).or(() -> tools.balancer().choose(Set.of()));
+        if (target.isEmpty()) {
+            ended(new Outcome.Refused("no-entry-host"));
+            return;
+        }
+        last = target;
+        String path = "/v1/queues/" + stream.queue() + "/requests";
+        tools.client()
+                .request(HttpMethod.POST, target.get().callerPort(), LOOPBACK, path)
+                .onSuccess(this::write)
+                .onFailure(cause -> notConnected(target.get(), cause));
+    }
+
+    private void notConnected(EntryTarget target, Throwable cause) {
+        tools.balancer().failed(target);
+        if (refusedConnection.add(target) && tools.balancer().readyTargets() > 0) {
+            attempts--;
+            attempt();
+        } else {
+            ended(new Outcome.Refused("connect-" + cause.getClass().getSimpleName()));
+        }
+    }
+
+    private void write(HttpClientRequest request) {
+        new Exchange(request).start();
+    }
+
+    private void ended(Outcome outcome) {
+        if (outcome instanceof Outcome.Unknown) {
+            lost = Optional.of(outcome);
+        }
+        boolean again = outcome instanceof Outcome.Unknown || outcome instanceof Outcome.Refused;
+        if (again && attempts <= tools.retries()) {
+            tools.vertx().setTimer(RETRY_DELAY_MS, ignored -> attempt());
+            return;
+        }
+        Outcome known = outcome instanceof Outcome.Refused ? lost.orElse(outcome) : outcome;
+        onEnd.accept(new RequestResult(
+                body.testId(), stream, known, attempts, Duration.ofNanos(System.nanoTime() - startNanos)));
+    }
+
+    /** One attempt over a connection; the first of answer, failure and time-out counts. */
+    private final class Exchange {
+        private final HttpClientRequest request;
+        private long timer;
+        private boolean done;
+
+        private Exchange(HttpClientRequest request) {
+            this.request = request;
+        }
+
+        private void start() {
+            timer = tools.vertx().setTimer(stream.deadline().plus(PATIENCE).toMillis(), ignored -> timedOut());
+            request.putHeader("Content-Type", "application/json");
+            request.putHeader("Idempotency-Key", body.testId());
+            request.putHeader(
+                    "Basilswitch-Deadline-Ms", Long.toString(stream.deadline().toMillis()));
+            stream.keySecret().ifPresent(secret -> request.putHeader("Authorization", "Bearer " + secret));
+            request.send(Buffer.buffer(RecordCodec.encode(body)))
+                    .compose(response -> response.body().map(content -> judge(response, content)))
+                    .onSuccess(this::finish)
+                    .onFailure(cause -> finish(new Outcome.Unknown("connection-lost")));
+        }
+
+        private void timedOut() {
+            finish(new Outcome.Unknown("no-answer"));
+            request.reset();
+        }
+
+        private void finish(Outcome outcome) {
+            if (!done) {
+                done = true;
+                tools.vertx().cancelTimer(timer);
+                ended(outcome);
+            }
+        }
+
+        private Outcome judge(HttpClientResponse response, Buffer content) {
+            String outcome = response.getHeader(OUTCOME);
+            if ("ran".equals(outcome)) {
+                return answered(response.statusCode(), content);
+            }
+            String code = problemCode(content).orElse("status-" + response.statusCode());
+            return "not-run".equals(outcome) ? new Outcome.Refused(code) : new Outcome.Unknown(code);
+        }
+
+        private Outcome answered(int status, Buffer content) {
+            if (status != 200) {
+                return new Outcome.Answered(status);
+            }
+            String testId = RecordCodec.decode(content.getBytes(), LoadAnswer.class)
+                    .map(LoadAnswer::testId)
+                    .orElse("");
+            return body.testId().equals(testId) ? new Outcome.Answered(status) : new Outcome.Foreign(testId);
+        }
+
+        private Optional<String> problemCode(Buffer content) {
+            try {
+                return Optional.ofNullable(new JsonObject(content).getString("code"));
+            } catch (DecodeException | ClassCastException e) {
+                return Optional.empty();
+            }
+        }
+    }
+}
