--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -10,6 +10,7 @@
     CLAIMS("basilswitch.claims", "verdict"),
     CLAIM_COMMITS("basilswitch.claim.commits", "result"),
     LIMIT_COMMITS("basilswitch.limit.commits", "result"),
+    STORE_RETRIES("basilswitch.store.retries", "call"),
     SERVERS_EJECTED("basilswitch.servers.ejected", "reason"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant"),
     CALLERS_REJECTED("basilswitch.callers.rejected", "reason"),
