Decide operators' changes over the store with operation ids and audit records

A change is one transaction: it requires that its operation id is unused, that the record has the expected revision and that the guards of the pool or team it depends on are unchanged; it writes the record, the operation's result and the audit record. A lost answer is read back by operation id and sent again safely.

OperatorRole moved from the settings to the core; ranges of records are shared by settings and changes in RecordField. HostRules uses the fleet's step table.

--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/Administrator.java
@@ -0,0 +1,115 @@
+package org.basilswitch.administration;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** Carries out operators' changes; any number of entry hosts may do so at the same time. */
+public final class Administrator {
+    private final Parts parts;
+    private final AdministratorOptions options;
+    private final RetentionLease operations;
+    private final RetentionLease audit;
+
+    private Administrator(Parts parts, AdministratorOptions options) {
+        this.parts = parts;
+        this.options = options;
+        this.operations = RetentionLease.create(parts.store, parts.clock, options.operationRetention());
+        this.audit = RetentionLease.create(parts.store, parts.clock, options.auditRetention());
+    }
+
+    /** What an administrator works with; the view is the entry host's configuration in force. */
+    public record Parts(
+            StoreKeys keys,
+            PlatformStore store,
+            Supplier<SiteConfiguration> view,
+            Clock clock,
+            Scheduler scheduler,
+            Telemetry telemetry) {}
+
+    /** Creates an administrator. */
+    public static Administrator create(Parts parts, AdministratorOptions options) {
+        return new Administrator(parts, options);
+    }
+
+    /** Carries out a change, or finds out what became of it when it was asked for before. */
+    public CompletionStage<ChangeResult> submit(ChangeRequest request) {
+        OperatorRole needed = ChangeRules.roleFor(request.change().key().kind());
+        CompletionStage<ChangeResult> result = request.operator().role().includes(needed)
+                ? ChangeRun.start(parts, options, operations, audit, request)
+                : CompletableFuture.completedFuture(ChangeResult.Refused.of(
+                        ChangeRefusal.Code.ROLE_TOO_LOW,
+                        request.change().key().kind() + " need the role " + needed.text()));
+        return result.thenApply(outcome -> report(request, outcome));
+    }
+
+    private ChangeResult report(ChangeRequest request, ChangeResult result) {
+        String what = "operation=" + request.operationId() + " operator="
+                + request.operator().name() + " record=" + request.change().key();
+        switch (result) {
+            case ChangeResult.Accepted accepted -> {
+                parts.telemetry.count(CounterCode.ADMINISTRATION_CHANGES, "accepted");
+                parts.telemetry.event(EventCode.CHANGE_ACCEPTED, what + " revision=" + accepted.revision());
+            }
+            case ChangeResult.Refused refused -> {
+                parts.telemetry.count(
+                        CounterCode.ADMINISTRATION_CHANGES,
+                        refused.refusal().code().text());
+                parts.telemetry.event(
+                        EventCode.CHANGE_REFUSED,
+                        what + " code=" + refused.refusal().code().text() + " detail="
+                                + refused.refusal().detail());
+            }
+            case ChangeResult.Unknown unknown -> {
+                parts.telemetry.count(CounterCode.ADMINISTRATION_CHANGES, "unknown");
+                parts.telemetry.event(EventCode.CHANGE_UNKNOWN, what + " detail=" + unknown.detail());
+            }
+        }
+        return result;
+    }
+
+    /** Finds the result of an accepted change; the right side is empty when no such change was accepted. */
+    public CompletionStage<Either<StoreError, Optional<ChangeResult.Accepted>>> find(String operationId) {
+        return parts.store
+                .get(parts.keys.operation(operationId))
+                .thenApply(result -> result.map(entry -> entry.flatMap(Administrator::accepted)));
+    }
+
+    static Optional<ChangeResult.Accepted> accepted(PlatformStore.Entry entry) {
+        return RecordCodec.decode(entry.value(), OperationRecord.class)
+                .map(operation -> new ChangeResult.Accepted(operation, entry.modRevision()));
+    }
+
+    /** Reads one record with its revision, from the store itself. */
+    public CompletionStage<Either<StoreError, Optional<VersionedRecord>>> read(RecordKey key) {
+        return parts.store
+                .get(key.storeKey(parts.keys))
+                .thenApply(result -> result.map(entry -> entry.flatMap(found -> VersionedRecord.decode(key, found))));
+    }
+
+    /** Reads all records of a kind with their revisions, from the store itself. */
+    public CompletionStage<Either<StoreError, java.util.List<VersionedRecord>>> list(String kind) {
+        String prefix = parts.keys.configuration(kind, "");
+        return parts.store
+                .range(prefix)
+                .thenApply(result -> result.map(range -> range.entries().stream()
+                        .flatMap(entry ->
+                                VersionedRecord.decode(
+                                        new RecordKey(kind, entry.key().substring(prefix.length())), entry)
+                                        .stream())
+                        .toList()));
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/AuditLog.java
@@ -0,0 +1,73 @@
+package org.basilswitch.administration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.vavr.control.Either;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+
+/** Reads audit records, newest first. They are stored by the hour, so that a read touches only the hours it needs. */
+public final class AuditLog {
+    private static final long HOUR_MS = Duration.ofHours(1).toMillis();
+
+    private final StoreKeys keys;
+    private final PlatformStore store;
+    private final Clock clock;
+
+    private AuditLog(StoreKeys keys, PlatformStore store, Clock clock) {
+        this.keys = keys;
+        this.store = store;
+        this.clock = clock;
+    }
+
+    /** Creates a reader. */
+    public static AuditLog create(StoreKeys keys, PlatformStore store, Clock clock) {
+        return new AuditLog(keys, store, clock);
+    }
+
+    /**
+     * Reads the newest records.
+     *
+     * @param limit most records
+     * @param hours hours to look back at most; each costs one read of the store
+     * @param key the record that changes are wanted of; empty for all
+     */
+    public CompletionStage<Either<StoreError, List<AuditRecord>>> newest(
+            int limit, int hours, Optional<RecordKey> key) {
+        return read(new Query(limit, key, new ArrayList<>()), clock.millis(), hours);
+    }
+
+    private CompletionStage<Either<StoreError, List<AuditRecord>>> read(Query query, long atMs, int hours) {
+        if (hours == 0 || query.found.size() >= query.limit) {
+            int end = Math.min(query.limit, query.found.size());
+            return CompletableFuture.completedFuture(Either.right(List.copyOf(query.found.subList(0, end))));
+        }
+        return store.range(ChangeTransaction.auditHour(keys, atMs))
+                .thenCompose(result ->
+                        result.fold(error -> CompletableFuture.completedFuture(Either.left(error)), range -> {
+                            query.add(range);
+                            return read(query, atMs - HOUR_MS, hours - 1);
+                        }));
+    }
+
+    private record Query(int limit, Optional<RecordKey> key, List<AuditRecord> found) {
+        private void add(PlatformStore.Range range) {
+            range.entries().reversed().stream()
+                    .flatMap(entry -> RecordCodec.decode(entry.value(), AuditRecord.class).stream())
+                    .filter(this::wanted)
+                    .forEach(found::add);
+        }
+
+        private boolean wanted(AuditRecord record) {
+            return key.isEmpty() || key.get().equals(new RecordKey(record.kind(), record.name()));
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/ChangeRun.java
@@ -0,0 +1,256 @@
+package org.basilswitch.administration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
+import org.basilswitch.store.Transaction;
+
+/**
+ * One change on its way: reads, checks, commits, and reads back when an answer is lost.
+ *
+ * <p>The transaction requires that its operation id is unused, so it is safe to send again after a lost answer.
+ */
+final class ChangeRun {
+    private static final Duration RETRY_DELAY = Duration.ofMillis(50);
+
+    private final Administrator.Parts parts;
+    private final RetentionLease operations;
+    private final RetentionLease audit;
+    private final ChangeRequest request;
+    private final CompletableFuture<ChangeResult> result = new CompletableFuture<>();
+    private final long endNanos;
+    private final List<PlatformStore.Entry> guards = new ArrayList<>();
+    private Optional<PlatformStore.Entry> target = Optional.empty();
+    private boolean mayHaveCommitted;
+    private boolean changeSeen;
+
+    private ChangeRun(
+            Administrator.Parts parts,
+            AdministratorOptions options,
+            RetentionLease operations,
+            RetentionLease audit,
+            ChangeRequest request) {
+        this.parts = parts;
+        this.operations = operations;
+        this.audit = audit;
+        this.request = request;
+        this.endNanos = parts.clock().monotonicNanos() + options.answerTime().toNanos();
+    }
+
+    static CompletionStage<ChangeResult> start(
+            Administrator.Parts parts,
+            AdministratorOptions options,
+            RetentionLease operations,
+            RetentionLease audit,
+            ChangeRequest request) {
+        ChangeRun run = new ChangeRun(parts, options, operations, audit, request);
+        run.readOperation();
+        return run.result;
+    }
+
+    private void refuse(ChangeRefusal.Code code, String detail) {
+        result.complete(
+                mayHaveCommitted
+                        ? new ChangeResult.Unknown(request.operationId(), detail)
+                        : ChangeResult.Refused.of(code, detail));
+    }
+
+    /** Starts over after a delay, or gives up when the time for an answer is over. */
+    private void again(ChangeRefusal.Code code, String detail) {
+        if (parts.clock().monotonicNanos() + RETRY_DELAY.toNanos() > endNanos) {
+            refuse(code, detail);
+        } else {
+            parts.scheduler().schedule(RETRY_DELAY, this::readOperation);
+        }
+    }
+
+    private <T> void then(CompletionStage<Either<StoreError, T>> call, Consumer<T> next) {
+        call.thenAccept(answer -> answer.fold(
+                error -> {
+                    again(ChangeRefusal.Code.STORE_UNAVAILABLE, error.detail());
+                    return null;
+                },
+                value -> {
+                    next.accept(value);
+                    return null;
+                }));
+    }
+
+    private void readOperation() {
+        then(
+                parts.store().get(parts.keys().operation(request.operationId())),
+                entry -> entry.flatMap(Administrator::accepted).ifPresentOrElse(this::replay, this::readTarget));
+    }
+
+    private void replay(ChangeResult.Accepted accepted) {
+        boolean same = accepted.operation().fingerprint().equals(request.fingerprint());
+        result.complete(
+                same
+                        ? accepted
+                        : ChangeResult.Refused.of(
+                                ChangeRefusal.Code.OPERATION_ID_REUSED,
+                                "the id belongs to a change of "
+                                        + accepted.operation().kind() + "/"
+                                        + accepted.operation().name()));
+    }
+
+    private void readTarget() {
+        then(parts.store().get(request.change().key().storeKey(parts.keys())), this::checkTarget);
+    }
+
+    private void checkTarget(Optional<PlatformStore.Entry> entry) {
+        target = entry;
+        long revision = entry.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT);
+        if (revision != request.expectedRevision()) {
+            refuseChanged(revision);
+            return;
+        }
+        Optional<ConfigurationRecord> before = current().map(VersionedRecord::record);
+        wanted(before)
+                .peek(after ->
+                        readGuards(before, after, new ArrayList<>(ChangeRules.guards(parts.keys(), before, after))))
+                .peekLeft(refusal -> refuse(refusal.code(), refusal.detail()));
+    }
+
+    private Optional<VersionedRecord> current() {
+        return target.flatMap(entry -> VersionedRecord.decode(request.change().key(), entry));
+    }
+
+    /**
+     * Refuses because the record has another revision than expected.
+     *
+     * <p>Revisions never repeat, so a transaction sent earlier can't commit any more; but it may be what changed the
+     * record. An operation id that is still unused after the change was seen tells that it was not.
+     */
+    private void refuseChanged(long revision) {
+        if (mayHaveCommitted && !changeSeen) {
+            changeSeen = true;
+            readOperation();
+            return;
+        }
+        boolean unknown = revision == Transaction.ABSENT && request.expectedRevision() != Transaction.ABSENT;
+        ChangeRefusal.Code code = unknown ? ChangeRefusal.Code.RECORD_UNKNOWN : ChangeRefusal.Code.RECORD_CHANGED;
+        String detail = request.change().key() + (unknown ? " does not exist" : " is at revision " + revision)
+                + ", revision " + request.expectedRevision() + " was expected";
+        result.complete(new ChangeResult.Refused(new ChangeRefusal(code, detail), current()));
+    }
+
+    private Either<ChangeRefusal, Optional<ConfigurationRecord>> wanted(Optional<ConfigurationRecord> before) {
+        return switch (request.change()) {
+            case Change.Put put -> Either.right(Optional.of(put.record()));
+            case Change.Delete delete
+            when target.isEmpty() ->
+                Either.left(new ChangeRefusal(ChangeRefusal.Code.RECORD_UNKNOWN, delete.key() + " does not exist"));
+            case Change.Delete delete -> Either.right(Optional.empty());
+            case Change.Patch patch ->
+                before.map(record -> RecordReader.patched(patch.key(), record, patch.patch())
+                                .map(Optional::of))
+                        .orElseGet(() -> Either.left(
+                                new ChangeRefusal(ChangeRefusal.Code.RECORD_UNKNOWN, patch.key() + " does not exist")));
+        };
+    }
+
+    private void readGuards(
+            Optional<ConfigurationRecord> before, Optional<ConfigurationRecord> after, List<String> unread) {
+        guards.clear();
+        readNextGuard(before, after, unread);
+    }
+
+    private void readNextGuard(
+            Optional<ConfigurationRecord> before, Optional<ConfigurationRecord> after, List<String> unread) {
+        if (unread.isEmpty()) {
+            checkView(before, after);
+            return;
+        }
+        String key = unread.removeFirst();
+        then(parts.store().get(key), entry -> {
+            guards.add(entry.orElseGet(() -> new PlatformStore.Entry(key, new byte[0], 0, Transaction.ABSENT)));
+            readNextGuard(before, after, unread);
+        });
+    }
+
+    private void checkView(Optional<ConfigurationRecord> before, Optional<ConfigurationRecord> after) {
+        long guardRevision = guards.stream()
+                .mapToLong(PlatformStore.Entry::modRevision)
+                .max()
+                .orElse(0);
+        long viewRevision = parts.view().get().revision();
+        if (viewRevision < guardRevision) {
+            again(ChangeRefusal.Code.VIEW_BEHIND, "view at " + viewRevision + ", store at " + guardRevision);
+            return;
+        }
+        Optional<ChangeRefusal> refusal = after.map(
+                        record -> ChangeRules.checkPut(parts.view().get(), before, record))
+                .orElseGet(() -> before.flatMap(
+                        record -> ChangeRules.checkDelete(parts.view().get(), record)));
+        refusal.ifPresentOrElse(
+                found -> refuse(found.code(), found.detail()),
+                () -> then(
+                        operations.current(),
+                        operationLease -> then(
+                                audit.current(), auditLease -> commit(before, after, operationLease, auditLease))));
+    }
+
+    private void commit(
+            Optional<ConfigurationRecord> before,
+            Optional<ConfigurationRecord> after,
+            long operationLease,
+            long auditLease) {
+        ChangeTransaction transaction = ChangeTransaction.build(
+                parts.keys(),
+                request,
+                before,
+                after,
+                guards,
+                parts.clock().instant().toEpochMilli(),
+                operationLease,
+                auditLease);
+        parts.store()
+                .commit(transaction.transaction())
+                .thenAccept(answer -> answer.fold(
+                        error -> {
+                            commitFailed(error);
+                            return null;
+                        },
+                        outcome -> {
+                            committed(transaction, outcome);
+                            return null;
+                        }));
+    }
+
+    private void commitFailed(StoreError error) {
+        operations.forget();
+        audit.forget();
+        switch (error) {
+            case StoreError.Refused refused -> again(ChangeRefusal.Code.STORE_UNAVAILABLE, refused.detail());
+            case StoreError.Unknown unknown -> {
+                mayHaveCommitted = true;
+                parts.telemetry().event(EventCode.CHANGE_READ_BACK, "operation=" + request.operationId());
+                again(ChangeRefusal.Code.STORE_UNAVAILABLE, unknown.detail());
+            }
+        }
+    }
+
+    private void committed(ChangeTransaction transaction, CommitResult outcome) {
+        switch (outcome) {
+            case CommitResult.Committed done ->
+                result.complete(new ChangeResult.Accepted(transaction.operation(), done.revision()));
+            case CommitResult.Conflict conflict
+            when transaction.keyHashTaken(conflict) ->
+                refuse(ChangeRefusal.Code.KEY_HASH_USED, "the hash is known already");
+            case CommitResult.Conflict conflict ->
+                again(ChangeRefusal.Code.CONTENDED, "conflict at revision " + conflict.revision());
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/HostRules.java
@@ -0,0 +1,56 @@
+package org.basilswitch.administration;
+
+import java.util.Optional;
+
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.fleet.HostSteps;
+import org.basilswitch.fleet.PoolCensus;
+
+import static org.basilswitch.configuration.HostState.ACTIVE;
+import static org.basilswitch.configuration.HostState.DRAINING;
+import static org.basilswitch.configuration.HostState.RETURNING;
+
+/** Which changes of a host an operator may make. */
+final class HostRules {
+    private HostRules() {}
+
+    /** Checks a change of a host against a view that is complete up to the pool's guard. */
+    static Optional<ChangeRefusal> check(SiteConfiguration view, Host before, Host after) {
+        if (!before.pool().equals(after.pool()) && before.state() != DRAINING) {
+            return refused(ChangeRefusal.Code.HOST_NOT_DRAINED, before.name() + " is " + before.state());
+        }
+        if (before.state() != after.state() && !HostSteps.allowed(before.state(), after.state())) {
+            return refused(
+                    ChangeRefusal.Code.STEP_NOT_ALLOWED,
+                    before.name() + " is " + before.state() + " and can't become " + after.state());
+        }
+        return HostSteps.limitedByBudget(before.state(), after.state())
+                ? budget(view, before.pool())
+                : Optional.empty();
+    }
+
+    /** Checks the deletion of a host: it has to be out of service. */
+    static Optional<ChangeRefusal> checkDelete(Host host) {
+        return host.state() == ACTIVE || host.state() == RETURNING
+                ? refused(ChangeRefusal.Code.HOST_NOT_DRAINED, host.name() + " is " + host.state())
+                : Optional.empty();
+    }
+
+    private static Optional<ChangeRefusal> budget(SiteConfiguration view, String poolName) {
+        int least = Optional.ofNullable(view.pools().get(poolName))
+                .map(Pool::minAvailableHosts)
+                .orElse(0);
+        int active = PoolCensus.of(view, poolName).active();
+        return active - 1 < least
+                ? refused(
+                        ChangeRefusal.Code.BUDGET_EXHAUSTED,
+                        "pool " + poolName + " has " + active + " active hosts and has to keep " + least)
+                : Optional.empty();
+    }
+
+    private static Optional<ChangeRefusal> refused(ChangeRefusal.Code code, String detail) {
+        return Optional.of(new ChangeRefusal(code, detail));
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/Operator.java
@@ -0,0 +1,4 @@
+package org.basilswitch.administration;
+
+/** Who asks for a change. */
+public record Operator(String name, OperatorRole role) {}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/OperatorRole.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/OperatorRole.java
@@ -1,4 +1,4 @@
-package org.basilswitch.daemon.settings;
+package org.basilswitch.administration;
 
 import java.util.Arrays;
 import java.util.List;
@@ -18,13 +18,13 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
-    /** The role of a word that the schema allows. */
-    static OperatorRole of(String text) {
+    /** The role of a word among {@link #texts}. */
+    public static OperatorRole of(String text) {
         return valueOf(text.toUpperCase(Locale.ROOT));
     }
 
     /** All words. */
-    static List<String> texts() {
+    public static List<String> texts() {
         return Arrays.stream(values()).map(OperatorRole::text).toList();
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,6 +7,7 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
+    ADMINISTRATION_CHANGES("basilswitch.administration.changes", "result"),
     SERVERS_EJECTED("basilswitch.servers.ejected", "reason"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant"),
     CALLERS_REJECTED("basilswitch.callers.rejected", "reason"),
--- a/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
@@ -58,6 +58,16 @@
         return "/basilswitch/" + site + "/fleet/guards/" + pool;
     }
 
+    /** Key of a team's guard, which every change of the team or its keys rewrites. */
+    public String teamGuard(String team) {
+        return "/basilswitch/" + site + "/teams/guards/" + team;
+    }
+
+    /** Key that says which key record a secret's hash belongs to, or that it was withdrawn. */
+    public String keyHash(String sha256Hex) {
+        return "/basilswitch/" + site + "/keyhashes/" + sha256Hex;
+    }
+
     /** Key of a host's progress in maintenance. */
     public String hostProgress(String host) {
         return "/basilswitch/" + site + "/fleet/progress/" + host;
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/administration/RandomChangesTest.java
@@ -0,0 +1,172 @@
+package org.basilswitch.administration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.configuration.Team;
+import org.basilswitch.configuration.TeamKey;
+import org.basilswitch.event.EventCode;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Operators race each other through three entry hosts while the store loses answers and connections. */
+public final class RandomChangesTest {
+    private static final int CHANGES = 400;
+    private static final int NAMES = 3;
+
+    /** Seeds. */
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[30][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i + 1};
+        }
+        return seeds;
+    }
+
+    private record Asked(String operationId, List<ChangeResult> results) {}
+
+    /** What was accepted is in the store once, what was refused is not, and no record names a missing one. */
+    @Test(dataProvider = "seeds")
+    public void resultsAreTrue(long seed) {
+        TestSite site = TestSite.create(3, seed);
+        List<Asked> asked = new ArrayList<>();
+        for (int i = 0; i < CHANGES; i++) {
+            disturb(site);
+            asked.add(ask(site));
+            site.time.runFor(Duration.ofMillis(site.random.nextInt(30)));
+            checkReferences(site.stored());
+        }
+        heal(site);
+        Map<String, AuditRecord> audit = new HashMap<>();
+        for (AuditRecord record : site.audit()) {
+            assertTrue(audit.put(record.operationId(), record) == null, "applied twice: " + record);
+        }
+        asked.forEach(one -> checkResults(one, audit));
+        checkHistory(site);
+        assertTrue(audit.size() > CHANGES / 10, "accepted " + audit.size());
+        assertTrue(site.count(EventCode.CHANGE_READ_BACK) > 0, "no answer was lost");
+        assertTrue(site.count(EventCode.CHANGE_REFUSED) > 0, "nothing was refused");
+    }
+
+    private static void disturb(TestSite site) {
+        TestSite.Node node = site.nodes.get(site.random.nextInt(site.nodes.size()));
+        node.client().setLostAnswerRatio(site.random.nextInt(3) == 0 ? 0.3 : 0);
+        node.client().setReachable(site.random.nextInt(10) != 0);
+        // A transaction that takes longer than its time-out is applied after its answer was given up.
+        boolean late = site.random.nextInt(8) == 0;
+        node.client().setOneWayDelay(Duration.ofMillis(late ? 1_000 + site.random.nextInt(300) : 1));
+    }
+
+    private static void heal(TestSite site) {
+        for (TestSite.Node node : site.nodes) {
+            node.client().setLostAnswerRatio(0);
+            node.client().setReachable(true);
+            node.client().setOneWayDelay(Duration.ofMillis(1));
+        }
+        site.time.runFor(Duration.ofSeconds(20));
+    }
+
+    private static Asked ask(TestSite site) {
+        Change change = change(site);
+        long revision = site.revision(change.key());
+        ChangeRequest request = new ChangeRequest(site.newOperation(), TestSite.ADA, change, revision);
+        Asked asked = new Asked(request.operationId(), new ArrayList<>());
+        int times = 1 + site.random.nextInt(2);
+        for (int i = 0; i < times; i++) {
+            site.nodes
+                    .get(site.random.nextInt(site.nodes.size()))
+                    .administrator()
+                    .submit(request)
+                    .thenAccept(asked.results::add);
+        }
+        return asked;
+    }
+
+    private static Change change(TestSite site) {
+        ConfigurationRecord record = record(site);
+        return site.random.nextInt(4) == 0 ? new Change.Delete(RecordKey.of(record)) : new Change.Put(record);
+    }
+
+    private static ConfigurationRecord record(TestSite site) {
+        String name = "n" + site.random.nextInt(NAMES);
+        String other = "n" + site.random.nextInt(NAMES);
+        return switch (site.random.nextInt(4)) {
+            case 0 -> new Team(name, 1, site.random.nextInt(100));
+            case 1 -> new TeamKey(name, other, String.format("%064x", site.random.nextInt(8)));
+            case 2 -> new Pool(name, 0, false);
+            default ->
+                new Host(
+                        name,
+                        "10.0.0.1:1",
+                        "z",
+                        "r",
+                        other,
+                        site.random.nextBoolean() ? HostState.ACTIVE : HostState.DRAINING,
+                        8,
+                        64,
+                        1,
+                        1L << 30,
+                        0);
+        };
+    }
+
+    private static void checkReferences(SiteConfiguration stored) {
+        Set<String> hashes = new HashSet<>();
+        for (TeamKey key : stored.keys().values()) {
+            assertTrue(stored.teams().containsKey(key.team()), "team of " + key);
+            assertTrue(hashes.add(key.sha256Hex()), "hash granted twice: " + key);
+        }
+        for (Host host : stored.hosts().values()) {
+            assertTrue(stored.pools().containsKey(host.pool()), "pool of " + host);
+        }
+    }
+
+    private static void checkResults(Asked asked, Map<String, AuditRecord> audit) {
+        boolean applied = audit.containsKey(asked.operationId);
+        Set<Long> revisions = new HashSet<>();
+        for (ChangeResult result : asked.results) {
+            switch (result) {
+                case ChangeResult.Accepted accepted -> {
+                    assertTrue(applied, "accepted but not applied: " + accepted);
+                    revisions.add(accepted.revision());
+                }
+                case ChangeResult.Refused refused ->
+                    assertFalse(applied && asked.results.size() == 1, "refused but applied: " + refused);
+                case ChangeResult.Unknown unknown -> {}
+            }
+        }
+        assertTrue(revisions.size() <= 1, "two revisions of one operation: " + revisions);
+    }
+
+    /** Each audit record's before is the after of the one before it. */
+    private static void checkHistory(TestSite site) {
+        Map<RecordKey, JsonNode> latest = new HashMap<>();
+        site.store.range(site.keys.audit()).entries().stream()
+                .sorted(java.util.Comparator.comparingLong(entry -> entry.modRevision()))
+                .map(entry -> org.basilswitch.configuration.RecordCodec.decode(entry.value(), AuditRecord.class)
+                        .orElseThrow())
+                .forEach(record -> {
+                    RecordKey key = new RecordKey(record.kind(), record.name());
+                    JsonNode before = latest.getOrDefault(key, NullNode.getInstance());
+                    assertEquals(record.before().toString(), before.toString(), "history of " + key);
+                    latest.put(key, record.after());
+                });
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/administration/TestSite.java
@@ -0,0 +1,125 @@
+package org.basilswitch.administration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.configuration.ConfigurationFollower;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.store.MemoryStore;
+import org.basilswitch.store.MemoryStoreClient;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.VirtualTime;
+
+/** A store in memory and some administrators, each with its own connection and view. */
+final class TestSite {
+    static final Operator ADA = new Operator("ada", OperatorRole.ADMINISTRATOR);
+
+    final VirtualTime time = VirtualTime.create();
+    final StoreKeys keys = new StoreKeys("test");
+    final MemoryStore store = MemoryStore.create(time, time);
+    final UniformRandomProvider random;
+    final List<Node> nodes = new ArrayList<>();
+    final List<EventCode> events = new ArrayList<>();
+    private int nextOperation;
+
+    /** An administrator on its entry host. */
+    record Node(MemoryStoreClient client, ConfigurationFollower follower, Administrator administrator) {}
+
+    private TestSite(long seed) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    static TestSite create(int nodes, long seed) {
+        TestSite site = new TestSite(seed);
+        for (int i = 0; i < nodes; i++) {
+            site.addNode();
+        }
+        site.time.runFor(Duration.ofSeconds(1));
+        return site;
+    }
+
+    private void addNode() {
+        MemoryStoreClient client = MemoryStoreClient.create(store, time, random);
+        ConfigurationFollower follower = ConfigurationFollower.create(keys, client, time, Telemetry.none());
+        follower.start();
+        Administrator administrator = Administrator.create(
+                new Administrator.Parts(keys, client, follower::current, time, time, telemetry()),
+                AdministratorOptions.defaults());
+        nodes.add(new Node(client, follower, administrator));
+    }
+
+    private Telemetry telemetry() {
+        return new Telemetry() {
+            @Override
+            public void event(EventCode code, String detail) {
+                events.add(code);
+            }
+
+            @Override
+            public void count(CounterCode counter, String tag) {}
+        };
+    }
+
+    long count(EventCode code) {
+        return events.stream().filter(code::equals).count();
+    }
+
+    String newOperation() {
+        return "operation-" + nextOperation++;
+    }
+
+    long revision(RecordKey key) {
+        return store.get(key.storeKey(keys)).map(entry -> entry.modRevision()).orElse(0L);
+    }
+
+    /** The configuration that the store holds. */
+    SiteConfiguration stored() {
+        return SiteConfiguration.of(
+                store.revision(),
+                store.range(keys.configuration()).entries().stream()
+                        .map(entry -> SiteConfiguration.decode(keys.configuration(), entry)
+                                .orElseThrow())
+                        .toList());
+    }
+
+    /** Runs until a stage is complete. */
+    <T> T await(CompletionStage<T> stage) {
+        while (!stage.toCompletableFuture().isDone()) {
+            time.runNext();
+        }
+        return stage.toCompletableFuture().join();
+    }
+
+    /** Creates or replaces a record through the first node, from the store's present revision. */
+    ChangeResult put(ConfigurationRecord record) {
+        return submit(new Change.Put(record));
+    }
+
+    ChangeResult submit(Change change) {
+        ChangeResult result = await(nodes.get(0)
+                .administrator()
+                .submit(new ChangeRequest(newOperation(), ADA, change, revision(change.key()))));
+        time.runFor(Duration.ofMillis(20));
+        return result;
+    }
+
+    Optional<ChangeRefusal.Code> refusal(ChangeResult result) {
+        return result instanceof ChangeResult.Refused refused
+                ? Optional.of(refused.refusal().code())
+                : Optional.empty();
+    }
+
+    List<AuditRecord> audit() {
+        return await(AuditLog.create(keys, nodes.get(0).client(), time).newest(1_000_000, 3, Optional.empty()))
+                .get();
+    }
+}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/Schema.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/Schema.java
@@ -7,6 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.basilswitch.administration.OperatorRole;
+import org.basilswitch.administration.RecordField;
+
 import static org.basilswitch.daemon.settings.Field.defaulted;
 import static org.basilswitch.daemon.settings.Field.optional;
 import static org.basilswitch.daemon.settings.Field.required;
@@ -64,6 +67,34 @@
             whole("limits.serverIdleTimeoutMs", 100, HOUR_MS, 60_000, Unit.MILLISECONDS, "Longest pause of a server."),
             whole("limits.shutdownGraceMs", 0, HOUR_MS, 30_000, Unit.MILLISECONDS, "Longest wait for open requests."),
             whole("limits.balancerWaitMs", 0, 60_000, 2_000, Unit.MILLISECONDS, "Not ready but serving at shutdown."),
+            whole(
+                    "administration.operationRetentionMs",
+                    60_000,
+                    168 * HOUR_MS,
+                    24 * HOUR_MS,
+                    Unit.MILLISECONDS,
+                    "How long a change's result can be asked for."),
+            whole(
+                    "administration.auditRetentionMs",
+                    60_000,
+                    2_000 * HOUR_MS,
+                    336 * HOUR_MS,
+                    Unit.MILLISECONDS,
+                    "How long audit records are kept."),
+            whole(
+                    "administration.answerTimeMs",
+                    500,
+                    60_000,
+                    5_000,
+                    Unit.MILLISECONDS,
+                    "Longest time to find out what became of a change."),
+            whole(
+                    "administration.inForceWaitMs",
+                    0,
+                    60_000,
+                    6_000,
+                    Unit.MILLISECONDS,
+                    "Longest wait of an answer until the change is in force."),
             required("operators.*.sha256Hex", HASH, Unit.NONE, "SHA-256 of the operator's key."),
             defaulted(
                     "operators.*.role",
@@ -73,32 +104,91 @@
                     "viewer reads; operator also changes hosts and waves; administrator changes everything."),
             optional("liveHosts.address", ADDRESS, Unit.NONE, "Address of the platform's list of live hosts."),
             whole("liveHosts.pollIntervalMs", 100, 60_000, 1_000, Unit.MILLISECONDS, "Time between reads of it."),
-            whole("hostDefaults.slots", 1, 10_000, 8, Unit.SLOTS, "Requests that a backend server runs at a time."),
-            whole("hostDefaults.connections", 1, 100_000, 64, Unit.CONNECTIONS, "Connections to a backend server."),
-            whole("hostDefaults.processors", 1, 4_096, 64, Unit.PROCESSORS, "Processors of a host."),
-            whole("hostDefaults.memoryBytes", MIB, 16_384 * GIB, 256 * GIB, Unit.BYTES, "Memory of a host."),
-            whole("hostDefaults.accelerators", 0, 64, 0, Unit.ACCELERATORS, "Accelerators of a host."),
+            record(
+                    "hostDefaults.slots",
+                    RecordField.HOST_SLOTS,
+                    8,
+                    Unit.SLOTS,
+                    "Requests that a backend server runs at a time."),
+            record(
+                    "hostDefaults.connections",
+                    RecordField.HOST_CONNECTIONS,
+                    64,
+                    Unit.CONNECTIONS,
+                    "Connections to a backend server."),
+            record(
+                    "hostDefaults.processors",
+                    RecordField.HOST_PROCESSORS,
+                    64,
+                    Unit.PROCESSORS,
+                    "Processors of a host."),
+            record(
+                    "hostDefaults.memoryBytes",
+                    RecordField.HOST_MEMORY_BYTES,
+                    256 * GIB,
+                    Unit.BYTES,
+                    "Memory of a host."),
+            record(
+                    "hostDefaults.accelerators",
+                    RecordField.HOST_ACCELERATORS,
+                    0,
+                    Unit.ACCELERATORS,
+                    "Accelerators of a host."),
             defaulted("zones.*.region", NAME, Unit.NONE, "local", "Region of the availability zone."),
             required("racks.*.zone", NAME, Unit.NONE, "Availability zone of the rack."),
-            whole("pools.*.minAvailableHosts", 0, 100_000, 0, Unit.HOSTS, "Hosts that maintenance leaves active."),
+            record(
+                    "pools.*.minAvailableHosts",
+                    RecordField.POOL_MIN_AVAILABLE_HOSTS,
+                    0,
+                    Unit.HOSTS,
+                    "Hosts that maintenance leaves active."),
             defaulted("pools.*.spare", FLAG, Unit.NONE, false, "Whether it is the spare pool; at most one is."),
             required("hosts.*.address", ADDRESS, Unit.NONE, "Address of the host's backend server."),
             required("hosts.*.rack", NAME, Unit.NONE, "Rack of the host."),
             required("hosts.*.pool", NAME, Unit.NONE, "Pool that the host starts in."),
-            optional("hosts.*.slots", new FieldType.Whole(1, 10_000), Unit.SLOTS, "Differs from hostDefaults."),
-            optional("hosts.*.connections", new FieldType.Whole(1, 100_000), Unit.CONNECTIONS, "Likewise."),
-            optional("hosts.*.processors", new FieldType.Whole(1, 4_096), Unit.PROCESSORS, "Likewise."),
-            optional("hosts.*.memoryBytes", new FieldType.Whole(MIB, 16_384 * GIB), Unit.BYTES, "Likewise."),
-            optional("hosts.*.accelerators", new FieldType.Whole(0, 64), Unit.ACCELERATORS, "Likewise."),
+            optional("hosts.*.slots", range(RecordField.HOST_SLOTS), Unit.SLOTS, "Differs from hostDefaults."),
+            optional("hosts.*.connections", range(RecordField.HOST_CONNECTIONS), Unit.CONNECTIONS, "Likewise."),
+            optional("hosts.*.processors", range(RecordField.HOST_PROCESSORS), Unit.PROCESSORS, "Likewise."),
+            optional("hosts.*.memoryBytes", range(RecordField.HOST_MEMORY_BYTES), Unit.BYTES, "Likewise."),
+            optional("hosts.*.accelerators", range(RecordField.HOST_ACCELERATORS), Unit.ACCELERATORS, "Likewise."),
             required("queues.*.pool", NAME, Unit.NONE, "Pool that serves the queue."),
             defaulted("queues.*.openToAll", FLAG, Unit.NONE, false, "Whether requests without a key are taken."),
             defaulted("queues.*.idempotent", FLAG, Unit.NONE, false, "Whether a request may be sent again."),
-            whole("queues.*.claimTimeMs", 1_000, 168 * HOUR_MS, 24 * HOUR_MS, Unit.MILLISECONDS, "Life of an id."),
-            whole("queues.*.deadlineMs", 10, 24 * HOUR_MS, 30_000, Unit.MILLISECONDS, "Deadline if none is stated."),
-            whole("queues.*.bodyLimitBytes", 0, GIB, MIB, Unit.BYTES, "Largest request body."),
-            whole("queues.*.queuedLimitRequests", 0, MIB, 1_000, Unit.REQUESTS, "Waiting at one entry host."),
-            whole("teams.*.shareWeight", 1, 1_000, 1, Unit.WEIGHT, "Weight of the team's share when all is full."),
-            required("teams.*.limitTasks", new FieldType.Whole(0, MIB), Unit.TASKS, "Most running in the fleet."),
+            record(
+                    "queues.*.claimTimeMs",
+                    RecordField.QUEUE_CLAIM_TIME_MS,
+                    24 * HOUR_MS,
+                    Unit.MILLISECONDS,
+                    "Life of an id."),
+            record(
+                    "queues.*.deadlineMs",
+                    RecordField.QUEUE_DEADLINE_MS,
+                    30_000,
+                    Unit.MILLISECONDS,
+                    "Deadline if none is stated."),
+            record(
+                    "queues.*.bodyLimitBytes",
+                    RecordField.QUEUE_BODY_LIMIT_BYTES,
+                    MIB,
+                    Unit.BYTES,
+                    "Largest request body."),
+            record(
+                    "queues.*.queuedLimitRequests",
+                    RecordField.QUEUE_QUEUED_LIMIT_REQUESTS,
+                    1_000,
+                    Unit.REQUESTS,
+                    "Waiting at one entry host."),
+            record(
+                    "teams.*.shareWeight",
+                    RecordField.TEAM_SHARE_WEIGHT,
+                    1,
+                    Unit.WEIGHT,
+                    "Weight of the team's share when all is full."),
+            required(
+                    "teams.*.limitTasks",
+                    range(RecordField.TEAM_LIMIT_TASKS),
+                    Unit.TASKS,
+                    "Most running in the fleet."),
             required("keys.*.team", NAME, Unit.NONE, "Team that the key speaks for."),
             required("keys.*.sha256Hex", HASH, Unit.NONE, "SHA-256 of the key's secret."));
 
@@ -107,6 +197,14 @@
 
     private Schema() {}
 
+    private static FieldType range(RecordField field) {
+        return new FieldType.Whole(field.min(), field.max());
+    }
+
+    private static Field record(String path, RecordField field, long defaultValue, Unit unit, String meaning) {
+        return defaulted(path, range(field), unit, defaultValue, meaning);
+    }
+
     private static Map<String, Field> byPath() {
         Map<String, Field> fields = new LinkedHashMap<>();
         FIELDS.forEach(field -> fields.put(field.path(), field));
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/Settings.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/Settings.java
@@ -9,6 +9,8 @@
 
 import io.vavr.control.Either;
 import io.vertx.core.net.HostAndPort;
+import org.basilswitch.administration.AdministratorOptions;
+import org.basilswitch.administration.OperatorRole;
 import org.basilswitch.configuration.ConfigurationRecord;
 
 /**
@@ -20,6 +22,7 @@
  * @param store how to reach the platform's store
  * @param membership times of promises between entry hosts
  * @param limits bounds of a daemon
+ * @param administration bounds of administration
  * @param operators operators
  * @param liveHosts the platform's list of live hosts
  * @param topology zones and racks
@@ -33,6 +36,7 @@
         StoreSettings store,
         MembershipSettings membership,
         DaemonLimits limits,
+        AdministrationSettings administration,
         List<Operator> operators,
         LiveHostsSettings liveHosts,
         Topology topology,
@@ -132,6 +136,9 @@
             Duration shutdownGrace,
             Duration balancerWait) {}
 
+    /** Bounds of administration; the wait is that of an answer until the change is in force. */
+    public record AdministrationSettings(AdministratorOptions options, Duration inForceWait) {}
+
     /** An operator, known by the hash of a key. */
     public record Operator(String name, String sha256Hex, OperatorRole role) {}
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsBinder.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsBinder.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.function.Function;
 
+import org.basilswitch.administration.AdministratorOptions;
+import org.basilswitch.administration.OperatorRole;
 import org.basilswitch.configuration.ConfigurationRecord;
 import org.basilswitch.configuration.Host;
 import org.basilswitch.configuration.HostState;
@@ -35,6 +37,7 @@
                 binder.store(),
                 binder.membership(),
                 binder.limits(),
+                binder.administration(),
                 binder.each("operators", binder::operator),
                 new Settings.LiveHostsSettings(
                         values.address("liveHosts.address"), binder.time("liveHosts.pollIntervalMs")),
@@ -122,6 +125,14 @@
                 time("limits.balancerWaitMs"));
     }
 
+    private Settings.AdministrationSettings administration() {
+        AdministratorOptions options = new AdministratorOptions(
+                time("administration.operationRetentionMs"),
+                time("administration.auditRetentionMs"),
+                time("administration.answerTimeMs"));
+        return new Settings.AdministrationSettings(options, time("administration.inForceWaitMs"));
+    }
+
     private Settings.Operator operator(String name) {
         String path = "operators." + name;
         return new Settings.Operator(name, text(path + ".sha256Hex"), OperatorRole.of(text(path + ".role")));
