Run the core's entry hosts under random faults with the promises asserted

basilswitch bench faults: 3 to 9 entry hosts on virtual time, small fakes of store access, links, workers, callers and operators, 19 kinds of faults, 12 promises asserted at each send, start, end and step, recovery asserted after a quiet time; a broken promise prints the seed and the shortest trace found by leaving faults out.

--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Callers.java
@@ -0,0 +1,177 @@
+package org.basilswitch.bench.faults;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.dispatch.Attempt;
+import org.basilswitch.dispatch.Refusal;
+import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.dispatch.RequestSpec;
+
+/** Fake callers: steady and bursting requests, and retries with the same idempotency key through other hosts. */
+final class Callers {
+    private static final Duration MEAN_INTERVAL = Duration.ofMillis(30);
+    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(8);
+    private static final int RECENT_KEYS = 30;
+
+    private final FaultSite site;
+    private final UniformRandomProvider random;
+    private final List<String> recentKeys = new ArrayList<>();
+    private long nextCall;
+    private int bursts;
+    private int burstTeam;
+    private long answered;
+    private long refused;
+    private long unknown;
+
+    Callers(FaultSite site, UniformRandomProvider random) {
+        this.site = site;
+        this.random = random;
+    }
+
+    void start() {
+        long mean = MEAN_INTERVAL.toNanos() / (bursts > 0 ? 4 : 1);
+        site.time().schedule(Duration.ofNanos((long) (random.nextDouble() * 2 * mean)), () -> {
+            if (!site.ended()) {
+                List<EntryProcess> live = site.processes();
+                if (!live.isEmpty()) {
+                    call(live.get(random.nextInt(live.size())));
+                }
+                start();
+            }
+        });
+    }
+
+    void burst(int change, int team) {
+        bursts += change;
+        burstTeam = team;
+    }
+
+    String counts() {
+        return "answered=" + answered + " refused=" + refused + " unknown=" + unknown;
+    }
+
+    long calls() {
+        return nextCall;
+    }
+
+    long answered() {
+        return answered;
+    }
+
+    private void call(EntryProcess process) {
+        int team = bursts > 0 ? burstTeam % FaultSite.TEAMS.size() : random.nextInt(FaultSite.TEAMS.size());
+        boolean onceOnly = random.nextInt(3) > 0;
+        Optional<String> key = onceOnly && random.nextInt(4) > 0 ? Optional.of(idempotencyKey()) : Optional.empty();
+        Call call = new Call(nextCall++, process, FaultSite.TEAMS.get(team), onceOnly, key);
+        RequestSpec spec = new RequestSpec(
+                onceOnly ? "invoice" : "quote",
+                Optional.of(call.keyName()),
+                key,
+                Optional.empty(),
+                RequestSpec.Priority.NORMAL);
+        process.time().deliver(() -> process.host().broker().submit(spec, call));
+        watch(call);
+    }
+
+    private String idempotencyKey() {
+        if (!recentKeys.isEmpty() && random.nextInt(4) == 0) {
+            return recentKeys.get(random.nextInt(recentKeys.size()));
+        }
+        String key = "id-" + nextCall;
+        recentKeys.add(key);
+        if (recentKeys.size() > RECENT_KEYS) {
+            recentKeys.remove(0);
+        }
+        return key;
+    }
+
+    private void watch(Call call) {
+        long pauses = call.process.time().running() ? call.process.pauseCount() : -1;
+        site.time().schedule(FaultSite.DEADLINE.plus(ANSWER_MARGIN), () -> {
+            boolean disturbed = call.process.time().killed() || call.process.pauseCount() != pauses;
+            site.promises()
+                    .check(disturbed || call.ends == 1, Promises.Promise.ANSWERED_BY_DEADLINE, call + " has no end");
+        });
+    }
+
+    /** One caller's request. */
+    final class Call implements RequestBroker.RequestObserver {
+        private final long number;
+        private final EntryProcess process;
+        private final String team;
+        private final boolean onceOnly;
+        private final Optional<String> idempotencyKey;
+        private final String keyName;
+        private int starts;
+        private int ends;
+        private boolean notRun;
+
+        private Call(
+                long number, EntryProcess process, String team, boolean onceOnly, Optional<String> idempotencyKey) {
+            this.number = number;
+            this.process = process;
+            this.team = team;
+            this.onceOnly = onceOnly;
+            this.idempotencyKey = idempotencyKey;
+            this.keyName = site.operators().keyOf(team);
+        }
+
+        boolean onceOnly() {
+            return onceOnly;
+        }
+
+        Optional<String> idempotencyKey() {
+            return idempotencyKey;
+        }
+
+        String keyName() {
+            return keyName;
+        }
+
+        void started() {
+            starts++;
+        }
+
+        int starts() {
+            return starts;
+        }
+
+        int ends() {
+            return ends;
+        }
+
+        boolean refusedAsNotRun() {
+            return notRun;
+        }
+
+        @Override
+        public void attempt(Attempt attempt) {
+            process.carry(this, attempt);
+        }
+
+        void answered(Call answerOf) {
+            answered++;
+            ends++;
+            site.promises().callEnded(this, Optional.of(answerOf));
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            ends++;
+            notRun = refusal.outcome() == Refusal.Outcome.NOT_RUN;
+            refused += notRun ? 1 : 0;
+            unknown += notRun ? 0 : 1;
+            site.promises().callEnded(this, Optional.empty());
+        }
+
+        @Override
+        public String toString() {
+            return "call " + number + " of " + team + " at " + process
+                    + idempotencyKey.map(k -> " " + k).orElse("");
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/EntryProcess.java
@@ -0,0 +1,127 @@
+package org.basilswitch.bench.faults;
+
+import java.time.Duration;
+
+import org.basilswitch.dispatch.Attempt;
+import org.basilswitch.entry.EntryHost;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerMessage;
+
+/** One run of an entry host's process, with its side of the connections to workers. */
+final class EntryProcess {
+    private final FaultSite site;
+    private final int slot;
+    private final MemberId id;
+    private final ProcessTime time;
+    private EntryHost host;
+    private long pauseCount;
+    private boolean leaving;
+
+    EntryProcess(FaultSite site, int slot, MemberId id, ProcessTime time) {
+        this.site = site;
+        this.slot = slot;
+        this.id = id;
+        this.time = time;
+    }
+
+    void start(EntryHost created) {
+        host = created;
+        time.deliver(host::start);
+    }
+
+    EntryHost host() {
+        return host;
+    }
+
+    int slot() {
+        return slot;
+    }
+
+    MemberId id() {
+        return id;
+    }
+
+    ProcessTime time() {
+        return time;
+    }
+
+    long pauseCount() {
+        return pauseCount;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void pause() {
+        pauseCount++;
+        time.pause();
+    }
+
+    void receive(MemberId from, PeerMessage message) {
+        time.deliver(() -> host.receive(from, message));
+    }
+
+    /** Leaves gracefully, then ends the process. */
+    void leave(Runnable then) {
+        leaving = true;
+        time.deliver(() -> host.leave().thenAccept(left -> {
+            int open = host.broker().openRequests();
+            site.promises().check(open == 0, Promises.Promise.SHUTDOWN_CUTS_NOTHING, this + " cut " + open);
+            then.run();
+        }));
+    }
+
+    /** Carries an attempt to its worker and the result back. */
+    void carry(Callers.Call call, Attempt attempt) {
+        Workers.Worker worker = site.workers().find(attempt.server().name());
+        if (!worker.reachable()) {
+            time.schedule(site.delay(), () -> attempt.failed(Attempt.Failure.CONNECT_REFUSED));
+            return;
+        }
+        time.schedule(site.delay(), () -> send(call, attempt, worker));
+    }
+
+    private void send(Callers.Call call, Attempt attempt, Workers.Worker worker) {
+        if (!attempt.beginSend()) {
+            return;
+        }
+        site.promises().sending(this, call, worker);
+        Duration now = Duration.ofNanos(site.time().monotonicNanos());
+        Duration startBy = now.plus(time.toTrueTime(host.authority().remaining()));
+        Duration endBy = now.plus(time.toTrueTime(attempt.timeout()));
+        String team = attempt.team();
+        time.schedule(attempt.timeout(), () -> attempt.failed(Attempt.Failure.ANSWER_TIMEOUT));
+        site.time()
+                .schedule(
+                        site.delay(),
+                        () -> worker.receive(call, team, startBy, endBy, result -> answer(call, attempt, result)));
+    }
+
+    private void answer(Callers.Call call, Attempt attempt, Workers.Result result) {
+        site.time()
+                .schedule(
+                        site.delay(),
+                        () -> time.deliver(() -> {
+                            switch (result) {
+                                case ANSWERED -> deliverAnswer(call, attempt);
+                                case BUSY -> attempt.failed(Attempt.Failure.SERVER_BUSY);
+                                case RESET -> attempt.failed(Attempt.Failure.RESET);
+                            }
+                        }));
+    }
+
+    private void deliverAnswer(Callers.Call call, Attempt attempt) {
+        int before = host.broker().openRequests();
+        attempt.answered(200);
+        // An answer after the attempt's end is dropped by the broker and does not reach the caller.
+        if (host.broker().openRequests() < before) {
+            call.answered(call);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "host" + slot + "(" + id + ")";
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Links.java
@@ -0,0 +1,67 @@
+package org.basilswitch.bench.faults;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerMessage;
+
+/** Fake links between entry hosts: delays, loss, repetition, disorder and cuts of either direction. */
+final class Links {
+    private final FaultSite site;
+    private final UniformRandomProvider random;
+    private final Map<MemberId, Integer> slots = new HashMap<>();
+    private final int[][] cuts;
+    private int lossy;
+    private long messages;
+
+    Links(FaultSite site, UniformRandomProvider random, int hosts) {
+        this.site = site;
+        this.random = random;
+        this.cuts = new int[hosts][hosts];
+    }
+
+    void register(EntryProcess process) {
+        slots.put(process.id(), process.slot());
+    }
+
+    void cut(int from, int to, int change) {
+        cuts[from][to] += change;
+    }
+
+    void lossy(int change) {
+        lossy += change;
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    void send(EntryProcess from, MemberId to, PeerMessage message) {
+        Integer slot = slots.get(to);
+        messages++;
+        if (slot == null || from.time().killed() || lost()) {
+            return;
+        }
+        deliver(from, to, slot, message);
+        if (random.nextInt(100) == 0) {
+            deliver(from, to, slot, message);
+        }
+    }
+
+    private boolean lost() {
+        return lossy > 0 && random.nextInt(4) == 0;
+    }
+
+    /** An address reaches the one process that runs there; a message for its predecessor is dropped. */
+    private void deliver(EntryProcess from, MemberId to, int slot, PeerMessage message) {
+        site.time().schedule(site.delay(), () -> {
+            if (cuts[from.slot()][slot] == 0) {
+                site.process(slot)
+                        .filter(process -> process.id().equals(to))
+                        .ifPresent(process -> process.receive(from.id(), message));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Promises.java
@@ -0,0 +1,146 @@
+package org.basilswitch.bench.faults;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The product's promises, asserted against what the fakes see. Promises about pools, budgets and waves are asserted by
+ * the fleet's run (package {@code org.basilswitch.bench.fleet}).
+ */
+final class Promises {
+    /** Promises by name, as counted and printed. */
+    enum Promise {
+        CONFIGURATION_IN_FORCE,
+        CONFIGURATION_NEVER_REVERTS,
+        WITHDRAWN_KEY_STOPS,
+        UPPER_LIMIT,
+        ALLOTMENTS_FIT,
+        AT_MOST_ONCE,
+        NOT_RUN_IS_TRUE,
+        OWN_ANSWER_ONCE,
+        ANSWERED_BY_DEADLINE,
+        LEAVING_SERVER_GETS_NOTHING,
+        SHUTDOWN_CUTS_NOTHING,
+        RECOVERS
+    }
+
+    /**
+     * A broken promise.
+     *
+     * @param promise which
+     * @param atMs virtual time, in milliseconds
+     * @param detail what was seen
+     */
+    record Violation(Promise promise, long atMs, String detail) {}
+
+    /** Time after which a leaving worker gets nothing new once its leaving is in force. */
+    private static final long LEAVING_TIME_MS = 5_000;
+
+    private final FaultSite site;
+    private final List<Violation> violations = new ArrayList<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private final Map<String, Integer> lastSums = new HashMap<>();
+    private final Map<String, Long> claimedStarts = new HashMap<>();
+    private final Map<EntryProcess, Long> revisions = new HashMap<>();
+    private long revisionInForce;
+    private long checks;
+
+    Promises(FaultSite site) {
+        this.site = site;
+    }
+
+    List<Violation> violations() {
+        return violations;
+    }
+
+    long checks() {
+        return checks;
+    }
+
+    void check(boolean holds, Promise promise, String detail) {
+        checks++;
+        if (!holds) {
+            violations.add(new Violation(promise, site.nowMs(), detail));
+            site.trace("VIOLATION " + promise + " " + detail);
+        }
+    }
+
+    /** An entry host has told that a change is in force. */
+    void inForce(long revision) {
+        revisionInForce = Math.max(revisionInForce, revision);
+    }
+
+    /** An entry host is about to write the first byte to a worker. */
+    void sending(EntryProcess process, Callers.Call call, Workers.Worker worker) {
+        long revision = process.host().configuration().revision();
+        check(
+                revision >= revisionInForce,
+                Promise.CONFIGURATION_IN_FORCE,
+                process + " acts on " + revision + ", in force is " + revisionInForce);
+        long withdrawn = site.operators().withdrawnRevision(call.keyName());
+        check(
+                withdrawn == 0 || withdrawn > revisionInForce,
+                Promise.WITHDRAWN_KEY_STOPS,
+                call + " key withdrawn at " + withdrawn);
+        long left = site.operators().leavingSinceMs(worker.name());
+        check(
+                site.nowMs() - left <= LEAVING_TIME_MS,
+                Promise.LEAVING_SERVER_GETS_NOTHING,
+                call + " to " + worker.name() + ", leaving since " + left + " ms");
+    }
+
+    /** A worker starts a request. */
+    void started(Callers.Call call, String team) {
+        int now = running.merge(team, 1, Integer::sum);
+        int allowed = Math.max(
+                site.operators().limit(team),
+                site.allotments(team).map(FaultSite.Division::sum).orElse(0));
+        check(now <= allowed, Promise.UPPER_LIMIT, team + " runs " + now + " of " + allowed + ", last " + call);
+        check(!call.refusedAsNotRun(), Promise.NOT_RUN_IS_TRUE, call + " started after it was refused as not run");
+        if (call.onceOnly()) {
+            check(call.starts() == 1, Promise.AT_MOST_ONCE, call + " starts " + call.starts());
+            call.idempotencyKey().ifPresent(key -> {
+                Long earlier = claimedStarts.put(key, site.nowMs());
+                check(earlier == null, Promise.AT_MOST_ONCE, call + " repeats " + key + " run at " + earlier);
+            });
+        }
+    }
+
+    /** A worker has ended a request. */
+    void ended(String team) {
+        running.merge(team, -1, Integer::sum);
+    }
+
+    /** A caller got its end. */
+    void callEnded(Callers.Call call, Optional<Callers.Call> answerOf) {
+        check(call.ends() == 1, Promise.OWN_ANSWER_ONCE, call + " ended " + call.ends() + " times");
+        answerOf.ifPresent(
+                other -> check(other == call, Promise.OWN_ANSWER_ONCE, call + " got the answer of " + other));
+        if (call.refusedAsNotRun()) {
+            check(call.starts() == 0, Promise.NOT_RUN_IS_TRUE, call + " refused as not run after it started");
+        }
+    }
+
+    /** Looks at the whole site; called many times a second. */
+    void step() {
+        for (String team : FaultSite.TEAMS) {
+            site.allotments(team).ifPresent(division -> {
+                int before = lastSums.getOrDefault(team, 0);
+                check(
+                        division.sum() <= Math.max(division.limit(), before),
+                        Promise.ALLOTMENTS_FIT,
+                        team + " allots " + division.sum() + " of " + division.limit());
+                lastSums.put(team, division.sum());
+            });
+        }
+        for (EntryProcess process : site.processes()) {
+            long revision = process.host().configuration().revision();
+            long before = revisions.getOrDefault(process, 0L);
+            check(revision >= before, Promise.CONFIGURATION_NEVER_REVERTS, process + " from " + before);
+            revisions.put(process, revision);
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/EntryHostsTest.java
@@ -0,0 +1,212 @@
+package org.basilswitch.bench.faults;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.InForce;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Failures of entry hosts, links and the store, one at a time, on the classes of the core. */
+public final class EntryHostsTest {
+    private static final String TEAM = FaultSite.TEAMS.get(0);
+
+    private static FaultSite site() {
+        FaultSite site = new FaultSite(3, Telemetry.none());
+        run(site, 5);
+        for (EntryProcess process : site.processes()) {
+            Assert.assertTrue(process.host().ready(), process + " is ready");
+        }
+        return site;
+    }
+
+    private static void run(FaultSite site, long seconds) {
+        site.time().runFor(Duration.ofSeconds(seconds));
+        Assert.assertEquals(site.promises().violations(), List.of());
+    }
+
+    private static void cutFromPeers(FaultSite site, int slot, int change) {
+        for (int other = 0; other < site.hosts(); other++) {
+            site.links().cut(slot, other, change);
+            site.links().cut(other, slot, change);
+        }
+    }
+
+    /** A total outage of the store for an hour costs no host its authority. */
+    @Test
+    public void storeOutageOfAnHourCostsNothing() {
+        FaultSite site = site();
+        site.end();
+        site.storeFaults(1, 0, 0);
+        for (int minute = 0; minute < 60; minute++) {
+            run(site, 60);
+            site.processes().forEach(process -> Assert.assertTrue(process.host().ready(), process + " is ready"));
+        }
+    }
+
+    /** During an outage of the store, a minority of hosts may be lost. */
+    @Test
+    public void storeOutageWithAMinorityLost() {
+        FaultSite site = site();
+        site.storeFaults(1, 0, 0);
+        for (int slot = 0; slot < (site.hosts() - 1) / 2; slot++) {
+            site.kill(slot);
+        }
+        run(site, 30);
+        site.processes().forEach(process -> Assert.assertTrue(process.host().ready(), process + " is ready"));
+    }
+
+    /** A host cut off from the store and its peers loses its authority within seconds, the others keep theirs. */
+    @Test
+    public void hostCutOffRefusesWithinSeconds() {
+        FaultSite site = site();
+        site.cutStore(0, 1);
+        cutFromPeers(site, 0, 1);
+        run(site, 2);
+        Assert.assertFalse(site.process(0).orElseThrow().host().ready());
+        for (int slot = 1; slot < site.hosts(); slot++) {
+            Assert.assertTrue(site.process(slot).orElseThrow().host().ready());
+        }
+        cutFromPeers(site, 0, -1);
+        site.cutStore(0, -1);
+        run(site, 5);
+        Assert.assertTrue(site.process(0).orElseThrow().host().ready());
+    }
+
+    /** A host cut off from the store alone goes on, with its peers' configuration. */
+    @Test
+    public void hostCutFromStoreFollowsItsPeers() {
+        FaultSite site = site();
+        site.cutStore(0, 1);
+        run(site, 1);
+        site.operators().changeLimit(TEAM, 17);
+        run(site, 6);
+        EntryProcess cut = site.process(0).orElseThrow();
+        Assert.assertTrue(cut.host().ready());
+        Assert.assertEquals(cut.host().configuration().teams().get(TEAM).limitTasks(), 17);
+    }
+
+    /** A paused process has no authority left when it goes on. */
+    @Test
+    public void pausedProcessActsOnNothing() {
+        FaultSite site = site();
+        EntryProcess paused = site.process(0).orElseThrow();
+        paused.pause();
+        run(site, 3);
+        Assert.assertFalse(paused.host().authority().mayStart());
+        paused.time().resume();
+        run(site, 3);
+        Assert.assertTrue(paused.host().ready());
+    }
+
+    /** A crashed host's successor under the same address takes its place without a removal. */
+    @Test
+    public void successorUnderTheSameAddressTakesThePlace() {
+        FaultSite site = site();
+        site.kill(0);
+        site.startProcess(0);
+        run(site, 5);
+        EntryProcess successor = site.process(0).orElseThrow();
+        Assert.assertTrue(successor.host().ready());
+        Assert.assertEquals(successor.host().members().size(), site.hosts());
+    }
+
+    /** All hosts at once may be replaced. */
+    @Test
+    public void allHostsCrashAndReturn() {
+        FaultSite site = site();
+        for (int slot = 0; slot < site.hosts(); slot++) {
+            site.kill(slot);
+        }
+        for (int slot = 0; slot < site.hosts(); slot++) {
+            site.startProcess(slot);
+        }
+        run(site, 8);
+        site.processes().forEach(process -> Assert.assertTrue(process.host().ready(), process + " is ready"));
+    }
+
+    /** A silent host is removed from the members record. */
+    @Test
+    public void silentHostIsRemoved() {
+        FaultSite site = site();
+        site.kill(1);
+        run(site, 20);
+        Assert.assertEquals(site.process(0).orElseThrow().host().members().size(), site.hosts() - 1);
+    }
+
+    /** A change comes into force at a majority within seconds while one host is cut off. */
+    @Test
+    public void changeComesIntoForce() {
+        FaultSite site = site();
+        cutFromPeers(site, 0, 1);
+        site.cutStore(0, 1);
+        long revision = site.operators().put("teams", TEAM, new org.basilswitch.configuration.Team(TEAM, 1, 9));
+        List<InForce.Acknowledgement> results = new ArrayList<>();
+        CompletionStage<InForce.Acknowledgement> wait =
+                site.process(1).orElseThrow().host().inForce().await(revision, Duration.ofSeconds(6));
+        wait.thenAccept(results::add);
+        run(site, 7);
+        Assert.assertTrue(results.get(0).inForce());
+    }
+
+    /** A team whose callers arrive through one host reaches its limit although its units were spread. */
+    @Test
+    public void teamAloneReachesItsLimit() {
+        FaultSite site = site();
+        site.end();
+        run(site, 10);
+        site.operators().changeLimit(TEAM, 100);
+        run(site, 5);
+        for (EntryProcess process : site.processes()) {
+            process.host().limits().tryAcquire(TEAM);
+        }
+        run(site, 3);
+        site.processes().forEach(process -> process.host().limits().release(TEAM));
+        run(site, 3);
+        EntryProcess one = site.process(0).orElseThrow();
+        int acquired = 0;
+        for (int i = 0; i < 100; i++) {
+            while (one.host().limits().tryAcquire(TEAM)) {
+                acquired++;
+            }
+            site.time().runFor(Duration.ofMillis(50));
+        }
+        Assert.assertTrue(acquired >= 97 && acquired <= 100, "acquired " + acquired);
+    }
+
+    /** A lowered limit is fitted by the division as running requests end. */
+    @Test
+    public void loweredLimitIsFitted() {
+        FaultSite site = site();
+        site.operators().changeLimit(TEAM, 12);
+        run(site, 20);
+        site.operators().changeLimit(TEAM, 3);
+        run(site, 10);
+        FaultSite.Division division = site.allotments(TEAM).orElseThrow();
+        Assert.assertEquals(division.limit(), 3);
+        Assert.assertTrue(division.sum() <= 3, "allotted " + division.sum());
+    }
+
+    /** The units of a crashed host come back, after its removal and the longest work. */
+    @Test
+    public void unitsOfACrashedHostAreReclaimed() {
+        FaultSite site = site();
+        run(site, 10);
+        site.kill(0);
+        site.end();
+        run(site, 20);
+        EntryProcess one = site.process(1).orElseThrow();
+        int limit = site.operators().limit(TEAM);
+        int acquired = 0;
+        for (int i = 0; i < 200; i++) {
+            while (one.host().limits().tryAcquire(TEAM)) {
+                acquired++;
+            }
+            site.time().runFor(Duration.ofMillis(50));
+        }
+        Assert.assertEquals(acquired, limit);
+    }
+}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -1,5 +1,6 @@
 package org.basilswitch.cli;
 
+import org.basilswitch.cli.bench.BenchCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -11,6 +12,7 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             CheckCommand.class,
+            BenchCommand.class,
         })
 public final class Main {
     private Main() {}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The measurements' commands. */
+package org.basilswitch.cli.bench;
