--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/proxy/BenchSite.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/proxy/BenchSite.java
@@ -8,9 +8,7 @@
 import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Optional;
 
-import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.apache.commons.rng.simple.RandomSource;
@@ -25,8 +23,7 @@
 import org.basilswitch.daemon.AdministrationRoutes;
 import org.basilswitch.daemon.DaemonOptions;
 import org.basilswitch.daemon.EntryHostServer;
-import org.basilswitch.daemon.peer.FrameCodec;
-import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.PlatformStore;
@@ -51,8 +48,8 @@
 
     private BenchSite(int workerPort, int connections) {
         EntryHostServer.Parts parts = new EntryHostServer.Parts(
-                (unused, clock, scheduler) -> store(clock, scheduler, workerPort, connections),
-                new NoPeers(),
+                (unused, clock, scheduler, telemetry) -> store(clock, scheduler, workerPort, connections),
+                ThriftFrameCodec.create(),
                 AdministrationRoutes.none());
         server = EntryHostServer.start(vertx, DaemonOptions.loopback(SITE, "entry1", "z1"), parts)
                 .await();
@@ -135,19 +132,6 @@
         return coldStart;
     }
 
-    /** The codec of an entry host without peers, which never sends and accepts nothing. */
-    private static final class NoPeers implements FrameCodec {
-        @Override
-        public byte[] encode(PeerMessage message) {
-            throw new IllegalStateException("no peers");
-        }
-
-        @Override
-        public Either<String, Optional<PeerMessage>> decode(byte[] frame) {
-            return Either.left("no peers");
-        }
-    }
-
     @Override
     public void close() {
         server.close();
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -5,7 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 
-/** The command line's entry point. */
+/** The program {@code basilswitch}. */
 @Command(
         name = "basilswitch",
         mixinStandardHelpOptions = true,
@@ -13,14 +13,15 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             HelpCommand.class,
+            CheckCommand.class,
             BenchCommand.class,
         })
 public final class Main {
     private Main() {}
 
     /** Runs a command and exits with its code: 0 done, 1 refused or failed, 2 wrong usage. */
-    public static void main(String[] args) {
-        System.exit(commandLine().execute(args));
+    public static void main(String[] arguments) {
+        System.exit(commandLine().execute(arguments));
     }
 
     /** The commands, without running one. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
@@ -55,6 +55,23 @@
                 ShutdownOptions.defaults());
     }
 
+    /** The same with other timing of the peer leases. */
+    public DaemonOptions withTiming(PeerTiming next) {
+        return new DaemonOptions(
+                site,
+                node,
+                zone,
+                callers,
+                administration,
+                peers,
+                storeEndpoints,
+                tlsCheckInterval,
+                next,
+                caller,
+                worker,
+                shutdown);
+    }
+
     /** The same with other bounds on callers. */
     public DaemonOptions withCaller(CallerOptions next) {
         return new DaemonOptions(
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -97,7 +97,7 @@
     private Future<Void> openHost(MemberId id) {
         VertxScheduler scheduler = VertxScheduler.create(vertx, context);
         PlatformStore store =
-                MeteredStore.create(parts.store().create(vertx, clock, scheduler), meters.registry(), clock);
+                MeteredStore.create(parts.store().create(vertx, clock, scheduler, telemetry), meters.registry(), clock);
         String peerAddress = options.peers().ip() + ":" + peers.actualPort();
         Member self = new Member(id, options.node(), peerAddress, options.zone());
         EntryHostOptions hostOptions = new EntryHostOptions(
@@ -117,7 +117,8 @@
 
     private void openPorts(AdministrationRoutes.Parts routeParts) {
         workers = WorkerClients.create(vertx, options.worker());
-        WorkerExchange.Tools tools = new WorkerExchange.Tools(vertx, clock, options.worker(), workers, telemetry);
+        WorkerExchange.Tools tools =
+                new WorkerExchange.Tools(vertx, clock, options.worker(), workers, host.authority(), telemetry);
         callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -47,6 +47,7 @@
     private NetClient client;
     private final Map<MemberId, PeerConnection> connections = new HashMap<>();
     private final Set<NetSocket> accepted = new HashSet<>();
+    private boolean closed;
     private Supplier<List<Member>> members = List::of;
     private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
 
@@ -105,6 +106,9 @@
 
     @Override
     public void send(MemberId to, PeerMessage message) {
+        if (closed) {
+            return;
+        }
         PeerConnection connection = connections.get(to);
         if (connection == null) {
             Optional<Member> peer = find(to);
@@ -145,6 +149,7 @@
 
     /** Closes all connections and stops listening. */
     public Future<Void> shutdown() {
+        closed = true;
         connections.values().forEach(PeerConnection::close);
         connections.clear();
         return Future.join(server.close(), client.close()).mapEmpty();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -17,6 +17,7 @@
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.membership.ServingAuthority;
 import org.basilswitch.time.Clock;
 
 /** Carries out one attempt: connects, streams the request's body out and the answer back, within the time allowed. */
@@ -28,6 +29,7 @@
     private final Clock clock;
     private final WorkerOptions options;
     private final Telemetry telemetry;
+    private final ServingAuthority authority;
     private final Attempt attempt;
     private final String queue;
     private final RequestBody body;
@@ -43,6 +45,7 @@
         this.clock = tools.clock();
         this.options = tools.options();
         this.telemetry = tools.telemetry();
+        this.authority = tools.authority();
         this.attempt = attempt;
         this.queue = queue;
         this.body = body;
@@ -50,7 +53,13 @@
     }
 
     /** What all exchanges of an entry host share. */
-    public record Tools(Vertx vertx, Clock clock, WorkerOptions options, WorkerClients clients, Telemetry telemetry) {}
+    public record Tools(
+            Vertx vertx,
+            Clock clock,
+            WorkerOptions options,
+            WorkerClients clients,
+            ServingAuthority authority,
+            Telemetry telemetry) {}
 
     /** Starts an attempt; its end is reported to the attempt first and then to the sink. */
     public static WorkerExchange start(
@@ -99,7 +108,7 @@
 
     private void setHeaders(MultiMap callerHeaders) {
         Duration timeout = attempt.timeout();
-        Duration window = options.startWindow().compareTo(timeout) < 0 ? options.startWindow() : timeout;
+        Duration window = shorter(timeout, shorter(options.startWindow(), authority.remaining()));
         request.putHeader(WorkerHeaders.REQUEST_ID, attempt.requestId());
         request.putHeader(WorkerHeaders.ATTEMPT, Integer.toString(attempt.number()));
         request.putHeader(WorkerHeaders.TEAM, attempt.team());
@@ -115,6 +124,10 @@
         }
     }
 
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
     private void onAnswer(AsyncResult<HttpClientResponse> answered) {
         if (ended) {
             return;
