Run a whole site in one process: basilswitch demo

The demo starts the stand-in store, 40 workers and 3 entry hosts on free loopback ports, writes the shipped site's records with a key for each team, sends requests as six teams with each queue bursting in turn, and holds the callers' accounts against the workers' record. standin store and standin worker run the stand-ins alone.

Found by its first run: 2 of 3 entry hosts never joined. A host asks members for acknowledgements before it is one, and the peer transport dropped every reply to a host that is not in the members record. The greeting now carries the sender's peer address, and a greeted host is answered there.

Also: a test of the store set faults without waiting until they were in force and failed once in a full build; StoreServer.setFaults now tells when they are, and the tests wait for that.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -1,6 +1,8 @@
 package org.basilswitch.cli;
 
 import org.basilswitch.cli.bench.BenchCommand;
+import org.basilswitch.cli.demo.DemoCommand;
+import org.basilswitch.cli.standin.StandInCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
@@ -15,6 +17,8 @@
             HelpCommand.class,
             CheckCommand.class,
             BenchCommand.class,
+            DemoCommand.class,
+            StandInCommand.class,
         })
 public final class Main {
     private Main() {}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoTable.java
@@ -0,0 +1,101 @@
+package org.basilswitch.cli.demo;
+
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.basilswitch.bench.load.LoadGenerator.TeamProgress;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.standin.worker.RunRecord;
+
+/** The refreshing table: per team what it asked and got since the last one, per pool its hosts by state. */
+final class DemoTable {
+    private static final String CLEAR = "\033[H\033[2J";
+    private static final double PERCENT = 100.0;
+
+    private final PrintWriter out;
+    private final boolean refresh;
+    private final Map<String, Integer> limits;
+    private Map<String, TeamProgress> lastAsked = Map.of();
+    private Map<String, RunRecord.TeamCount> lastGot = Map.of();
+
+    private DemoTable(PrintWriter out, boolean refresh, Map<String, Integer> limits) {
+        this.out = out;
+        this.refresh = refresh;
+        this.limits = limits;
+    }
+
+    /** Creates a table; on a terminal it replaces the one before. */
+    static DemoTable on(PrintWriter out, boolean refresh, Map<String, Integer> limits) {
+        return new DemoTable(out, refresh, limits);
+    }
+
+    void print(
+            Duration elapsed,
+            Map<String, TeamProgress> asked,
+            Map<String, RunRecord.TeamCount> got,
+            SiteConfiguration configuration) {
+        out.print(refresh ? CLEAR : "\n");
+        out.printf("after %d s%n", elapsed.toSeconds());
+        printTeams(asked, got);
+        printPools(configuration);
+        out.flush();
+        lastAsked = asked;
+        lastGot = got;
+    }
+
+    private void printTeams(Map<String, TeamProgress> asked, Map<String, RunRecord.TeamCount> got) {
+        double askedAll = asked.keySet().stream()
+                .mapToLong(team -> askedSince(team, asked))
+                .sum();
+        double gotAll =
+                got.keySet().stream().mapToLong(team -> gotSince(team, got)).sum();
+        out.printf("%-20s %8s %6s %9s %9s  %s%n", "team", "running", "limit", "asked", "got", "refused by reason");
+        asked.forEach((team, progress) -> out.printf(
+                "%-20s %8d %6s %8.1f%% %8.1f%%  %s%n",
+                team,
+                got.containsKey(team) ? got.get(team).running() : 0,
+                limits.containsKey(team) ? limits.get(team).toString() : "-",
+                percent(askedSince(team, asked), askedAll),
+                percent(gotSince(team, got), gotAll),
+                reasons(progress)));
+    }
+
+    private static String reasons(TeamProgress progress) {
+        Map<String, Long> reasons = new TreeMap<>(progress.refusedByCode());
+        if (progress.unknown() > 0) {
+            reasons.put("unknown", progress.unknown());
+        }
+        return reasons.isEmpty() ? "" : reasons.toString();
+    }
+
+    private long askedSince(String team, Map<String, TeamProgress> asked) {
+        long before = lastAsked.containsKey(team) ? lastAsked.get(team).sent() : 0;
+        return asked.get(team).sent() - before;
+    }
+
+    private long gotSince(String team, Map<String, RunRecord.TeamCount> got) {
+        long before = lastGot.containsKey(team) ? lastGot.get(team).started() : 0;
+        return got.containsKey(team) ? got.get(team).started() - before : 0;
+    }
+
+    private static double percent(double part, double whole) {
+        return whole == 0 ? 0 : part / whole * PERCENT;
+    }
+
+    private void printPools(SiteConfiguration configuration) {
+        out.printf("%-20s %s%n", "pool", "hosts by state");
+        for (Pool pool : new TreeMap<>(configuration.pools()).values()) {
+            Map<HostState, Integer> states = new EnumMap<>(HostState.class);
+            for (Host host : configuration.hostsOf(pool.name())) {
+                states.merge(host.state(), 1, Integer::sum);
+            }
+            out.printf("%-20s %s%s%n", pool.name(), states, pool.spare() ? " (spare)" : "");
+        }
+    }
+}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/Hello.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/Hello.java
@@ -11,12 +11,13 @@
  * @param protocol names this protocol
  * @param site site of the sender; the receiver's must be the same
  * @param member identifier of the sender's run
+ * @param address IP address and port of the sender's peer port; a host is answered there before it is a member
  */
-record Hello(String protocol, String site, String member) {
+record Hello(String protocol, String site, String member, String address) {
     private static final String PROTOCOL = "basilswitch-peer";
 
-    static Hello of(String site, MemberId member) {
-        return new Hello(PROTOCOL, site, member.value());
+    static Hello of(String site, MemberId member, String address) {
+        return new Hello(PROTOCOL, site, member.value(), address);
     }
 
     byte[] encode() {
@@ -25,6 +26,7 @@
 
     static Optional<Hello> decode(byte[] frame) {
         return RecordCodec.decode(frame, Hello.class)
-                .filter(hello -> PROTOCOL.equals(hello.protocol) && hello.site != null && hello.member != null);
+                .filter(hello -> PROTOCOL.equals(hello.protocol) && hello.site != null && hello.member != null)
+                .filter(hello -> hello.address != null && hello.address.matches(".+:\\d{1,5}"));
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -37,6 +37,7 @@
     private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(5);
 
     private final Vertx vertx;
+    private final String listenIp;
     private final String site;
     private final MemberId self;
     private final FrameCodec codec;
@@ -46,6 +47,7 @@
     private final NetClient client;
     private final Map<MemberId, PeerConnection> connections = new HashMap<>();
     private final Set<NetSocket> accepted = new HashSet<>();
+    private final Map<MemberId, Member> greeted = new HashMap<>();
     private Supplier<List<Member>> members = List::of;
     private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
 
@@ -58,6 +60,7 @@
             Telemetry telemetry,
             PeerMeters meters) {
         this.vertx = vertx;
+        this.listenIp = listen.ip();
         this.site = site;
         this.self = self;
         this.codec = codec;
@@ -119,7 +122,8 @@
                 telemetry.count(CounterCode.PEER_MESSAGES_DROPPED, "unknown-member");
                 return;
             }
-            Buffer hello = FrameReader.frame(Hello.of(site, self).encode());
+            Buffer hello = FrameReader.frame(
+                    Hello.of(site, self, listenIp + ":" + actualPort()).encode());
             connection = PeerConnection.open(vertx, client, peer.get(), hello, telemetry, meters);
             connections.put(to, connection);
         }
@@ -127,11 +131,14 @@
     }
 
     private Optional<Member> find(MemberId id) {
-        return members.get().stream().filter(member -> member.id().equals(id)).findFirst();
+        return members.get().stream()
+                .filter(member -> member.id().equals(id))
+                .findFirst()
+                .or(() -> Optional.ofNullable(greeted.get(id)));
     }
 
     private void prune() {
-        Set<MemberId> present = new HashSet<>();
+        Set<MemberId> present = new HashSet<>(greeted.keySet());
         members.get().forEach(member -> present.add(member.id()));
         connections.entrySet().removeIf(entry -> {
             boolean gone = !present.contains(entry.getKey());
@@ -147,7 +154,7 @@
         Inbound inbound = new Inbound(socket);
         socket.handler(FrameReader.create(inbound::onFrame, inbound::onInvalidLength));
         socket.exceptionHandler(error -> socket.close());
-        socket.closeHandler(closed -> accepted.remove(socket));
+        socket.closeHandler(closed -> inbound.onClosed());
     }
 
     /** Closes all connections and stops listening. */
@@ -187,10 +194,22 @@
             } else if (!hello.get().site().equals(site)) {
                 reject("site", "site=" + hello.get().site());
             } else {
-                sender = Optional.of(new MemberId(hello.get().member()));
+                greet(hello.get());
             }
         }
 
+        /** A host that is about to join asks members for acknowledgements, which have to reach it. */
+        private void greet(Hello hello) {
+            MemberId id = new MemberId(hello.member());
+            sender = Optional.of(id);
+            greeted.put(id, new Member(id, hello.member(), hello.address(), ""));
+        }
+
+        private void onClosed() {
+            accepted.remove(socket);
+            sender.ifPresent(greeted::remove);
+        }
+
         private void onMessage(MemberId from, byte[] frame) {
             codec.decode(frame)
                     .peekLeft(error -> reject("message", error))
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/ThriftFrameCodec.java
@@ -0,0 +1,36 @@
+package org.basilswitch.daemon.peer;
+
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.peer.codec.DecodeError;
+import org.basilswitch.peer.codec.PeerCodec;
+
+/** Peer messages as Thrift structs in the compact protocol. */
+public final class ThriftFrameCodec implements FrameCodec {
+
+    private ThriftFrameCodec() {}
+
+    /** Creates the codec. */
+    public static ThriftFrameCodec create() {
+        return new ThriftFrameCodec();
+    }
+
+    @Override
+    public byte[] encode(PeerMessage message) {
+        return PeerCodec.encode(message);
+    }
+
+    @Override
+    public Either<String, Optional<PeerMessage>> decode(byte[] frame) {
+        return PeerCodec.decode(frame)
+                .map(Optional::of)
+                .fold(
+                        error -> switch (error) {
+                            case DecodeError.UnknownKind unknown -> Either.right(Optional.empty());
+                            case DecodeError.Malformed malformed -> Either.left(malformed.toString());
+                        },
+                        Either::right);
+    }
+}
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/store/EtcdStoreFaultsTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/store/EtcdStoreFaultsTest.java
@@ -55,14 +55,14 @@
     @Test
     public void lostAnswerOfACommitIsUnknownAndNotSentAgain() throws Exception {
         EtcdStore adapter = fixture.adapter(options -> options);
-        fixture.server().setFaults(UNBOUNDED.withLostAnswerRatio(1));
+        fixture.setFaults(UNBOUNDED.withLostAnswerRatio(1));
         StoreError error = StoreFixture.left(adapter.commit(create("a")));
         assertTrue(error instanceof StoreError.Unknown, error.toString());
         StoreCounts.Snapshot counts =
                 StoreFixture.await(fixture.server().counts().toCompletionStage());
         assertEquals(counts.of(StoreCounts.Kind.TXN), 1);
         assertEquals(counts.lostAnswers(), 1);
-        fixture.server().setFaults(UNBOUNDED);
+        fixture.setFaults(UNBOUNDED);
         Optional<PlatformStore.Entry> entry = StoreFixture.right(adapter.get("a"));
         assertEquals(entry.map(StoreFixture::text), Optional.of("value of a"));
     }
@@ -71,7 +71,7 @@
     @Test
     public void readsAreSentAgainABoundedNumberOfTimes() throws Exception {
         EtcdStore adapter = fixture.adapter(options -> options.withReadAttempts(4));
-        fixture.server().setFaults(UNBOUNDED.withLostAnswerRatio(1));
+        fixture.setFaults(UNBOUNDED.withLostAnswerRatio(1));
         assertTrue(StoreFixture.left(adapter.get("a")) instanceof StoreError.Unknown);
         StoreCounts.Snapshot counts =
                 StoreFixture.await(fixture.server().counts().toCompletionStage());
@@ -87,7 +87,7 @@
         adapter.watch("s", 1, deliveries);
         StoreFixture.right(patient.commit(create("s0")));
         assertEquals(deliveries.next(), "s0=value of s0");
-        fixture.server().setFaults(UNBOUNDED.withDelayMs(600));
+        fixture.setFaults(UNBOUNDED.withDelayMs(600));
         StoreError error = StoreFixture.left(adapter.commit(create("s1")));
         assertTrue(error instanceof StoreError.Unknown unknown && unknown.reason() == Reason.TIMEOUT, error.toString());
         CommitResult later = StoreFixture.right(patient.commit(create("s1")));
@@ -116,7 +116,7 @@
     public void rateIsEnforcedAndRefusalsHadNoEffect() throws Exception {
         EtcdStore adapter = fixture.adapter(options -> options);
         StoreFixture.right(adapter.get("a"));
-        fixture.server().setFaults(StoreFaults.none().withRates(10, 10));
+        fixture.setFaults(StoreFaults.none().withRates(10, 10));
         int committed = 0;
         int refused = 0;
         for (int i = 0; i < 40; i++) {
@@ -126,7 +126,7 @@
         }
         assertEquals(committed + refused, 40);
         assertTrue(refused > 0, "no call was refused");
-        fixture.server().setFaults(UNBOUNDED);
+        fixture.setFaults(UNBOUNDED);
         assertEquals(StoreFixture.right(adapter.range("k")).entries().size(), committed);
     }
 
@@ -166,10 +166,10 @@
         adapter.watch("w", 1, deliveries);
         StoreFixture.right(adapter.commit(create("w1")));
         assertEquals(deliveries.next(), "w1=value of w1");
-        fixture.server().setFaults(UNBOUNDED.withDown(true));
+        fixture.setFaults(UNBOUNDED.withDown(true));
         StoreError down = StoreFixture.left(adapter.commit(create("w2")));
         assertTrue(down instanceof StoreError.Unknown, down.toString());
-        fixture.server().setFaults(UNBOUNDED);
+        fixture.setFaults(UNBOUNDED);
         StoreFixture.right(adapter.commit(create("w3")));
         assertEquals(deliveries.next(), "w3=value of w3");
         assertTrue(deliveries.quietFor(Duration.ofMillis(300)));
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/store/StoreFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/store/StoreFixture.java
@@ -29,7 +29,7 @@
 
     private StoreFixture() throws Exception {
         server = await(StoreServer.start(vertx, 0).toCompletionStage());
-        server.setFaults(StoreFaults.none().withRates(0, 0));
+        setFaults(StoreFaults.none().withRates(0, 0));
     }
 
     static StoreFixture start() throws Exception {
@@ -55,6 +55,10 @@
         return server;
     }
 
+    void setFaults(StoreFaults faults) throws Exception {
+        await(server.setFaults(faults).toCompletionStage());
+    }
+
     Vertx vertx() {
         return vertx;
     }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/store/StoreServer.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/store/StoreServer.java
@@ -93,10 +93,15 @@
         return server.actualPort();
     }
 
-    /** Sets the faults; takes effect with the store's next turn. */
-    public void setFaults(StoreFaults next) {
+    /** Sets the faults; they are in force when the future completes. */
+    public Future<Void> setFaults(StoreFaults next) {
+        Promise<Void> promise = Promise.promise();
         wishedFaults.set(next);
-        context.runOnContext(ignored -> apply(next));
+        context.runOnContext(ignored -> {
+            apply(next);
+            promise.complete();
+        });
+        return promise.future();
     }
 
     /** The faults last set. */
