--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -1,6 +1,8 @@
 package org.basilswitch.cli;
 
 import org.basilswitch.cli.bench.BenchCommand;
+import org.basilswitch.cli.demo.DemoCommand;
+import org.basilswitch.cli.standin.StandInCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
@@ -13,8 +15,11 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             HelpCommand.class,
+            ServeCommand.class,
             CheckCommand.class,
             BenchCommand.class,
+            DemoCommand.class,
+            StandInCommand.class,
         })
 public final class Main {
     private Main() {}
--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -7,6 +7,7 @@
     ATTEMPTS_STARTED("basilswitch.attempts.started", "pool"),
     ATTEMPTS_FAILED("basilswitch.attempts.failed", "reason"),
     RETRIES("basilswitch.retries", "reason"),
+    STORE_RETRIES("basilswitch.store.retries", "call"),
     SERVERS_EJECTED("basilswitch.servers.ejected", "reason"),
     INVARIANT_VIOLATIONS("basilswitch.invariant.violations", "invariant"),
     CALLERS_REJECTED("basilswitch.callers.rejected", "reason"),
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/BadInputTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/BadInputTest.java
@@ -166,9 +166,11 @@
     public void garbageOnPeerPort() throws IOException {
         assertPeerRejects("GET / HTTP/1.1\r\n\r\n", "length");
         assertPeerRejects("\u0000\u0000\u0000\u0005hello", "hello");
-        String other = "{\"protocol\":\"basilswitch-peer\",\"site\":\"other\",\"member\":\"m\"}";
+        String other =
+                "{\"protocol\":\"basilswitch-peer\",\"site\":\"other\",\"member\":\"m\",\"address\":\"127.0.0.1:9\"}";
         assertPeerRejects("\u0000\u0000\u0000" + (char) other.length() + other, "site");
-        String same = "{\"protocol\":\"basilswitch-peer\",\"site\":\"test\",\"member\":\"m\"}";
+        String same =
+                "{\"protocol\":\"basilswitch-peer\",\"site\":\"test\",\"member\":\"m\",\"address\":\"127.0.0.1:9\"}";
         assertPeerRejects("\u0000\u0000\u0000" + (char) same.length() + same + "\u0000\u0000\u0000\u0002xx", "message");
         assertTrue(log.has(EventCode.PEER_FRAME_INVALID));
     }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/WorkerFaultTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/WorkerFaultTest.java
@@ -44,7 +44,9 @@
                     .setStatusCode(503)
                     .putHeader("Basilswitch-Worker", "busy")
                     .end());
-            HttpResponse<String> answer = send(site).join();
+            HttpResponse<String> answer = site.send(site.post(HttpRequest.BodyPublishers.ofString("x"))
+                    .header("Basilswitch-Deadline-Ms", "500")
+                    .build());
             assertEquals(answer.headers().firstValue("Basilswitch-Outcome").orElseThrow(), "not-run");
         }
     }
