--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/ChangeRoutes.java
@@ -0,0 +1,150 @@
+package org.basilswitch.daemon.admin;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import io.vertx.ext.web.RoutingContext;
+import org.basilswitch.administration.Administrator;
+import org.basilswitch.administration.AuditLog;
+import org.basilswitch.administration.Change;
+import org.basilswitch.administration.ChangeRefusal;
+import org.basilswitch.administration.ChangeRequest;
+import org.basilswitch.administration.ChangeResult;
+import org.basilswitch.administration.Operator;
+import org.basilswitch.administration.RecordKey;
+import org.basilswitch.administration.RecordReader;
+import org.basilswitch.entry.EntryHost;
+
+/** Handles changes of records and questions about their results. */
+final class ChangeRoutes {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int NOT_FOUND = 404;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int AUDIT_HOURS = 1;
+
+    private final Administrator administrator;
+    private final AuditLog audit;
+    private final EntryHost host;
+    private final Duration inForceWait;
+
+    private ChangeRoutes(Administrator administrator, AuditLog audit, EntryHost host, Duration inForceWait) {
+        this.administrator = administrator;
+        this.audit = audit;
+        this.host = host;
+        this.inForceWait = inForceWait;
+    }
+
+    static ChangeRoutes create(Administrator administrator, AuditLog audit, EntryHost host, Duration inForceWait) {
+        return new ChangeRoutes(administrator, audit, host, inForceWait);
+    }
+
+    void put(RoutingContext context) {
+        RecordKey key = Routes.key(context);
+        body(context)
+                .flatMap(json -> RecordReader.read(key, json))
+                .peek(record -> submit(context, new Change.Put(record)))
+                .peekLeft(refusal -> Answers.refused(context, refusal.code(), refusal.detail()));
+    }
+
+    void patch(RoutingContext context) {
+        body(context)
+                .peek(json -> submit(context, new Change.Patch(Routes.key(context), json)))
+                .peekLeft(refusal -> Answers.refused(context, refusal.code(), refusal.detail()));
+    }
+
+    void delete(RoutingContext context) {
+        submit(context, new Change.Delete(Routes.key(context)));
+    }
+
+    private static Either<ChangeRefusal, JsonNode> body(RoutingContext context) {
+        try {
+            JsonNode json = MAPPER.readTree(context.body().buffer().getBytes());
+            if (json != null && json.isObject()) {
+                return Either.right(json);
+            }
+            return Either.left(new ChangeRefusal(ChangeRefusal.Code.RECORD_INVALID, "the body is not a JSON object"));
+        } catch (IOException e) {
+            return Either.left(new ChangeRefusal(ChangeRefusal.Code.RECORD_INVALID, "the body is malformed JSON"));
+        }
+    }
+
+    private void submit(RoutingContext context, Change change) {
+        if (!host.authority().mayStart()) {
+            Answers.refused(context, ChangeRefusal.Code.NO_MAJORITY, "the change was not made");
+            return;
+        }
+        Operator operator = Routes.operator(context);
+        ChangeHeaders.read(context.request())
+                .peek(headers -> administrator
+                        .submit(new ChangeRequest(headers.operationId(), operator, change, headers.expectedRevision()))
+                        .thenAccept(result -> answer(context, change.key(), result)))
+                .peekLeft(problem -> Answers.problem(context, problem));
+    }
+
+    private void answer(RoutingContext context, RecordKey key, ChangeResult result) {
+        switch (result) {
+            case ChangeResult.Accepted accepted -> answerAccepted(context, accepted);
+            case ChangeResult.Refused refused
+            when refused.refusal().code() == ChangeRefusal.Code.RECORD_CHANGED -> answerChanged(context, key, refused);
+            case ChangeResult.Refused refused ->
+                Answers.refused(
+                        context, refused.refusal().code(), refused.refusal().detail());
+            case ChangeResult.Unknown unknown ->
+                Answers.problem(
+                        context,
+                        Problem.of(
+                                        GATEWAY_TIMEOUT,
+                                        "unknown",
+                                        unknown.detail(),
+                                        "Ask again with the same operation id, " + unknown.operationId() + ".")
+                                .withUnknownResult());
+        }
+    }
+
+    private void answerAccepted(RoutingContext context, ChangeResult.Accepted accepted) {
+        Duration wait = ChangeHeaders.wait(context.request(), inForceWait);
+        host.inForce().await(accepted.revision(), wait).thenAccept(state -> {
+            context.response().putHeader("ETag", "\"" + accepted.revision() + "\"");
+            Answers.json(context, state.inForce() ? OK : ACCEPTED, ChangeAnswer.of(accepted, state));
+        });
+    }
+
+    private void answerChanged(RoutingContext context, RecordKey key, ChangeResult.Refused refused) {
+        audit.newest(1, AUDIT_HOURS, Optional.of(key)).thenAccept(records -> {
+            ChangeRefusal.Code code = refused.refusal().code();
+            Problem problem = Problem.of(
+                            code.status(), code.text(), refused.refusal().detail(), code.remedy())
+                    .withCurrent(refused.current().stream().map(Answers::view).toList(), records.getOrElse(List.of()));
+            Answers.problem(context, problem);
+        });
+    }
+
+    void operation(RoutingContext context) {
+        String id = context.pathParam("operationId");
+        administrator
+                .find(id)
+                .thenAccept(found -> found.fold(
+                        error -> {
+                            Answers.storeFailed(context, error);
+                            return null;
+                        },
+                        accepted -> {
+                            accepted.ifPresentOrElse(
+                                    change -> answerAccepted(context, change),
+                                    () -> Answers.problem(
+                                            context,
+                                            NOT_FOUND,
+                                            "operation-unknown",
+                                            "no change with the operation id " + id + " has been accepted",
+                                            "Ask for the change again with the same operation id."));
+                            return null;
+                        }));
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/OperatorKeys.java
@@ -0,0 +1,54 @@
+package org.basilswitch.daemon.admin;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+
+import org.basilswitch.administration.Operator;
+import org.basilswitch.daemon.settings.Settings;
+
+/** Finds the operator of a bearer key; only hashes are kept, and all are compared in constant time. */
+final class OperatorKeys {
+    private static final String SCHEME = "Bearer ";
+
+    private final List<Entry> entries;
+
+    private OperatorKeys(List<Entry> entries) {
+        this.entries = entries;
+    }
+
+    private record Entry(byte[] hash, Operator operator) {}
+
+    static OperatorKeys of(List<Settings.Operator> operators) {
+        return new OperatorKeys(operators.stream()
+                .map(operator -> new Entry(
+                        HexFormat.of().parseHex(operator.sha256Hex()), new Operator(operator.name(), operator.role())))
+                .toList());
+    }
+
+    /** The operator of an {@code Authorization} header; empty when the key is missing or unknown. */
+    Optional<Operator> find(String authorization) {
+        if (authorization == null || !authorization.startsWith(SCHEME)) {
+            return Optional.empty();
+        }
+        byte[] hash = sha256(authorization.substring(SCHEME.length()).trim());
+        Optional<Operator> found = Optional.empty();
+        for (Entry entry : entries) {
+            if (MessageDigest.isEqual(entry.hash, hash)) {
+                found = Optional.of(entry.operator);
+            }
+        }
+        return found;
+    }
+
+    private static byte[] sha256(String secret) {
+        try {
+            return MessageDigest.getInstance("SHA-256").digest(secret.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/ReadRoutes.java
@@ -0,0 +1,105 @@
+package org.basilswitch.daemon.admin;
+
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import io.vertx.ext.web.RoutingContext;
+import org.basilswitch.administration.Administrator;
+import org.basilswitch.administration.AuditLog;
+import org.basilswitch.administration.ChangeRefusal;
+import org.basilswitch.administration.FleetStatus;
+import org.basilswitch.administration.RecordKey;
+import org.basilswitch.entry.EntryHost;
+
+/** Handles questions about records, the fleet and the audit records. */
+final class ReadRoutes {
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int MAX_AUDIT_RECORDS = 1_000;
+    private static final int MAX_AUDIT_HOURS = 336;
+    private static final int DEFAULT_AUDIT_RECORDS = 100;
+    private static final int DEFAULT_AUDIT_HOURS = 24;
+    private static final Pattern RECORD = Pattern.compile("([a-z]+)/(.+)");
+
+    private final Administrator administrator;
+    private final AuditLog audit;
+    private final EntryHost host;
+    private final String site;
+
+    private ReadRoutes(Administrator administrator, AuditLog audit, EntryHost host, String site) {
+        this.administrator = administrator;
+        this.audit = audit;
+        this.host = host;
+        this.site = site;
+    }
+
+    static ReadRoutes create(Administrator administrator, AuditLog audit, EntryHost host, String site) {
+        return new ReadRoutes(administrator, audit, host, site);
+    }
+
+    void list(RoutingContext context) {
+        String kind = Routes.kind(context);
+        administrator
+                .list(kind)
+                .thenAccept(result -> result.peek(records -> Answers.json(
+                                context,
+                                OK,
+                                new RecordList(
+                                        records.stream().map(Answers::view).toList())))
+                        .peekLeft(error -> Answers.storeFailed(context, error)));
+    }
+
+    void record(RoutingContext context) {
+        RecordKey key = Routes.key(context);
+        administrator
+                .read(key)
+                .thenAccept(result -> result.peek(found -> found.ifPresentOrElse(
+                                record -> {
+                                    context.response().putHeader("ETag", "\"" + record.revision() + "\"");
+                                    Answers.json(context, OK, Answers.view(record));
+                                },
+                                () -> Answers.refused(
+                                        context, ChangeRefusal.Code.RECORD_UNKNOWN, key + " does not exist")))
+                        .peekLeft(error -> Answers.storeFailed(context, error)));
+    }
+
+    void status(RoutingContext context) {
+        FleetStatus status = FleetStatus.of(
+                site, host.self(), host.ready(), host.broker().openRequests(), host.members(), host.configuration());
+        Answers.json(context, OK, status);
+    }
+
+    void audit(RoutingContext context) {
+        Optional<Integer> limit = number(context, "limit", DEFAULT_AUDIT_RECORDS, MAX_AUDIT_RECORDS);
+        Optional<Integer> hours = number(context, "hours", DEFAULT_AUDIT_HOURS, MAX_AUDIT_HOURS);
+        Optional<String> wanted = Optional.ofNullable(context.request().getParam("record"));
+        Optional<RecordKey> key = wanted.map(RECORD::matcher)
+                .filter(matcher -> matcher.matches())
+                .map(matcher -> new RecordKey(matcher.group(1), matcher.group(2)));
+        if (limit.isEmpty() || hours.isEmpty() || wanted.isPresent() && key.isEmpty()) {
+            Answers.problem(
+                    context,
+                    BAD_REQUEST,
+                    "query-invalid",
+                    "limit, hours or record is malformed or out of range",
+                    "Write limit from 1 to " + MAX_AUDIT_RECORDS + ", hours from 1 to " + MAX_AUDIT_HOURS
+                            + " and record as kind/name.");
+            return;
+        }
+        audit.newest(limit.get(), hours.get(), key)
+                .thenAccept(result -> result.peek(records -> Answers.json(context, OK, new AuditPage(records)))
+                        .peekLeft(error -> Answers.storeFailed(context, error)));
+    }
+
+    private static Optional<Integer> number(RoutingContext context, String name, int absent, int max) {
+        String text = context.request().getParam(name);
+        if (text == null) {
+            return Optional.of(absent);
+        }
+        try {
+            return Optional.of(Integer.parseInt(text)).filter(value -> value >= 1 && value <= max);
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/Routes.java
@@ -0,0 +1,30 @@
+package org.basilswitch.daemon.admin;
+
+import io.vertx.ext.web.RoutingContext;
+import org.basilswitch.administration.Operator;
+import org.basilswitch.administration.RecordKey;
+
+/** What handlers know about a request from its route. */
+final class Routes {
+    private static final String OPERATOR = "operator";
+    private static final int KIND_SEGMENT = 3;
+
+    private Routes() {}
+
+    static void setOperator(RoutingContext context, Operator operator) {
+        context.put(OPERATOR, operator);
+    }
+
+    static Operator operator(RoutingContext context) {
+        return context.get(OPERATOR);
+    }
+
+    /** The kind in {@code /admin/v1/{kind}}. */
+    static String kind(RoutingContext context) {
+        return context.normalizedPath().split("/")[KIND_SEGMENT];
+    }
+
+    static RecordKey key(RoutingContext context) {
+        return new RecordKey(kind(context), context.pathParam("name"));
+    }
+}
