Smooth the pools' demand over five minutes

Cause: with a window of 60 s the estimate still followed each queue's bursts of 5 s. Change: the default window is 5 minutes. Conclusion: the window has to be long against a round of bursts.

--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/BufferReport.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/BufferReport.java
@@ -80,16 +80,13 @@
             at = at.plus(STEP);
             failSome(duration);
             List<Host> hosts = fleet.hosts();
-            long active = hosts.stream()
-                    .filter(host -> host.state() == HostState.ACTIVE)
-                    .count();
             double needed = 0;
             List<String> pools = fleet.pools();
             for (int i = 0; i < pools.size() - 1; i++) {
                 needed += load.meanSlots(i, at) / SLOTS_PER_HOST;
                 account(pools.get(i), i, hosts);
             }
-            idleHostSeconds += Math.max(0, active - needed);
+            idleHostSeconds += Math.max(0, hosts.size() - needed);
         }
 
         private void account(String pool, int index, List<Host> hosts) {
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LendingPolicy.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LendingPolicy.java
@@ -29,6 +29,6 @@
 
     /** The product's default. */
     static LendingPolicy standard() {
-        return new Smoothed(Duration.ofSeconds(60), 0.7, 2, Duration.ofSeconds(30));
+        return new Smoothed(Duration.ofMinutes(5), 0.7, 2, Duration.ofSeconds(30));
     }
 }
