--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
@@ -38,8 +38,7 @@
     public void start() {
         vertx = Vertx.vertx();
         record = RunRecord.create();
-        WorkerOptions options =
-                WorkerOptions.of("w").withSlots(2, 8).withServiceTime(new ServiceTime.Fixed(1));
+        WorkerOptions options = WorkerOptions.of("w").withSlots(2, 8).withServiceTime(new ServiceTime.Fixed(1));
         worker = WorkerServer.start(vertx, options, record).await();
     }
 
@@ -206,7 +205,9 @@
     public void malformedRequestsAreRefused() throws Exception {
         assertEquals(control("/v1/run", "{}").statusCode(), 400);
         assertEquals(
-                send(run("x", 1).header("Basilswitch-Start-Before", "yesterday")).statusCode(), 400);
+                send(run("x", 1).header("Basilswitch-Start-Before", "yesterday"))
+                        .statusCode(),
+                400);
         assertEquals(control("/elsewhere", "").statusCode(), 404);
         assertEquals(control("/control/faults", "{\"slowFactor\":-1}").statusCode(), 400);
     }
