--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/admin/AdministrationFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/admin/AdministrationFixture.java
@@ -52,7 +52,7 @@
     }
 
     private AdministrationFixture() {
-        StoreFactory stores = (unused, clock, scheduler) -> MemoryStoreClient.create(
+        StoreFactory stores = (unused, clock, scheduler, events) -> MemoryStoreClient.create(
                 MemoryStore.create(clock, scheduler), scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
         server = EntryHostServer.start(
                         vertx,
