--- a/src/scripts/find-jdk.sh
+++ b/src/scripts/find-jdk.sh
@@ -20,3 +20,8 @@
   return 1
 }
 find_jdk || exit 2
+# Options that quiet a JDK's warnings about libraries; a JDK older than 24 does not know them.
+QUIET_OPTIONS=
+if [ "$(jdk_major "$JAVA_HOME")" -ge 24 ]; then
+  QUIET_OPTIONS="--sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED"
+fi
