--- a/basilswitch-core/src/main/java/org/basilswitch/configuration/ConfigurationFollower.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/configuration/ConfigurationFollower.java
@@ -34,7 +34,6 @@
     private final Scheduler scheduler;
     private final Telemetry telemetry;
     private final Map<String, RecordVersion> versions = new HashMap<>();
-    private final Map<String, ConfigurationRecord> records = new HashMap<>();
     private final RecordHistory history = new RecordHistory();
     private final List<Consumer<SiteConfiguration>> listeners = new ArrayList<>();
     private final List<Consumer<ConfigurationUpdate>> relays = new ArrayList<>();
@@ -89,27 +88,28 @@
                 .map(entry -> new RecordChange(entry.key(), Optional.of(entry.value()), entry.modRevision()))
                 .toList();
         replaceAll(changes, range.revision(), 0);
-        telemetry.event(EventCode.CONFIGURATION_LOADED, "revision=" + range.revision() + " records=" + records.size());
+        telemetry.event(EventCode.CONFIGURATION_LOADED, "revision=" + range.revision() + " records=" + versions.size());
         openWatch();
     }
 
     private void replaceAll(List<RecordChange> changes, long toRevision, long newKnownRevision) {
         versions.clear();
-        records.clear();
+        SiteConfiguration.Builder view = SiteConfiguration.empty().change();
         history.restart(toRevision);
         long newest = newKnownRevision;
         for (RecordChange change : changes) {
-            apply(change);
+            apply(change, view);
             newest = Math.max(newest, change.modRevision());
         }
         loaded = true;
-        publish(toRevision, newest);
+        publish(view.build(toRevision), newest);
     }
 
-    private void apply(RecordChange change) {
+    private void apply(RecordChange change, SiteConfiguration.Builder view) {
         if (change.value().isEmpty()) {
             versions.remove(change.key());
-            records.remove(change.key());
+            String[] parts = change.key().substring(prefix.length()).split("/", 2);
+            view.remove(parts[0], parts[parts.length - 1]);
             return;
         }
         byte[] value = change.value().get();
@@ -120,13 +120,13 @@
         PlatformStore.Entry entry = new PlatformStore.Entry(change.key(), value, 0, change.modRevision());
         SiteConfiguration.decode(prefix, entry)
                 .ifPresentOrElse(
-                        record -> records.put(change.key(), record),
+                        view::put,
                         () -> telemetry.event(EventCode.CONFIGURATION_RECORD_INVALID, "key=" + change.key()));
     }
 
-    private void publish(long revision, long newKnownRevision) {
+    private void publish(SiteConfiguration view, long newKnownRevision) {
         knownRevision = Math.max(knownRevision, newKnownRevision);
-        current = SiteConfiguration.of(revision, records.values());
+        current = view;
         List.copyOf(listeners).forEach(listener -> listener.accept(current));
     }
 
@@ -170,13 +170,14 @@
     }
 
     private void advance(List<RecordChange> changes, long toRevision, long newKnownRevision) {
+        SiteConfiguration.Builder view = current.change();
         for (RecordChange change : changes) {
             if (change.modRevision() > revision()) {
-                apply(change);
+                apply(change, view);
                 history.add(change);
             }
         }
-        publish(toRevision, newKnownRevision);
+        publish(view.build(toRevision), newKnownRevision);
     }
 
     /** The update that brings a peer from a revision up to this view. */
--- a/basilswitch-core/src/main/java/org/basilswitch/configuration/SiteConfiguration.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/configuration/SiteConfiguration.java
@@ -1,63 +1,72 @@
 package org.basilswitch.configuration;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.basilswitch.store.PlatformStore;
 
-/** An immutable view of all configuration records at one revision of the store. */
+/**
+ * An immutable view of all configuration records at one revision of the store.
+ *
+ * <p>A changed view shares the unchanged records with its predecessor: one change costs time in proportion to the
+ * hosts of its pool, not to the fleet.
+ */
 public final class SiteConfiguration {
+    private static final SiteConfiguration EMPTY = new Builder(new SiteConfiguration()).build(0);
+
     private final long revision;
-    private final Map<String, Team> teams = new HashMap<>();
-    private final Map<String, TeamKey> keys = new HashMap<>();
-    private final Map<String, TeamKey> keysByHash = new HashMap<>();
-    private final Map<String, Queue> queues = new HashMap<>();
-    private final Map<String, Pool> pools = new HashMap<>();
-    private final Map<String, Host> hosts = new HashMap<>();
-    private final Map<String, List<Host>> hostsByPool = new HashMap<>();
-    private final Map<String, MaintenanceWave> waves = new HashMap<>();
-
-    private SiteConfiguration(long revision) {
+    private final RecordMap<Team> teams;
+    private final RecordMap<TeamKey> keys;
+    private final RecordMap<TeamKey> keysByHash;
+    private final RecordMap<Queue> queues;
+    private final RecordMap<Pool> pools;
+    private final RecordMap<Host> hosts;
+    private final RecordMap<List<Host>> hostsByPool;
+    private final RecordMap<MaintenanceWave> waves;
+
+    private SiteConfiguration() {
+        revision = 0;
+        teams = RecordMap.empty();
+        keys = RecordMap.empty();
+        keysByHash = RecordMap.empty();
+        queues = RecordMap.empty();
+        pools = RecordMap.empty();
+        hosts = RecordMap.empty();
+        hostsByPool = RecordMap.empty();
+        waves = RecordMap.empty();
+    }
+
+    private SiteConfiguration(long revision, Builder builder) {
         this.revision = revision;
+        teams = builder.teams;
+        keys = builder.keys;
+        keysByHash = builder.keysByHash;
+        queues = builder.queues;
+        pools = builder.pools;
+        hosts = builder.hosts;
+        hostsByPool = builder.hostsByPool;
+        waves = builder.waves;
     }
 
     /** The configuration of a store without records. */
     public static SiteConfiguration empty() {
-        return new SiteConfiguration(0);
+        return EMPTY;
     }
 
     /** Builds a view from records. */
     public static SiteConfiguration of(long revision, Iterable<? extends ConfigurationRecord> records) {
-        SiteConfiguration configuration = new SiteConfiguration(revision);
-        for (ConfigurationRecord record : records) {
-            configuration.add(record);
-        }
-        configuration.index();
-        return configuration;
-    }
-
-    private void add(ConfigurationRecord record) {
-        switch (record) {
-            case Team team -> teams.put(team.name(), team);
-            case TeamKey key -> keys.put(key.name(), key);
-            case Queue queue -> queues.put(queue.name(), queue);
-            case Pool pool -> pools.put(pool.name(), pool);
-            case Host host -> hosts.put(host.name(), host);
-            case MaintenanceWave wave -> waves.put(wave.name(), wave);
-        }
+        Builder builder = EMPTY.change();
+        records.forEach(builder::put);
+        return builder.build(revision);
     }
 
-    private void index() {
-        keys.values().forEach(key -> keysByHash.put(key.sha256Hex(), key));
-        pools.keySet()
-                .forEach(pool -> hostsByPool.put(
-                        pool,
-                        hosts.values().stream()
-                                .filter(host -> host.pool().equals(pool))
-                                .sorted(java.util.Comparator.comparing(Host::name))
-                                .toList()));
+    /** Starts a changed view. */
+    public Builder change() {
+        return new Builder(this);
     }
 
     /** Decodes one record of the configuration from its key and value; empty when it is not one. */
@@ -87,12 +96,12 @@
 
     /** Teams by name. */
     public Map<String, Team> teams() {
-        return java.util.Collections.unmodifiableMap(teams);
+        return teams;
     }
 
     /** Keys by name. */
     public Map<String, TeamKey> keys() {
-        return java.util.Collections.unmodifiableMap(keys);
+        return keys;
     }
 
     /** Finds a granted key by the hash of its secret. */
@@ -102,26 +111,130 @@
 
     /** Queues by name. */
     public Map<String, Queue> queues() {
-        return java.util.Collections.unmodifiableMap(queues);
+        return queues;
     }
 
     /** Pools by name. */
     public Map<String, Pool> pools() {
-        return java.util.Collections.unmodifiableMap(pools);
+        return pools;
     }
 
     /** Hosts by name. */
     public Map<String, Host> hosts() {
-        return java.util.Collections.unmodifiableMap(hosts);
+        return hosts;
     }
 
     /** Hosts of a pool, in order of their names. */
     public List<Host> hostsOf(String pool) {
-        return hostsByPool.getOrDefault(pool, List.of());
+        List<Host> found = hostsByPool.get(pool);
+        return found == null ? List.of() : found;
     }
 
     /** Waves by name. */
     public Map<String, MaintenanceWave> waves() {
-        return java.util.Collections.unmodifiableMap(waves);
+        return waves;
+    }
+
+    /** Collects changes of a view. */
+    public static final class Builder {
+        private RecordMap<Team> teams;
+        private RecordMap<TeamKey> keys;
+        private RecordMap<TeamKey> keysByHash;
+        private RecordMap<Queue> queues;
+        private RecordMap<Pool> pools;
+        private RecordMap<Host> hosts;
+        private RecordMap<List<Host>> hostsByPool;
+        private RecordMap<MaintenanceWave> waves;
+        private final Map<String, List<Host>> changedPools = new java.util.HashMap<>();
+
+        private Builder(SiteConfiguration from) {
+            teams = from.teams;
+            keys = from.keys;
+            keysByHash = from.keysByHash;
+            queues = from.queues;
+            pools = from.pools;
+            hosts = from.hosts;
+            hostsByPool = from.hostsByPool;
+            waves = from.waves;
+        }
+
+        /** Adds or replaces a record. */
+        public Builder put(ConfigurationRecord record) {
+            remove(record.getClass(), record.name());
+            switch (record) {
+                case Team team -> teams = teams.with(team.name(), team);
+                case TeamKey key -> putKey(key);
+                case Queue queue -> queues = queues.with(queue.name(), queue);
+                case Pool pool -> pools = pools.with(pool.name(), pool);
+                case Host host -> putHost(host);
+                case MaintenanceWave wave -> waves = waves.with(wave.name(), wave);
+            }
+            return this;
+        }
+
+        private void putKey(TeamKey key) {
+            keys = keys.with(key.name(), key);
+            keysByHash = keysByHash.with(key.sha256Hex(), key);
+        }
+
+        private void putHost(Host host) {
+            hosts = hosts.with(host.name(), host);
+            changedPool(host.pool()).add(host);
+        }
+
+        /** Removes a record by its kind, as in {@link #typeOf}, and name; without effect when there is none. */
+        public Builder remove(String kind, String name) {
+            typeOf(kind).ifPresent(type -> remove(type, name));
+            return this;
+        }
+
+        private void remove(Class<? extends ConfigurationRecord> type, String name) {
+            if (type == Team.class) {
+                teams = teams.without(name);
+            } else if (type == TeamKey.class) {
+                removeKey(name);
+            } else if (type == Queue.class) {
+                queues = queues.without(name);
+            } else if (type == Pool.class) {
+                pools = pools.without(name);
+            } else if (type == Host.class) {
+                removeHost(name);
+            } else {
+                waves = waves.without(name);
+            }
+        }
+
+        private void removeKey(String name) {
+            TeamKey old = keys.get(name);
+            if (old != null) {
+                keys = keys.without(name);
+                keysByHash = keysByHash.without(old.sha256Hex());
+            }
+        }
+
+        private void removeHost(String name) {
+            Host old = hosts.get(name);
+            if (old != null) {
+                hosts = hosts.without(name);
+                changedPool(old.pool()).removeIf(host -> host.name().equals(name));
+            }
+        }
+
+        private List<Host> changedPool(String pool) {
+            return changedPools.computeIfAbsent(pool, name -> {
+                List<Host> known = hostsByPool.get(name);
+                return known == null ? new ArrayList<>() : new ArrayList<>(known);
+            });
+        }
+
+        /** Builds the view at a revision. */
+        public SiteConfiguration build(long revision) {
+            changedPools.forEach((pool, list) -> {
+                list.sort(Comparator.comparing(Host::name));
+                hostsByPool = hostsByPool.with(pool, Collections.unmodifiableList(list));
+            });
+            changedPools.clear();
+            return new SiteConfiguration(revision, this);
+        }
     }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/configuration/SiteConfigurationTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/configuration/SiteConfigurationTest.java
@@ -1,8 +1,12 @@
 package org.basilswitch.configuration;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.store.PlatformStore;
 import org.testng.annotations.Test;
 
@@ -29,4 +33,43 @@
         assertEquals(configuration.keyByHash("ab").orElseThrow().team(), "depot");
         assertTrue(configuration.keyByHash("cd").isEmpty());
     }
+
+    /** A view changed step by step equals one built at once from the same records. */
+    @Test
+    public void changedViewsEqualViewsBuiltAtOnce() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+        Map<String, Host> records = new HashMap<>();
+        SiteConfiguration changed = SiteConfiguration.empty();
+        for (int step = 1; step <= 2_000; step++) {
+            String name = "host-" + random.nextInt(40);
+            if (random.nextInt(4) == 0) {
+                records.remove(name);
+                changed = changed.change().remove("hosts", name).build(step);
+            } else {
+                Host host = host(name, "pool-" + random.nextInt(3), random.nextInt(9));
+                records.put(name, host);
+                changed = changed.change().put(host).build(step);
+            }
+            SiteConfiguration built = SiteConfiguration.of(step, records.values());
+            assertEquals(changed.hosts(), built.hosts());
+            for (int pool = 0; pool < 3; pool++) {
+                assertEquals(changed.hostsOf("pool-" + pool), built.hostsOf("pool-" + pool));
+            }
+        }
+    }
+
+    /** A key whose secret is replaced is no longer found by its old hash. */
+    @Test
+    public void replacedKeysLoseTheirOldHash() {
+        SiteConfiguration before = SiteConfiguration.of(1, List.of(new TeamKey("k1", "depot", "ab")));
+        SiteConfiguration after =
+                before.change().put(new TeamKey("k1", "depot", "cd")).build(2);
+        assertTrue(after.keyByHash("ab").isEmpty());
+        assertEquals(after.keyByHash("cd").orElseThrow().name(), "k1");
+        assertEquals(before.keyByHash("ab").orElseThrow().name(), "k1");
+    }
+
+    private static Host host(String name, String pool, int slots) {
+        return new Host(name, "127.0.0.1:1", "z1", "r1", pool, HostState.ACTIVE, slots, 64, 4, 1L << 30, 0);
+    }
 }
