--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultSeeds.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultSeeds.java
@@ -62,6 +62,17 @@
         return broken.size();
     }
 
+    /** Runs the seeds one after another up to the first that breaks a promise; returns it with the promise, or nothing. */
+    public static String firstBroken(long firstSeed, int seeds, int minutes) {
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            FaultRun.Report report = FaultRun.run(seed, minutes, Telemetry.none());
+            if (!report.violations().isEmpty()) {
+                return "seed " + seed + " " + report.violations().get(0);
+            }
+        }
+        return "";
+    }
+
     private void printShortest(FaultRun.Report broken, PrintStream out) {
         FaultRun.Report shortest = FaultRun.shrink(broken.seed(), minutes);
         out.printf(
