--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/ServeCommand.java
@@ -0,0 +1,116 @@
+package org.basilswitch.cli;
+
+import java.io.PrintWriter;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.apache.logging.log4j.LogManager;
+import org.basilswitch.daemon.AdministrationRoutes;
+import org.basilswitch.daemon.EntryHostServer;
+import org.basilswitch.daemon.SettingsOptions;
+import org.basilswitch.daemon.peer.ThriftFrameCodec;
+import org.basilswitch.daemon.settings.Settings;
+import org.basilswitch.daemon.store.EtcdStore;
+import org.basilswitch.daemon.store.EtcdStoreOptions;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ExitCode;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Runs one entry host until it is told to stop. */
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs one entry host until SIGTERM.",
+            "It then turns not ready, waits for the balancer, completes open requests, leaves the members and exits."
+        })
+final class ServeCommand implements Callable<Integer> {
+    private static final int EVENT_LOOPS = 1;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private SettingsFiles files;
+
+    @Option(
+            names = "--node",
+            required = true,
+            paramLabel = "NAME",
+            description = "Name of this entry host in the settings.")
+    private String node;
+
+    @Option(
+            names = "--log-format",
+            defaultValue = "json",
+            paramLabel = "FORMAT",
+            description = "Log lines on standard error: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
+    private LogSetup.Format logFormat;
+
+    @Option(
+            names = "--log-level",
+            defaultValue = "info",
+            paramLabel = "LEVEL",
+            description = "Lowest level that is logged: debug, info, warn or error (default: ${DEFAULT-VALUE}).")
+    private String logLevel;
+
+    @Override
+    public Integer call() {
+        LogSetup.use(logFormat, logLevel);
+        PrintWriter errors = spec.commandLine().getErr();
+        Optional<Settings> settings = files.load(errors);
+        if (settings.isEmpty()) {
+            return ExitCode.SOFTWARE;
+        }
+        Optional<Settings.EntryHostSettings> host = settings.get().entryHost(node);
+        if (host.isEmpty()) {
+            errors.println("no entry host " + node + " in the settings: add it under entryHosts or name another");
+            return ExitCode.SOFTWARE;
+        }
+        return serve(settings.get(), host.get());
+    }
+
+    private static int serve(Settings settings, Settings.EntryHostSettings host) {
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
+        EntryHostServer server;
+        try {
+            server = EntryHostServer.start(vertx, SettingsOptions.daemon(settings, host), parts(settings))
+                    .await();
+        } catch (RuntimeException e) {
+            vertx.close().await();
+            return ExitCode.SOFTWARE;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server, vertx), "shutdown"));
+        waitForever();
+        return ExitCode.OK;
+    }
+
+    private static EntryHostServer.Parts parts(Settings settings) {
+        EtcdStoreOptions storeOptions = SettingsOptions.store(settings);
+        return new EntryHostServer.Parts(
+                (vertx, clock, scheduler, telemetry) ->
+                        EtcdStore.create(vertx, vertx.getOrCreateContext(), storeOptions, telemetry),
+                ThriftFrameCodec.create(),
+                AdministrationRoutes.none());
+    }
+
+    private static void stop(EntryHostServer server, Vertx vertx) {
+        server.shutdown().await();
+        vertx.close().await();
+        LogManager.shutdown();
+    }
+
+    private static void waitForever() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -8,6 +8,7 @@
         mixinStandardHelpOptions = true,
         description = "Measures; each subcommand prints its figures beside targets and baselines of the same run.",
         subcommands = {
+            ProxyCommand.class,
             FaultsCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -34,7 +34,6 @@
  * <p>Methods may be called from any thread.
  */
 public final class EntryHostServer implements AutoCloseable {
-    private static final Duration TLS_CHECK_INTERVAL = Duration.ofSeconds(5);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     private final Vertx vertx;
@@ -51,6 +50,8 @@
     private CallerPort callers;
     private AdministrationPort administration;
     private volatile boolean stopping;
+    private volatile boolean ready;
+    private volatile boolean closed;
     private volatile String deploymentId;
 
     private EntryHostServer(Vertx vertx, DaemonOptions options, Parts parts) {
@@ -83,15 +84,9 @@
     private Future<Void> open(Context eventLoop) {
         context = eventLoop;
         MemberId id = new MemberId(UUID.randomUUID().toString());
-        tls = TlsReloader.create(vertx, telemetry, TLS_CHECK_INTERVAL);
+        tls = TlsReloader.create(vertx, telemetry, options.tlsCheckInterval());
         peers = PeerTransport.create(
-                vertx,
-                options.peers(),
-                options.site(),
-                id,
-                parts.codec(),
-                telemetry,
-                PeerMeters.create(meters.registry()));
+                vertx, options.site(), id, parts.codec(), telemetry, PeerMeters.create(meters.registry()));
         ProcessMeters.register(meters.registry());
         return peers.listen(options.peers(), tls)
                 .compose(listening -> openHost(id))
@@ -102,7 +97,7 @@
     private Future<Void> openHost(MemberId id) {
         VertxScheduler scheduler = VertxScheduler.create(vertx, context);
         PlatformStore store =
-                MeteredStore.create(parts.store().create(vertx, clock, scheduler), meters.registry(), clock);
+                MeteredStore.create(parts.store().create(vertx, clock, scheduler, telemetry), meters.registry(), clock);
         String peerAddress = options.peers().ip() + ":" + peers.actualPort();
         Member self = new Member(id, options.node(), peerAddress, options.zone());
         EntryHostOptions hostOptions = new EntryHostOptions(
@@ -122,10 +117,10 @@
 
     private void openPorts(AdministrationRoutes.Parts routeParts) {
         workers = WorkerClients.create(vertx, options.worker());
-        WorkerExchange.Tools tools = new WorkerExchange.Tools(vertx, clock, options.worker(), workers, telemetry);
-        callers = CallerPort.create(vertx, options.callers(), options.caller(), host, tools, meters);
-        administration = AdministrationPort.create(
-                vertx, options.administration(), meters, this::isReady, parts.routes(), routeParts);
+        WorkerExchange.Tools tools =
+                new WorkerExchange.Tools(vertx, clock, options.worker(), workers, host.authority(), telemetry);
+        callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
+        administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
 
     private void report() {
@@ -137,6 +132,7 @@
 
     private void reportReady() {
         if (isReady()) {
+            ready = true;
             telemetry.event(EventCode.ENTRY_HOST_READY, "node=" + options.node());
         } else if (!stopping) {
             vertx.setTimer(POLL_INTERVAL.toMillis(), id -> reportReady());
@@ -163,6 +159,11 @@
         return meters;
     }
 
+    /** Whether the entry host has been ready for callers. */
+    public boolean ready() {
+        return ready;
+    }
+
     private boolean isReady() {
         return !stopping && host.ready();
     }
@@ -221,6 +222,7 @@
     }
 
     private Future<Void> closePorts() {
+        closed = true;
         host.close();
         tls.close();
         workers.close();
@@ -236,8 +238,10 @@
     /** Closes the ports at once, as a crash would. */
     @Override
     public void close() {
-        stopping = true;
-        context.runOnContext(turn -> closePorts());
+        if (!closed) {
+            stopping = true;
+            context.runOnContext(turn -> closePorts());
+        }
     }
 
     private record Deployment(EntryHostServer server) implements Deployable {
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
@@ -0,0 +1,76 @@
+package org.basilswitch.daemon;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.net.HostAndPort;
+import org.basilswitch.daemon.settings.Settings;
+import org.basilswitch.daemon.store.EtcdStoreOptions;
+import org.basilswitch.daemon.tls.TlsFiles;
+
+/** Takes an entry host's options from a site's settings. */
+public final class SettingsOptions {
+    private SettingsOptions() {}
+
+    /** Options of the daemon of one of the site's entry hosts. */
+    public static DaemonOptions daemon(Settings settings, Settings.EntryHostSettings host) {
+        Settings.DaemonLimits limits = settings.limits();
+        Settings.TlsSettings tls = settings.tls();
+        return new DaemonOptions(
+                settings.site(),
+                host.name(),
+                host.zone(),
+                listen(host.callerAddress(), tls.caller()),
+                listen(host.administrationAddress(), tls.administration()),
+                listen(host.peerAddress(), tls.peer()),
+                storeEndpoints(settings).stream().map(URI::toString).toList(),
+                tls.reloadInterval(),
+                new DaemonOptions.PeerTiming(
+                        settings.membership().promiseTime(),
+                        settings.membership().heartbeatInterval(),
+                        settings.membership().clockDriftRatio()),
+                caller(limits),
+                worker(limits),
+                new ShutdownOptions(limits.balancerWait(), limits.shutdownGrace()));
+    }
+
+    /** Options of the adapter to the platform's store. */
+    public static EtcdStoreOptions store(Settings settings) {
+        EtcdStoreOptions defaults = EtcdStoreOptions.of(storeEndpoints(settings));
+        return new EtcdStoreOptions(
+                defaults.endpoints(),
+                settings.store().connectTimeout(),
+                settings.store().callTimeout(),
+                Math.max(1, settings.store().retryLimitAttempts()),
+                defaults.watchIdleTimeout(),
+                defaults.connections());
+    }
+
+    private static List<URI> storeEndpoints(Settings settings) {
+        return settings.store().endpoints().stream()
+                .map(address -> URI.create("http://" + address.host() + ":" + address.port()))
+                .toList();
+    }
+
+    private static ListenOptions listen(HostAndPort address, Optional<Settings.Certificate> certificate) {
+        Optional<TlsFiles> files =
+                certificate.map(pem -> new TlsFiles(pem.certificatePath(), pem.keyPath(), pem.authorityPath()));
+        return new ListenOptions(address.host(), address.port(), files);
+    }
+
+    private static CallerOptions caller(Settings.DaemonLimits limits) {
+        CallerOptions defaults = CallerOptions.defaults();
+        return new CallerOptions(
+                limits.headerLimitBytes(),
+                limits.bodyLimitBytes(),
+                defaults.replayBodyBytes(),
+                limits.callerIdleTimeout(),
+                limits.callerIdleTimeout());
+    }
+
+    private static WorkerOptions worker(Settings.DaemonLimits limits) {
+        WorkerOptions defaults = WorkerOptions.defaults();
+        return new WorkerOptions(defaults.connectTimeout(), limits.serverIdleTimeout(), defaults.startWindow());
+    }
+}
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
@@ -1,5 +1,7 @@
 package org.basilswitch.daemon;
 
+import javax.net.ssl.SSLContext;
+
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URI;
@@ -13,15 +15,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
-import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.ConfigurationRecord;
 import org.basilswitch.configuration.Pool;
 import org.basilswitch.configuration.Queue;
 import org.basilswitch.configuration.RecordCodec;
-import org.basilswitch.daemon.peer.FrameCodec;
-import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.PlatformStore;
@@ -42,15 +42,17 @@
     final Vertx vertx = Vertx.vertx();
     final FakeWorker worker;
     final EntryHostServer server;
-    final HttpClient client = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(PATIENCE)
-            .build();
+    final HttpClient client;
+
+    private final String scheme;
 
-    private SiteFixture(DaemonOptions options, int connections) {
+    private SiteFixture(DaemonOptions options, int connections, HttpClient client, String scheme) {
+        this.client = client;
+        this.scheme = scheme;
         worker = FakeWorker.start(vertx);
-        StoreFactory stores = (unused, clock, scheduler) -> store(clock, scheduler, connections);
-        EntryHostServer.Parts parts = new EntryHostServer.Parts(stores, new NoMessages(), AdministrationRoutes.none());
+        StoreFactory stores = (unused, clock, scheduler, telemetry) -> store(clock, scheduler, connections);
+        EntryHostServer.Parts parts =
+                new EntryHostServer.Parts(stores, ThriftFrameCodec.create(), AdministrationRoutes.none());
         server = EntryHostServer.start(vertx, options, parts).await();
         await(() -> status("/readyz") == 200);
     }
@@ -60,15 +62,25 @@
     }
 
     static SiteFixture start(DaemonOptions options) {
-        return new SiteFixture(options, 64);
+        return new SiteFixture(options, 64, client().build(), "http");
     }
 
     static SiteFixture startWithConnections(int connections) {
-        return new SiteFixture(options(), connections);
+        return new SiteFixture(options(), connections, client().build(), "http");
+    }
+
+    /** Starts with options whose callers' and administration ports use TLS, and trusts an authority. */
+    static SiteFixture startTls(DaemonOptions options, SSLContext trusting) {
+        return new SiteFixture(options, 64, client().sslContext(trusting).build(), "https");
+    }
+
+    private static HttpClient.Builder client() {
+        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE);
     }
 
     static DaemonOptions options() {
         return DaemonOptions.loopback(SITE, "entry1", "z1")
+                .withTiming(new DaemonOptions.PeerTiming(Duration.ofMillis(300), Duration.ofMillis(100), 0.01))
                 .withShutdown(new ShutdownOptions(Duration.ofMillis(300), Duration.ofSeconds(10)));
     }
 
@@ -88,7 +100,7 @@
     }
 
     URI requests(String queue) {
-        return URI.create("http://127.0.0.1:" + server.callerPort() + "/v1/queues/" + queue + "/requests");
+        return URI.create(scheme + "://127.0.0.1:" + server.callerPort() + "/v1/queues/" + queue + "/requests");
     }
 
     HttpRequest.Builder post(HttpRequest.BodyPublisher body) {
@@ -104,7 +116,7 @@
     }
 
     HttpResponse<String> administration(String path) {
-        return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.administrationPort() + path))
+        return send(HttpRequest.newBuilder(URI.create(scheme + "://127.0.0.1:" + server.administrationPort() + path))
                 .timeout(PATIENCE)
                 .build());
     }
@@ -150,20 +162,6 @@
 
     @Override
     public void close() {
-        server.close();
         vertx.close().await();
     }
-
-    /** A codec of a protocol without messages. */
-    private static final class NoMessages implements FrameCodec {
-        @Override
-        public byte[] encode(PeerMessage message) {
-            return new byte[] {0};
-        }
-
-        @Override
-        public Either<String, Optional<PeerMessage>> decode(byte[] frame) {
-            return Either.left("not a message");
-        }
-    }
 }
