--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Measures strategies of placement beside baselines. */
+package org.basilswitch.bench.placement;
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/retries/RetriesBench.java
@@ -0,0 +1,181 @@
+package org.basilswitch.bench.retries;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Locale;
+
+import org.basilswitch.admission.SharePolicy;
+import org.basilswitch.bench.workload.FleetShape;
+import org.basilswitch.bench.workload.LoadPlan;
+import org.basilswitch.bench.workload.Variant;
+import org.basilswitch.bench.workload.VirtualFleet;
+import org.basilswitch.bench.workload.VirtualWorker;
+import org.basilswitch.placement.Placement;
+
+/** Prints amplification, ejection and return while workers of one pool fail everything or hang. */
+public final class RetriesBench {
+    private static final Duration WARM_UP = Duration.ofSeconds(5);
+    private static final Duration FAULT = Duration.ofSeconds(20);
+    private static final Duration RECOVERY = Duration.ofSeconds(40);
+    private static final Duration STEP = Duration.ofMillis(100);
+    private static final int QUIET_STEPS = 5;
+    private static final double LOAD_PART = 0.6;
+
+    private final PrintStream out;
+    private final int entryHosts;
+    private final long seed;
+
+    private RetriesBench(PrintStream out, int entryHosts, long seed) {
+        this.out = out;
+        this.entryHosts = entryHosts;
+        this.seed = seed;
+    }
+
+    /** Runs each fault under the default placement and a baseline and prints one line for each. */
+    public static void run(PrintStream out, int entryHosts, long seed) {
+        RetriesBench bench = new RetriesBench(out, entryHosts, seed);
+        out.printf(
+                Locale.ROOT, "retries: %d entry hosts, load %.1f of the pool, seed %d%n", entryHosts, LOAD_PART, seed);
+        out.println("fault                placement          amplification  on-time-% (before/during/after)"
+                + "  ejected-after-s  received-by-faulty/s  back-after-s");
+        for (VirtualWorker.Mode mode : new VirtualWorker.Mode[] {VirtualWorker.Mode.FAIL, VirtualWorker.Mode.HANG}) {
+            for (int faulty : new int[] {1, 4, 8}) {
+                bench.print(mode, faulty, "least-in-flight", new Placement.LeastInFlight());
+                bench.print(mode, faulty, "divided-slots", Placement.standard());
+            }
+        }
+    }
+
+    private void print(VirtualWorker.Mode mode, int faulty, String name, Placement placement) {
+        FleetShape shape = FleetShape.ofToday(entryHosts).withServices(1);
+        Variant variant = new Variant(name, new SharePolicy.Weighted(), placement, true);
+        VirtualFleet fleet = VirtualFleet.create(shape, variant, seed);
+        fleet.load(new Even(shape));
+        fleet.run(WARM_UP);
+        Period before = Period.of(fleet);
+        setMode(fleet, faulty, mode);
+        double ejectedAfter = secondsUntilEjected(fleet, faulty);
+        long receivedEarly = received(fleet, faulty);
+        Duration rest = FAULT.minus(Duration.ofMillis((long) (1_000 * Math.min(ejectedAfter, FAULT.toSeconds()))));
+        fleet.run(rest);
+        double receivedPerSecond = (received(fleet, faulty) - receivedEarly) / Math.max(0.1, rest.toMillis() / 1e3);
+        Period during = Period.of(fleet).minus(before);
+        setMode(fleet, faulty, VirtualWorker.Mode.NORMAL);
+        double backAfter = secondsUntilBack(fleet, faulty);
+        fleet.run(RECOVERY.minus(Duration.ofMillis((long) (1_000 * Math.min(backAfter, RECOVERY.toSeconds())))));
+        Period after = Period.of(fleet).minus(before).minus(during);
+        out.printf(
+                Locale.ROOT,
+                "%-4s %d of 8 workers  %-18s %13.3f %12.1f / %.1f / %-12.1f %15s %21.1f %13s%n",
+                mode,
+                faulty,
+                name,
+                during.amplification(),
+                100 * before.onTimePart(),
+                100 * during.onTimePart(),
+                100 * after.onTimePart(),
+                text(ejectedAfter, FAULT),
+                receivedPerSecond,
+                text(backAfter, RECOVERY));
+    }
+
+    private static String text(double seconds, Duration limit) {
+        return seconds >= limit.toSeconds() ? "never" : String.format(Locale.ROOT, "%.1f", seconds);
+    }
+
+    private static void setMode(VirtualFleet fleet, int faulty, VirtualWorker.Mode mode) {
+        for (int i = 0; i < faulty; i++) {
+            fleet.worker(0, i).mode(mode);
+        }
+    }
+
+    private static long received(VirtualFleet fleet, int faulty) {
+        long received = 0;
+        for (int i = 0; i < faulty; i++) {
+            received += fleet.worker(0, i).received();
+        }
+        return received;
+    }
+
+    /** Seconds until the faulty workers receive no more than one probe a second from each entry host. */
+    private double secondsUntilEjected(VirtualFleet fleet, int faulty) {
+        double probesPerStep = entryHosts * faulty * STEP.toMillis() / 1e3;
+        int quiet = 0;
+        double seconds = 0;
+        while (seconds < FAULT.toSeconds()) {
+            long before = received(fleet, faulty);
+            fleet.run(STEP);
+            seconds += STEP.toMillis() / 1e3;
+            quiet = received(fleet, faulty) - before <= probesPerStep ? quiet + 1 : 0;
+            if (quiet == QUIET_STEPS) {
+                return seconds - QUIET_STEPS * STEP.toMillis() / 1e3;
+            }
+        }
+        return FAULT.toSeconds();
+    }
+
+    /** Seconds until the workers that were faulty run half of their even part again. */
+    private static double secondsUntilBack(VirtualFleet fleet, int faulty) {
+        double wanted = LOAD_PART * faulty * fleet.worker(0, 0).slots() / 2;
+        double seconds = 0;
+        while (seconds < RECOVERY.toSeconds()) {
+            fleet.run(STEP);
+            seconds += 0.1;
+            int running = 0;
+            for (int i = 0; i < faulty; i++) {
+                running += fleet.worker(0, i).running();
+            }
+            if (running >= wanted) {
+                return seconds;
+            }
+        }
+        return RECOVERY.toSeconds();
+    }
+
+    private record Period(long requests, long onTime, long attempts, long busy) {
+        static Period of(VirtualFleet fleet) {
+            long busy = 0;
+            for (VirtualWorker worker : fleet.workers()) {
+                busy += worker.busyRefusals();
+            }
+            return new Period(
+                    fleet.outcomes().requests(),
+                    fleet.outcomes().onTime(),
+                    fleet.counters().attempts(),
+                    busy);
+        }
+
+        Period minus(Period other) {
+            return new Period(
+                    requests - other.requests, onTime - other.onTime, attempts - other.attempts, busy - other.busy);
+        }
+
+        /** Sends for each request, those that a worker refused for lack of a slot left out. */
+        double amplification() {
+            return (double) (attempts - busy) / requests;
+        }
+
+        double onTimePart() {
+            return (double) onTime / requests;
+        }
+    }
+
+    private record Even(FleetShape shape) implements LoadPlan {
+        @Override
+        public double ratePerSecond(int service, int team, double seconds) {
+            return highestRatePerSecond();
+        }
+
+        @Override
+        public double highestRatePerSecond() {
+            return shape.capacityPerSecond() * LOAD_PART / shape.teamWeights().size();
+        }
+    }
+
+    /** Runs from the command line: entry hosts, seed. */
+    public static void main(String[] arguments) {
+        int hosts = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 9;
+        long seed = arguments.length > 1 ? Long.parseLong(arguments[1]) : 1;
+        run(System.out, hosts, seed);
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/retries/package-info.java
@@ -0,0 +1,2 @@
+/** Measures retries, ejection and refusals while workers fail. */
+package org.basilswitch.bench.retries;
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/shares/SharesBench.java
@@ -0,0 +1,229 @@
+package org.basilswitch.bench.shares;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+import org.basilswitch.admission.SharePolicy;
+import org.basilswitch.bench.workload.FleetShape;
+import org.basilswitch.bench.workload.LoadPlan;
+import org.basilswitch.bench.workload.Variant;
+import org.basilswitch.bench.workload.VirtualFleet;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.placement.Placement;
+
+/** Prints nearness to share, return of lent parts and effects of bursts, beside baselines, on virtual time. */
+public final class SharesBench {
+    private static final Duration WARM_UP = Duration.ofSeconds(5);
+    private static final Duration SATURATED = Duration.ofSeconds(40);
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final Duration IDLE = Duration.ofSeconds(10);
+    private static final Duration AFTER_RETURN = Duration.ofSeconds(10);
+    private static final Duration BURST_RUN = Duration.ofSeconds(40);
+    private static final double BURST_FACTOR = 5;
+    private static final double BETWEEN_FACTOR = 0.05;
+    private static final double BURST_SECONDS = 4;
+
+    private final PrintStream out;
+    private final int entryHosts;
+
+    private SharesBench(PrintStream out, int entryHosts) {
+        this.out = out;
+        this.entryHosts = entryHosts;
+    }
+
+    /** Runs all variants over some seeds and prints one line for each. */
+    public static void run(PrintStream out, int entryHosts, long firstSeed, int seeds) {
+        SharesBench bench = new SharesBench(out, entryHosts);
+        out.printf(
+                Locale.ROOT,
+                "shares: %d entry hosts, weights %s, %d seeds from %d, 10 s windows%n",
+                entryHosts,
+                FleetShape.ofToday(entryHosts).teamWeights(),
+                seeds,
+                firstSeed);
+        out.println("variant            worst-error-% (equal/skewed)  used-slots  return-s  "
+                + "others-refused-% (calm/burst)  busy/request  report-B/s  violations");
+        for (Variant variant : variants()) {
+            bench.print(variant, firstSeed, seeds);
+        }
+    }
+
+    /** The variants under measurement, baselines first. */
+    public static List<Variant> variants() {
+        Placement probing = new Placement.LocalProbing(2);
+        return List.of(
+                new Variant("fifo", new SharePolicy.Fifo(), probing, false),
+                new Variant("fair-per-host", new SharePolicy.Weighted(), probing, false),
+                new Variant("fair-fleet", new SharePolicy.Weighted(), probing, true),
+                new Variant("fair-divided", new SharePolicy.Weighted(), new Placement.DividedSlots(2), true));
+    }
+
+    private void print(Variant variant, long firstSeed, int seeds) {
+        Saturation equal = new Saturation();
+        Saturation skewed = new Saturation();
+        Duration returned = Duration.ZERO;
+        double calm = 0;
+        double burst = 0;
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            saturate(variant, seed, team -> 2.0, equal);
+            saturate(variant, seed, team -> team == 0 ? 10.0 : 1.5, skewed);
+            Duration back = timeToReturn(variant, seed);
+            returned = returned.compareTo(back) > 0 ? returned : back;
+            calm += othersRefused(variant, seed, 1) / seeds;
+            burst += othersRefused(variant, seed, BURST_FACTOR) / seeds;
+        }
+        out.printf(
+                Locale.ROOT,
+                "%-18s %13.1f / %-13.1f %12.1f %9s %14.2f / %-12.2f %12.2f %11.0f %11d%n",
+                variant.name(),
+                100 * equal.worstError,
+                100 * skewed.worstError,
+                equal.usedSlots / seeds,
+                returned.compareTo(AFTER_RETURN) > 0
+                        ? "never"
+                        : String.format(Locale.ROOT, "%.2f", returned.toMillis() / 1e3),
+                100 * calm,
+                100 * burst,
+                equal.busyPerRequest / seeds,
+                equal.reportBytesPerSecond / seeds,
+                equal.violations + skewed.violations);
+    }
+
+    private void saturate(Variant variant, long seed, Overload overload, Saturation into) {
+        FleetShape shape = FleetShape.ofToday(entryHosts).withServices(1);
+        VirtualFleet fleet = VirtualFleet.create(shape, variant, seed);
+        List<Double> ideal = ideal(shape);
+        fleet.load(new Steady(shape, ideal, overload));
+        ShareWindows windows = new ShareWindows(ideal.size());
+        windows.run(fleet, WARM_UP.plus(SATURATED));
+        into.worstError = Math.max(into.worstError, windows.worstError(ideal, WARM_UP, WINDOW));
+        into.usedSlots += windows.used((int) WARM_UP.dividedBy(ShareWindows.SAMPLE_INTERVAL), windows.size());
+        into.reportBytesPerSecond += fleet.reportBytesPerSecond();
+        into.busyPerRequest += busyPerAnswer(fleet);
+        into.violations += fleet.counters().count(CounterCode.INVARIANT_VIOLATIONS);
+    }
+
+    private static double busyPerAnswer(VirtualFleet fleet) {
+        long busy = 0;
+        for (var worker : fleet.workers()) {
+            busy += worker.busyRefusals();
+        }
+        return (double) busy / Math.max(1, fleet.outcomes().onTime());
+    }
+
+    /** Time until a team that was idle has 90% of its part again, the worst of the teams. */
+    private Duration timeToReturn(Variant variant, long seed) {
+        FleetShape shape = FleetShape.ofToday(entryHosts).withServices(1);
+        List<Double> ideal = ideal(shape);
+        Duration worst = Duration.ZERO;
+        for (int team = 1; team < 3; team++) {
+            int idle = team;
+            VirtualFleet fleet = VirtualFleet.create(shape, variant, seed);
+            Steady steady = new Steady(shape, ideal, any -> 2.0);
+            fleet.load(new Returning(steady, idle, IDLE.toSeconds()));
+            ShareWindows windows = new ShareWindows(ideal.size());
+            windows.run(fleet, IDLE);
+            int from = windows.size();
+            windows.run(fleet, AFTER_RETURN);
+            Duration back = windows.timeToReach(idle, 0.9 * ideal.get(idle), from);
+            worst = worst.compareTo(back) > 0 ? worst : back;
+        }
+        return worst;
+    }
+
+    /** Refused part of the other teams' requests while the large team bursts on each queue in turn. */
+    private double othersRefused(Variant variant, long seed, double factor) {
+        FleetShape shape = FleetShape.ofToday(entryHosts);
+        VirtualFleet fleet = VirtualFleet.create(shape, variant, seed);
+        fleet.load(new Bursts(shape, factor));
+        fleet.run(BURST_RUN);
+        long sent = 0;
+        long refused = 0;
+        for (int team = 1; team < shape.teamWeights().size(); team++) {
+            sent += fleet.outcomes(team).requests();
+            refused += fleet.outcomes(team).refused();
+        }
+        return (double) refused / sent;
+    }
+
+    private static List<Double> ideal(FleetShape shape) {
+        double sum = shape.teamWeights().stream().mapToInt(Integer::intValue).sum();
+        return shape.teamWeights().stream().map(weight -> weight / sum).toList();
+    }
+
+    /** How many times its part a team asks for. */
+    private interface Overload {
+        double of(int team);
+    }
+
+    private static final class Saturation {
+        private double worstError;
+        private double usedSlots;
+        private double reportBytesPerSecond;
+        private double busyPerRequest;
+        private long violations;
+    }
+
+    private record Steady(FleetShape shape, List<Double> ideal, Overload overload) implements LoadPlan {
+        @Override
+        public double ratePerSecond(int service, int team, double seconds) {
+            return shape.capacityPerSecond() * ideal.get(team) * overload.of(team);
+        }
+
+        @Override
+        public double highestRatePerSecond() {
+            double highest = 0;
+            for (int team = 0; team < ideal.size(); team++) {
+                highest = Math.max(highest, ratePerSecond(0, team, 0));
+            }
+            return highest;
+        }
+    }
+
+    private record Returning(Steady steady, int idle, double untilSeconds) implements LoadPlan {
+        @Override
+        public double ratePerSecond(int service, int team, double seconds) {
+            return team == idle && seconds < untilSeconds ? 0 : steady.ratePerSecond(service, team, seconds);
+        }
+
+        @Override
+        public double highestRatePerSecond() {
+            return steady.highestRatePerSecond();
+        }
+    }
+
+    /** The other teams ask for half of the pool evenly; the large team's mean is 0.4 of it, in bursts or steadily. */
+    private record Bursts(FleetShape shape, double factor) implements LoadPlan {
+        private static final double LARGE_MEAN_PART = 0.4;
+        private static final double OTHERS_PART = 0.5;
+
+        @Override
+        public double ratePerSecond(int service, int team, double seconds) {
+            int others = shape.teamWeights().size() - 1;
+            if (team > 0) {
+                return shape.capacityPerSecond() * OTHERS_PART / others;
+            }
+            double mean = shape.capacityPerSecond() * LARGE_MEAN_PART;
+            if (factor == 1) {
+                return mean;
+            }
+            int turn = (int) (seconds / BURST_SECONDS) % shape.services();
+            return turn == service ? mean * factor : mean * BETWEEN_FACTOR;
+        }
+
+        @Override
+        public double highestRatePerSecond() {
+            return shape.capacityPerSecond() * LARGE_MEAN_PART * factor;
+        }
+    }
+
+    /** Runs from the command line: entry hosts, first seed, seeds. */
+    public static void main(String[] arguments) {
+        int hosts = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 9;
+        long seed = arguments.length > 1 ? Long.parseLong(arguments[1]) : 1;
+        int seeds = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 1;
+        run(System.out, hosts, seed, seeds);
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualCaller.java
@@ -0,0 +1,79 @@
+package org.basilswitch.bench.workload;
+
+import java.time.Duration;
+
+import org.basilswitch.dispatch.Attempt;
+import org.basilswitch.dispatch.Refusal;
+import org.basilswitch.dispatch.RequestBroker;
+
+/** Submits one request and carries its attempts to the virtual workers. */
+final class VirtualCaller implements RequestBroker.RequestObserver {
+    private final VirtualFleet fleet;
+    private final VirtualEntryHost host;
+    private final String team;
+    private final long startNanos;
+    private int lastNumber;
+    private boolean ended;
+
+    VirtualCaller(VirtualFleet fleet, VirtualEntryHost host, String team) {
+        this.fleet = fleet;
+        this.host = host;
+        this.team = team;
+        this.startNanos = fleet.time().monotonicNanos();
+        fleet.outcomes().sent();
+        fleet.outcomes(team).sent();
+    }
+
+    @Override
+    public void attempt(Attempt attempt) {
+        lastNumber = attempt.number();
+        String zone = attempt.server().zone();
+        String ownZone = host.member().zone();
+        if (!attempt.beginSend()) {
+            return;
+        }
+        fleet.counters().attempt(!zone.equals(ownZone));
+        Duration delay = fleet.delay(ownZone, zone);
+        fleet.time()
+                .schedule(delay, () -> fleet.worker(attempt.server().name()).receive(team, replies(attempt, delay)));
+        fleet.time().schedule(attempt.timeout(), () -> attempt.failed(Attempt.Failure.ANSWER_TIMEOUT));
+    }
+
+    private VirtualWorker.Replies replies(Attempt attempt, Duration delay) {
+        return new VirtualWorker.Replies() {
+            @Override
+            public void answered() {
+                fleet.time().schedule(delay, () -> complete(attempt));
+            }
+
+            @Override
+            public void failed() {
+                fleet.time().schedule(delay, () -> attempt.failed(Attempt.Failure.RESET));
+            }
+
+            @Override
+            public void busy() {
+                fleet.time().schedule(delay, () -> attempt.failed(Attempt.Failure.SERVER_BUSY));
+            }
+        };
+    }
+
+    private void complete(Attempt attempt) {
+        Duration latency = Duration.ofNanos(fleet.time().monotonicNanos() - startNanos);
+        attempt.answered(200);
+        if (attempt.number() != lastNumber || ended) {
+            return;
+        }
+        ended = true;
+        boolean inTime = latency.compareTo(fleet.shape().deadline()) <= 0;
+        fleet.outcomes().answered(latency, inTime);
+        fleet.outcomes(team).answered(latency, inTime);
+    }
+
+    @Override
+    public void refused(Refusal refusal) {
+        ended = true;
+        fleet.outcomes().refused(refusal);
+        fleet.outcomes(team).refused(refusal);
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualEntryHost.java
@@ -0,0 +1,128 @@
+package org.basilswitch.bench.workload;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.admission.FleetUsage;
+import org.basilswitch.dispatch.BackgroundWork;
+import org.basilswitch.dispatch.Broker;
+import org.basilswitch.dispatch.BrokerParts;
+import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.dispatch.RequestClaims;
+import org.basilswitch.limit.TeamLimits;
+import org.basilswitch.membership.Member;
+import org.basilswitch.membership.ServingAuthority;
+import org.basilswitch.peer.PeerMessage.TeamUsage;
+import org.basilswitch.placement.LiveHosts;
+
+/** One entry host: a real broker, and usage reports to its peers with the delay between their zones. */
+final class VirtualEntryHost implements ServingAuthority, TeamLimits, RequestClaims {
+    private final VirtualFleet fleet;
+    private final Member member;
+    private final List<Member> members;
+    private final UniformRandomProvider random;
+    private final FleetUsage usage;
+    private final RequestBroker broker;
+
+    VirtualEntryHost(
+            VirtualFleet fleet, Member member, List<Member> members, Variant variant, UniformRandomProvider random) {
+        this.fleet = fleet;
+        this.member = member;
+        this.members = members;
+        this.random = random;
+        this.usage = FleetUsage.create(fleet.time());
+        List<Member> known = variant.reports() ? members : List.of(member);
+        this.broker = Broker.create(new BrokerParts(
+                member,
+                () -> known,
+                fleet::configuration,
+                this,
+                this,
+                this,
+                usage,
+                LiveHosts.unknown(),
+                BackgroundWork.none(),
+                variant.shares(),
+                variant.placement(),
+                fleet.time(),
+                fleet.time(),
+                random,
+                fleet.counters()));
+    }
+
+    void startReports() {
+        double part = random.nextDouble();
+        Duration first = Duration.ofNanos(
+                (long) (part * fleet.shape().heartbeatInterval().toNanos()));
+        fleet.time().schedule(first, this::report);
+    }
+
+    private void report() {
+        for (Member peer : members) {
+            if (peer != member) {
+                List<TeamUsage> changes = usage.changesFor(peer.id());
+                Duration delay = fleet.delay(member.zone(), peer.zone());
+                fleet.time()
+                        .schedule(delay, () -> fleet.entryHost(peer.id()).usage.record(member.id(), changes));
+            }
+        }
+        fleet.time().schedule(fleet.shape().heartbeatInterval(), this::report);
+    }
+
+    Member member() {
+        return member;
+    }
+
+    RequestBroker broker() {
+        return broker;
+    }
+
+    long reportBytes() {
+        return usage.sentBytes();
+    }
+
+    @Override
+    public boolean mayStart() {
+        return true;
+    }
+
+    @Override
+    public Duration remaining() {
+        return Duration.ofDays(1);
+    }
+
+    @Override
+    public boolean tryAcquire(String team) {
+        return true;
+    }
+
+    @Override
+    public void release(String team) {
+        // units are not scarce here
+    }
+
+    @Override
+    public void onAvailable(Consumer<String> listener) {
+        // units are always available
+    }
+
+    @Override
+    public int allotted(String team) {
+        return Integer.MAX_VALUE;
+    }
+
+    @Override
+    public CompletionStage<ClaimResult> claim(
+            String queue, String idempotencyKey, Duration claimTime, Duration timeout) {
+        return CompletableFuture.completedFuture(new Granted());
+    }
+
+    @Override
+    public void release(String queue, String idempotencyKey) {
+        // claims are always granted
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualFleet.java
@@ -0,0 +1,196 @@
+package org.basilswitch.bench.workload;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.admission.KeyCheck;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.configuration.TeamKey;
+import org.basilswitch.dispatch.RequestSpec;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.time.VirtualTime;
+
+/** Entry hosts with real brokers, virtual workers and callers, on one virtual clock. */
+public final class VirtualFleet {
+    private final VirtualTime time = VirtualTime.create();
+    private final FleetShape shape;
+    private final UniformRandomProvider random;
+    private final Map<String, VirtualWorker> workers = new HashMap<>();
+    private final List<VirtualEntryHost> entryHosts = new ArrayList<>();
+    private final RunCounters counters = new RunCounters();
+    private final Map<String, Outcomes> outcomesByTeam = new HashMap<>();
+    private final Outcomes outcomes = new Outcomes();
+    private SiteConfiguration configuration;
+
+    private VirtualFleet(FleetShape shape, long seed) {
+        this.shape = shape;
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    /** Builds a fleet that runs a variant. */
+    public static VirtualFleet create(FleetShape shape, Variant variant, long seed) {
+        VirtualFleet fleet = new VirtualFleet(shape, seed);
+        fleet.configuration = SiteConfiguration.of(1, fleet.records());
+        fleet.createWorkers();
+        fleet.createEntryHosts(variant, seed);
+        return fleet;
+    }
+
+    private List<ConfigurationRecord> records() {
+        List<ConfigurationRecord> records = new ArrayList<>(shape.records());
+        for (int team = 0; team < shape.teamWeights().size(); team++) {
+            String hash = KeyCheck.hash(Optional.of(secret(team))).orElseThrow();
+            records.add(new TeamKey("key-" + team, FleetShape.team(team), hash));
+        }
+        return records;
+    }
+
+    private static String secret(int team) {
+        return "secret-" + team;
+    }
+
+    private void createWorkers() {
+        for (Host host : configuration.hosts().values()) {
+            workers.put(host.name(), new VirtualWorker(host.slots(), shape.meanService(), time, random));
+        }
+    }
+
+    private void createEntryHosts(Variant variant, long seed) {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < shape.entryHosts(); i++) {
+            String name = "entry-" + i;
+            members.add(new Member(new MemberId(name), name, "127.0.0.1:1", FleetShape.zone(i % shape.zones())));
+        }
+        for (int i = 0; i < members.size(); i++) {
+            UniformRandomProvider own = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 1_000 + i);
+            entryHosts.add(new VirtualEntryHost(this, members.get(i), members, variant, own));
+        }
+        if (variant.reports()) {
+            entryHosts.forEach(VirtualEntryHost::startReports);
+        }
+    }
+
+    /** Starts the callers of a plan; they submit through entry hosts chosen at random. */
+    public void load(LoadPlan plan) {
+        for (int service = 0; service < shape.services(); service++) {
+            for (int team = 0; team < shape.teamWeights().size(); team++) {
+                scheduleArrival(plan, service, team);
+            }
+        }
+    }
+
+    private void scheduleArrival(LoadPlan plan, int service, int team) {
+        double seconds = -Math.log(1 - random.nextDouble()) / plan.highestRatePerSecond();
+        time.schedule(Duration.ofNanos((long) (seconds * 1e9)), () -> {
+            double rate = plan.ratePerSecond(service, team, seconds());
+            if (random.nextDouble() * plan.highestRatePerSecond() < rate) {
+                submit(service, team, RequestSpec.Priority.NORMAL);
+            }
+            scheduleArrival(plan, service, team);
+        });
+    }
+
+    /** Submits one request through an entry host chosen at random. */
+    public void submit(int service, int team, RequestSpec.Priority priority) {
+        RequestSpec spec = new RequestSpec(
+                FleetShape.queue(service),
+                Optional.of(secret(team)),
+                Optional.empty(),
+                Optional.of(shape.deadline()),
+                priority);
+        VirtualEntryHost host = entryHosts.get(random.nextInt(entryHosts.size()));
+        VirtualCaller caller = new VirtualCaller(this, host, FleetShape.team(team));
+        host.broker().submit(spec, caller);
+    }
+
+    /** Advances the clock. */
+    public void run(Duration duration) {
+        time.runFor(duration);
+    }
+
+    /** Virtual seconds since the start. */
+    public double seconds() {
+        return time.monotonicNanos() / 1e9;
+    }
+
+    /** Requests of a team running at the workers of a pool. */
+    public int running(int service, int team) {
+        int running = 0;
+        for (Host host : configuration.hostsOf(FleetShape.pool(service))) {
+            running += workers.get(host.name()).running(FleetShape.team(team));
+        }
+        return running;
+    }
+
+    /** The worker of a pool at a position. */
+    public VirtualWorker worker(int service, int index) {
+        return workers.get(FleetShape.pool(service) + "-" + index);
+    }
+
+    /** All workers. */
+    public Iterable<VirtualWorker> workers() {
+        return workers.values();
+    }
+
+    VirtualWorker worker(String name) {
+        return workers.get(name);
+    }
+
+    /** Outcomes of all requests. */
+    public Outcomes outcomes() {
+        return outcomes;
+    }
+
+    /** Outcomes of a team's requests. */
+    public Outcomes outcomes(int team) {
+        return outcomes(FleetShape.team(team));
+    }
+
+    Outcomes outcomes(String team) {
+        return outcomesByTeam.computeIfAbsent(team, name -> new Outcomes());
+    }
+
+    /** Counters of the brokers and links. */
+    public RunCounters counters() {
+        return counters;
+    }
+
+    /** Bytes of usage reports that an entry host sent a second, on average, without message headers. */
+    public double reportBytesPerSecond() {
+        double bytes =
+                entryHosts.stream().mapToLong(VirtualEntryHost::reportBytes).sum();
+        return bytes / entryHosts.size() / seconds();
+    }
+
+    FleetShape shape() {
+        return shape;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    SiteConfiguration configuration() {
+        return configuration;
+    }
+
+    VirtualEntryHost entryHost(MemberId id) {
+        return entryHosts.stream()
+                .filter(host -> host.member().id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    Duration delay(String fromZone, String toZone) {
+        return fromZone.equals(toZone) ? shape.localDelay() : shape.zoneDelay();
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
@@ -22,9 +22,10 @@
 public final class FleetUsage implements UsageReports {
     private static final Duration PEER_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration REFRESH_TIME = Duration.ofSeconds(4);
-    private static final int ENTRY_OVERHEAD_BYTES = 6;
+    private static final int ENTRY_OVERHEAD_BYTES = 11;
     private static final int DEFAULT_BYTES_PER_SECOND = 1_500;
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final long NANOS_PER_MS = 1_000_000;
 
     private final Clock clock;
     private final int bytesPerSecond;
@@ -64,11 +65,20 @@
     }
 
     private void apply(Peer peer, TeamUsage usage) {
+        long now = clock.monotonicNanos();
         PoolUsage known = poolOf(peer.reported, usage.pool());
-        int running = Math.max(0, usage.running()) - known.running(usage.team());
-        int waiting = Math.max(0, usage.waiting()) - known.waiting(usage.team());
-        known.add(usage.team(), running, waiting);
-        poolOf(fleet, usage.pool()).add(usage.team(), running, waiting);
+        PoolUsage total = poolOf(fleet, usage.pool());
+        String team = usage.team();
+        boolean first = !known.knows(team);
+        int running = Math.max(0, usage.running()) - known.running(team);
+        int waiting = Math.max(0, usage.waiting()) - known.waiting(team);
+        known.add(team, running, waiting, now);
+        total.add(team, running, waiting, now);
+        long correction = usage.usedMs() * NANOS_PER_MS - known.usedNanos(team, now);
+        known.correct(team, correction, now);
+        if (!first) {
+            total.correct(team, correction, now);
+        }
     }
 
     /** Returns the entries worth reporting to a peer now, the largest changes first, within the byte budget. */
@@ -97,7 +107,7 @@
         List<Change> changes = new ArrayList<>();
         own.forEach((pool, usage) -> {
             for (String team : usage.teams()) {
-                TeamUsage current = new TeamUsage(pool, team, usage.running(team), usage.waiting(team));
+                TeamUsage current = currentOf(pool, team, usage, peer.refilledNanos);
                 double weight = weightOf(current, peer.sent.get(new Key(pool, team)), peer.refilledNanos);
                 if (weight > 0) {
                     changes.add(new Change(current, weight));
@@ -107,6 +117,11 @@
         return changes;
     }
 
+    private static TeamUsage currentOf(String pool, String team, PoolUsage usage, long nowNanos) {
+        long usedMs = usage.usedNanos(team, nowNanos) / NANOS_PER_MS;
+        return new TeamUsage(pool, team, usage.running(team), usage.waiting(team), usedMs);
+    }
+
     private static double weightOf(TeamUsage current, Sent sent, long nowNanos) {
         int oldRunning = sent == null ? 0 : sent.usage.running();
         int oldWaiting = sent == null ? 0 : sent.usage.waiting();
@@ -138,7 +153,7 @@
     private void subtract(Peer peer) {
         peer.reported.forEach((pool, usage) -> {
             for (String team : usage.teams()) {
-                poolOf(fleet, pool).add(team, -usage.running(team), -usage.waiting(team));
+                poolOf(fleet, pool).add(team, -usage.running(team), -usage.waiting(team), clock.monotonicNanos());
             }
         });
         peer.reported.clear();
@@ -156,8 +171,9 @@
 
     /** Adds to this host's own counts. */
     void addOwn(String pool, String team, int runningChange, int waitingChange) {
-        poolOf(own, pool).add(team, runningChange, waitingChange);
-        poolOf(fleet, pool).add(team, runningChange, waitingChange);
+        long now = clock.monotonicNanos();
+        poolOf(own, pool).add(team, runningChange, waitingChange, now);
+        poolOf(fleet, pool).add(team, runningChange, waitingChange, now);
     }
 
     /** This host's usage of a pool. */
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolDivision.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolDivision.java
@@ -23,7 +23,7 @@
 public final class PoolDivision {
     private static final long TURN_MS = 1_000;
     private static final double GOLDEN_RATIO_PART = 0.6180339887498949;
-    private static final double ROOM_PART = 0.9;
+    private static final double ROOM_PART = 1;
     private static final double ROUNDING_ERROR = 1e-6;
 
     private final Member self;
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -15,6 +15,9 @@
 /** The teams' parts of one pool as this entry host applies them: virtual times, slots and expected waits. */
 public final class PoolShares {
     private static final Duration DIVISION_AGE = Duration.ofMillis(10);
+    private static final double MAX_WAIT_FACTOR = 4;
+    private static final double VAIN_WAIT_STEP = 1.05;
+    private static final double STARTED_STEP = 0.998;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final String pool;
@@ -26,6 +29,7 @@
     private final Set<String> blocked = new HashSet<>();
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private PoolDivision.Part part = new PoolDivision.Part(SlotCaps.none(), java.util.Map.of(), 1);
+    private double waitFactor = 1;
     private long dividedNanos = Long.MIN_VALUE;
 
     private PoolShares(
@@ -39,7 +43,8 @@
         this.clock = clock;
         this.usage = usage;
         this.members = members;
-        this.shareClock = new ShareClock(clock, usage.fleet(pool), weightOf);
+        this.shareClock = new ShareClock(
+                clock, usage.fleet(pool), usage.own(pool), () -> members.get().size(), weightOf);
         this.division = PoolDivision.create(self, clock, usage, weightOf);
     }
 
@@ -108,6 +113,16 @@
         return serviceTimes;
     }
 
+    /** Notes that a request waited for longer than it was worth: the expected waits were too short. */
+    public void waitedInVain() {
+        waitFactor = Math.min(MAX_WAIT_FACTOR, waitFactor * VAIN_WAIT_STEP);
+    }
+
+    /** Notes that a request started after waiting. */
+    public void startedAfterWait() {
+        waitFactor = Math.max(1, waitFactor * STARTED_STEP);
+    }
+
     /** Expected wait of a team's request behind some others of its team. */
     public Duration expectedWait(String team, int ahead) {
         double slots = Math.max(0.5, part.slotsFor(team));
@@ -115,6 +130,7 @@
         if (excess <= 0) {
             return Duration.ZERO;
         }
-        return Duration.ofNanos((long) (excess / slots * serviceTimes.mean().toNanos()));
+        return Duration.ofNanos(
+                (long) (waitFactor * excess / slots * serviceTimes.mean().toNanos()));
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolUsage.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolUsage.java
@@ -3,21 +3,41 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Running and waiting requests of one pool, by team, for one entry host or for the fleet. */
+/**
+ * Running and waiting requests of one pool and the slot time used, by team, for one entry host or for the fleet.
+ *
+ * <p>Slot time grows with the running requests between updates.
+ */
 final class PoolUsage {
     private final Map<String, Counts> teams = new HashMap<>();
     private int running;
     private int waiting;
 
-    /** Adds to a team's counts. */
-    void add(String team, int runningChange, int waitingChange) {
-        Counts counts = teams.computeIfAbsent(team, name -> new Counts());
+    /** Adds to a team's counts at a time. */
+    void add(String team, int runningChange, int waitingChange, long nowNanos) {
+        Counts counts = teams.computeIfAbsent(team, name -> new Counts(nowNanos));
+        counts.advance(nowNanos);
         counts.running += runningChange;
         counts.waiting += waitingChange;
         running += runningChange;
         waiting += waitingChange;
     }
 
+    /** Corrects a team's slot time. */
+    void correct(String team, long usedNanos, long nowNanos) {
+        teams.computeIfAbsent(team, name -> new Counts(nowNanos)).usedNanos += usedNanos;
+    }
+
+    /** Slot time that a team has used until a time, in nanoseconds. */
+    long usedNanos(String team, long nowNanos) {
+        Counts counts = teams.get(team);
+        if (counts == null) {
+            return 0;
+        }
+        counts.advance(nowNanos);
+        return counts.usedNanos;
+    }
+
     /** Running requests of a team. */
     int running(String team) {
         Counts counts = teams.get(team);
@@ -45,6 +65,11 @@
         return running(team) + waiting(team);
     }
 
+    /** Whether a team has been seen. */
+    boolean knows(String team) {
+        return teams.containsKey(team);
+    }
+
     /** Teams seen so far. */
     Iterable<String> teams() {
         return teams.keySet();
@@ -53,5 +78,16 @@
     private static final class Counts {
         private int running;
         private int waiting;
+        private long usedNanos;
+        private long updatedNanos;
+
+        private Counts(long nowNanos) {
+            updatedNanos = nowNanos;
+        }
+
+        private void advance(long nowNanos) {
+            usedNanos += running * (nowNanos - updatedNanos);
+            updatedNanos = nowNanos;
+        }
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/ServiceTimes.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/ServiceTimes.java
@@ -3,17 +3,20 @@
 import java.time.Duration;
 
 /**
- * Observed service times of a queue: an exponentially weighted mean, and a low quantile below which few requests end,
+ * Observed service times of a queue: an exponentially weighted mean, and a low and a high quantile
  * tracked by stochastic approximation (Robbins and Monro, 1951).
  */
 public final class ServiceTimes {
     private static final double MEAN_WEIGHT = 0.05;
-    private static final double QUANTILE = 0.1;
+    private static final double LOW_QUANTILE = 0.1;
+    private static final double HIGH_QUANTILE = 0.95;
     private static final double QUANTILE_STEP = 0.05;
+    private static final double WAITED_PART = 0.5;
     private static final int MIN_SAMPLES = 20;
 
     private double meanNanos;
     private double lowNanos;
+    private double highNanos;
     private int samples;
 
     /** Takes in the service time of a request that was answered. */
@@ -21,11 +24,17 @@
         if (samples == 0) {
             meanNanos = serviceNanos;
             lowNanos = serviceNanos;
+            highNanos = serviceNanos;
         }
         samples = Math.min(samples + 1, MIN_SAMPLES);
         meanNanos += MEAN_WEIGHT * (serviceNanos - meanNanos);
-        double step = QUANTILE_STEP * Math.max(lowNanos, 1);
-        lowNanos += serviceNanos < lowNanos ? -step * (1 - QUANTILE) : step * QUANTILE;
+        lowNanos = track(lowNanos, serviceNanos, LOW_QUANTILE);
+        highNanos = track(highNanos, serviceNanos, HIGH_QUANTILE);
+    }
+
+    private static double track(double estimateNanos, long serviceNanos, double quantile) {
+        double step = QUANTILE_STEP * Math.max(estimateNanos, 1);
+        return estimateNanos + (serviceNanos < estimateNanos ? -step * (1 - quantile) : step * quantile);
     }
 
     /** Mean service time; zero until enough requests were answered. */
@@ -33,8 +42,17 @@
         return samples < MIN_SAMPLES ? Duration.ZERO : Duration.ofNanos((long) meanNanos);
     }
 
-    /** A time within which hardly any request ends; zero until enough requests were answered. */
-    public Duration shortest() {
-        return samples < MIN_SAMPLES ? Duration.ZERO : Duration.ofNanos((long) lowNanos);
+    /**
+     * Time below which a request is not worth starting: what all but one in twenty requests take, at most half of the
+     * request's own time, and at least what hardly any request stays below.
+     *
+     * @param total the request's time from arrival to deadline
+     */
+    public Duration needed(Duration total) {
+        if (samples < MIN_SAMPLES) {
+            return Duration.ZERO;
+        }
+        double needed = Math.max(lowNanos, Math.min(highNanos, total.toNanos() * WAITED_PART));
+        return Duration.ofNanos((long) needed);
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/ShareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/ShareClock.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -15,16 +16,25 @@
  */
 final class ShareClock {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double REPORT_LAG_SECONDS = 1;
+    private static final double CREDIT_SECONDS = 0.5;
 
     private final Clock clock;
     private final PoolUsage fleet;
+    private final PoolUsage own;
+    private final IntSupplier entryHosts;
     private final ToDoubleFunction<String> weightOf;
     private final Map<String, Double> times = new HashMap<>();
+    private final Map<String, Long> chargedNanos = new HashMap<>();
+    private final Map<String, Long> ownChargedNanos = new HashMap<>();
+    private final Map<String, Double> recent = new HashMap<>();
     private long advancedNanos;
 
-    ShareClock(Clock clock, PoolUsage fleet, ToDoubleFunction<String> weightOf) {
+    ShareClock(Clock clock, PoolUsage fleet, PoolUsage own, IntSupplier entryHosts, ToDoubleFunction<String> weightOf) {
         this.clock = clock;
         this.fleet = fleet;
+        this.own = own;
+        this.entryHosts = entryHosts;
         this.weightOf = weightOf;
         this.advancedNanos = clock.monotonicNanos();
     }
@@ -32,24 +42,46 @@
     /** Charges the slot time used since the last call, before counts change. */
     void advance(Predicate<String> blocked) {
         long now = clock.monotonicNanos();
-        double elapsed = (now - advancedNanos) / NANOS_PER_SECOND;
-        if (elapsed <= 0) {
+        if (now <= advancedNanos) {
             return;
         }
+        double kept = Math.exp(-(now - advancedNanos) / NANOS_PER_SECOND / REPORT_LAG_SECONDS);
         advancedNanos = now;
         double least = Double.POSITIVE_INFINITY;
         for (String team : fleet.teams()) {
-            double time = times.getOrDefault(team, 0.0) + elapsed * fleet.running(team) / weightOf.applyAsDouble(team);
-            times.put(team, time);
+            double time = charge(team, now);
+            chargeOwn(team, now, kept);
             if (fleet.waiting(team) > 0 && !blocked.test(team)) {
                 least = Math.min(least, time);
             }
         }
         if (least < Double.POSITIVE_INFINITY) {
-            lift(least, blocked);
+            lift(least - credit(), blocked);
         }
     }
 
+    private double credit() {
+        double weights = 0;
+        for (String team : fleet.teams()) {
+            weights += fleet.demand(team) > 0 ? weightOf.applyAsDouble(team) : 0;
+        }
+        return weights == 0 ? 0 : CREDIT_SECONDS * fleet.running() / weights;
+    }
+
+    private double charge(String team, long nowNanos) {
+        long used = fleet.usedNanos(team, nowNanos);
+        Long before = chargedNanos.put(team, used);
+        double seconds = (used - (before == null ? 0 : before)) / NANOS_PER_SECOND;
+        return times.merge(team, seconds / weightOf.applyAsDouble(team), Double::sum);
+    }
+
+    private void chargeOwn(String team, long nowNanos, double kept) {
+        long used = own.usedNanos(team, nowNanos);
+        Long before = ownChargedNanos.put(team, used);
+        double seconds = (used - (before == null ? 0 : before)) / NANOS_PER_SECOND;
+        recent.put(team, recent.getOrDefault(team, 0.0) * kept + seconds);
+    }
+
     private void lift(double least, Predicate<String> blocked) {
         for (String team : fleet.teams()) {
             if (fleet.waiting(team) == 0 || blocked.test(team)) {
@@ -58,9 +90,14 @@
         }
     }
 
-    /** Virtual time of a team, with the work that it has running counted to its expected end. */
+    /**
+     * Virtual time of a team, with what reports do not show yet: this host's recent use and running requests stand for
+     * those of its peers too, which act on the same reports. Without this all hosts favour the same team at once.
+     */
     double of(String team, double meanServiceSeconds) {
-        double committed = fleet.running(team) * meanServiceSeconds / weightOf.applyAsDouble(team);
-        return times.getOrDefault(team, 0.0) + committed;
+        int hosts = entryHosts.getAsInt();
+        double unreported = (hosts - 1) * recent.getOrDefault(team, 0.0);
+        double committed = hosts * own.running(team) * meanServiceSeconds;
+        return times.getOrDefault(team, 0.0) + (unreported + committed) / weightOf.applyAsDouble(team);
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
@@ -21,6 +21,7 @@
     private static final Duration MAX_CLAIM_WAIT = Duration.ofSeconds(2);
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofSeconds(1);
     private static final int ATTEMPT_SERVICE_TIMES = 10;
+    private static final int SLOW_SERVICE_TIMES = 5;
     private static final int SET_ASIDE_SERVERS = 3;
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_BUSY_REFUSALS = 50;
@@ -89,7 +90,7 @@
     private void startClaimed(Request request, Holding holding) {
         if (request.cancelled()) {
             drop(request, holding, Refusal.Code.CALLER_GONE);
-        } else if (remaining(request).compareTo(shares.serviceTimes().shortest()) <= 0) {
+        } else if (remaining(request).compareTo(shares.serviceTimes().needed(request.total())) <= 0) {
             drop(request, holding, Refusal.Code.DEADLINE);
         } else {
             attempt(request, holding);
@@ -212,7 +213,7 @@
     }
 
     private void callerFailed(RequestAttempt attempt, Refusal.Code code) {
-        release(attempt, PoolServers.Result.NEUTRAL);
+        release(attempt, attempt.sent() ? PoolServers.Result.UNANSWERED : PoolServers.Result.NEUTRAL);
         ends.refuse(attempt.request(), code);
     }
 
@@ -228,7 +229,7 @@
     private void serverFailed(RequestAttempt attempt, Attempt.Failure failure) {
         Request request = attempt.request();
         String server = attempt.server().name();
-        release(attempt, PoolServers.Result.FAILURE);
+        release(attempt, resultOf(attempt, failure));
         request.failedServers().add(server);
         if (attempt.sent()) {
             request.serversThatMayHaveRun().add(server);
@@ -248,6 +249,15 @@
         }
     }
 
+    /** A time-out speaks against the server only when the server had the time that requests usually take. */
+    private PoolServers.Result resultOf(RequestAttempt attempt, Attempt.Failure failure) {
+        long usual =
+                shares.serviceTimes().mean().multipliedBy(SLOW_SERVICE_TIMES).toNanos();
+        boolean hurried = failure == Attempt.Failure.ANSWER_TIMEOUT
+                && attempt.elapsedNanos(parts.clock().monotonicNanos()) < usual;
+        return hurried ? PoolServers.Result.UNANSWERED : PoolServers.Result.FAILURE;
+    }
+
     private Refusal.Code lostCode(Request request) {
         return remaining(request).isZero() ? Refusal.Code.DEADLINE : Refusal.Code.ANSWER_LOST;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
@@ -68,7 +68,7 @@
             return;
         }
         Duration wait = waitingRoom.expectedWait(request);
-        Duration needed = wait.plus(shares.serviceTimes().shortest());
+        Duration needed = wait.plus(shares.serviceTimes().needed(request.total()));
         if (needed.compareTo(request.remaining(parts.clock().monotonicNanos())) > 0) {
             ends.refuse(request, Refusal.Code.OVERLOADED, wait);
             return;
@@ -96,12 +96,13 @@
 
     private void setExpiry(Request request) {
         Duration left = request.remaining(parts.clock().monotonicNanos())
-                .minus(shares.serviceTimes().shortest());
+                .minus(shares.serviceTimes().needed(request.total()));
         request.expiry(parts.scheduler().schedule(left, () -> expire(request)));
     }
 
     private void expire(Request request) {
         if (waitingRoom.remove(request)) {
+            shares.waitedInVain();
             ends.refuse(request, Refusal.Code.DEADLINE, waitingRoom.expectedWait(request));
         }
     }
@@ -121,7 +122,7 @@
             return;
         }
         Duration left = request.remaining(parts.clock().monotonicNanos());
-        if (left.compareTo(shares.serviceTimes().shortest()) <= 0) {
+        if (left.compareTo(shares.serviceTimes().needed(request.total())) <= 0) {
             ends.refuse(request, Refusal.Code.DEADLINE, Duration.ZERO);
             return;
         }
@@ -256,6 +257,7 @@
     }
 
     private void start(Request request, Host server) {
+        shares.startedAfterWait();
         Holding holding = Holding.take(request.team(), server, parts.limits(), shares, servers, invariants);
         if (request.priority() == RequestSpec.Priority.BACKGROUND) {
             backgroundInFlight++;
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/Request.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/Request.java
@@ -110,6 +110,11 @@
         expiry = Optional.empty();
     }
 
+    /** Time from arrival to deadline. */
+    Duration total() {
+        return Duration.ofNanos(deadlineNanos - arrivedNanos);
+    }
+
     int nextAttempt() {
         return ++attempts;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/peer/PeerMessage.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/peer/PeerMessage.java
@@ -43,8 +43,9 @@
      * @param team team
      * @param running requests running
      * @param waiting requests waiting
+     * @param usedMs slot time used since the sending host started, in milliseconds
      */
-    record TeamUsage(String pool, String team, int running, int waiting) {}
+    record TeamUsage(String pool, String team, int running, int waiting, long usedMs) {}
 
     /**
      * Asks the holder of a claim bucket to commit a claim.
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
@@ -25,9 +25,10 @@
  * ejected at a time.
  */
 public final class PoolServers {
-    private static final Duration MIN_SILENCE = Duration.ofSeconds(1);
-    private static final double SILENCE_SERVICE_TIMES = 5;
+    private static final Duration MIN_SILENCE = Duration.ofMillis(500);
+    private static final double SILENCE_SERVICE_TIMES = 12;
     private static final double MEAN_WEIGHT = 0.05;
+    private static final double BEYOND_PAUSE_SERVICE_PART = 0.25;
 
     private final String pool;
     private final String zone;
@@ -41,6 +42,7 @@
     private List<ServerState> active = List.of();
     private double meanServiceNanos;
     private int nextInTurn;
+    private long beyondFromNanos;
 
     private PoolServers(
             String pool,
@@ -165,7 +167,8 @@
                 .filter(state -> state.inFlight() < caps.at(state.host().name()))
                 .toList();
         Optional<ServerState> chosen = zoneFirst(own, this::leastLoaded);
-        if (chosen.isPresent() || !(caps.roomBeyond() || lostSlots(present, caps, now) > usedBeyond(present, caps))) {
+        boolean lost = lostSlots(present, caps, now) > usedBeyond(present, caps);
+        if (chosen.isPresent() || !(lost || caps.roomBeyond() || now >= beyondFromNanos)) {
             return chosen;
         }
         return probe(free, ways);
@@ -237,20 +240,27 @@
             return;
         }
         long now = clock.monotonicNanos();
-        state.ended(token).ifPresent(started -> note(state, result, now, now - started));
+        state.ended(token).ifPresent(started -> note(state, result, now, started));
     }
 
-    private void note(ServerState state, Result result, long now, long serviceNanos) {
+    private void note(ServerState state, Result result, long now, long startedNanos) {
         switch (result) {
-            case SUCCESS -> succeeded(state, now, serviceNanos);
+            case SUCCESS -> succeeded(state, now, now - startedNanos);
             case FAILURE -> failed(state, now);
-            case BUSY -> state.busy(now);
+            case BUSY -> busy(state, now);
+            case UNANSWERED -> state.unanswered(now, startedNanos);
             case NEUTRAL -> {
                 // says nothing about the server
             }
         }
     }
 
+    private void busy(ServerState state, long now) {
+        state.busy(now, meanServiceNanos);
+        double pause = meanServiceNanos * BEYOND_PAUSE_SERVICE_PART * (0.5 + random.nextDouble());
+        beyondFromNanos = now + (long) pause;
+    }
+
     private void succeeded(ServerState state, long now, long serviceNanos) {
         state.answered(now, serviceNanos);
         meanServiceNanos = meanServiceNanos == 0
@@ -273,8 +283,8 @@
         if (meanServiceNanos == 0 || state.health().slotsPart(now) == 0) {
             return;
         }
-        long silence = Math.max(MIN_SILENCE.toNanos(), (long) (SILENCE_SERVICE_TIMES * meanServiceNanos));
-        if (state.silentFor(now, silence)) {
+        boolean silent = state.silentNanos(now) > SILENCE_SERVICE_TIMES * meanServiceNanos;
+        if (silent && state.oldestNanos(now) > MIN_SILENCE.toNanos()) {
             eject(state, now, "silence");
         }
     }
@@ -287,6 +297,7 @@
             return;
         }
         state.health().eject(now);
+        state.forgetSilence();
         telemetry.count(CounterCode.SERVERS_EJECTED, reason);
         telemetry.event(
                 EventCode.SERVER_EJECTED,
@@ -308,6 +319,8 @@
         SUCCESS,
         FAILURE,
         BUSY,
+        /** No sign of the server in the time that the attempt had. */
+        UNANSWERED,
         NEUTRAL
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/ServerHealth.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/ServerHealth.java
@@ -9,7 +9,7 @@
  * a growing part of its slots.
  */
 final class ServerHealth {
-    static final int EJECT_FAILURES = 5;
+    static final int EJECT_FAILURES = 3;
     static final Duration SLOW_START = Duration.ofSeconds(5);
     static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
     static final Duration MAX_EJECTION = Duration.ofSeconds(30);
--- a/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/WireReader.java
+++ b/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/WireReader.java
@@ -80,7 +80,11 @@
 
     private static PeerMessage.TeamUsage usage(WireTeamUsage usage) {
         return new PeerMessage.TeamUsage(
-                text(usage.getPool()), text(usage.getTeam()), usage.getRunning(), usage.getWaiting());
+                text(usage.getPool()),
+                text(usage.getTeam()),
+                usage.getRunning(),
+                usage.getWaiting(),
+                usage.getUsedMs());
     }
 
     private static PeerMessage heartbeatReply(WireHeartbeatReply m) {
--- a/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/WireWriter.java
+++ b/basilswitch-peer/src/main/java/org/basilswitch/peer/codec/WireWriter.java
@@ -57,7 +57,8 @@
                 .setPool(usage.pool())
                 .setTeam(usage.team())
                 .setRunning(usage.running())
-                .setWaiting(usage.waiting());
+                .setWaiting(usage.waiting())
+                .setUsedMs(usage.usedMs());
     }
 
     private static WireHeartbeatReply heartbeatReply(PeerMessage.HeartbeatReply m) {
--- a/basilswitch-peer/src/main/thrift/peer.thrift
+++ b/basilswitch-peer/src/main/thrift/peer.thrift
@@ -7,6 +7,7 @@
   2: optional string team
   3: optional i32 running
   4: optional i32 waiting
+  5: optional i64 usedMs
 }
 
 struct WireHeartbeat {
--- a/basilswitch-peer/src/test/java/org/basilswitch/peer/codec/PeerCodecTest.java
+++ b/basilswitch-peer/src/test/java/org/basilswitch/peer/codec/PeerCodecTest.java
@@ -19,7 +19,7 @@
     /** One message of each kind. */
     @DataProvider
     public Object[][] messages() {
-        PeerMessage.TeamUsage usage = new PeerMessage.TeamUsage("quotes", "depot", 3, 4);
+        PeerMessage.TeamUsage usage = new PeerMessage.TeamUsage("quotes", "depot", 3, 4, 5_000);
         return new Object[][] {
             {new PeerMessage.Heartbeat(1, 20, 19, 18, List.of(usage))},
             {new PeerMessage.HeartbeatReply(1, true, 20, 19, 18)},
