--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -2,18 +2,22 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.basilswitch.admission.FleetUsage;
 import org.basilswitch.admission.SharePolicy;
+import org.basilswitch.claim.ClaimService;
 import org.basilswitch.configuration.ConfigurationFollower;
 import org.basilswitch.configuration.SiteConfiguration;
-import org.basilswitch.dispatch.BackgroundWork;
 import org.basilswitch.dispatch.Broker;
 import org.basilswitch.dispatch.BrokerParts;
 import org.basilswitch.dispatch.RequestBroker;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.limit.AllotmentService;
+import org.basilswitch.limit.TeamLimits;
 import org.basilswitch.membership.InForce;
 import org.basilswitch.membership.Member;
 import org.basilswitch.membership.Membership;
@@ -22,7 +26,6 @@
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.peer.PeerLink;
 import org.basilswitch.peer.PeerMessage;
-import org.basilswitch.placement.LiveHosts;
 import org.basilswitch.placement.Placement;
 import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreKeys;
@@ -32,17 +35,32 @@
 /** One entry host: its slices, wired to a store, peers, a clock and timers. All calls run on one event loop. */
 public final class EntryHost implements AutoCloseable {
     private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration SURRENDER_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
     private final EntryHostOptions options;
+    private final Scheduler scheduler;
     private final ConfigurationFollower follower;
     private final Membership membership;
+    private final ClaimService claims;
+    private final AllotmentService limits;
     private final RequestBroker broker;
+    private long membersRevision;
 
     private EntryHost(
-            EntryHostOptions options, ConfigurationFollower follower, Membership membership, RequestBroker broker) {
+            EntryHostOptions options,
+            Scheduler scheduler,
+            ConfigurationFollower follower,
+            Membership membership,
+            ClaimService claims,
+            AllotmentService limits,
+            RequestBroker broker) {
         this.options = options;
+        this.scheduler = scheduler;
         this.follower = follower;
         this.membership = membership;
+        this.claims = claims;
+        this.limits = limits;
         this.broker = broker;
     }
 
@@ -55,13 +73,46 @@
             PlatformStore store,
             PeerLink peers,
             Telemetry telemetry) {
+        return create(options, clock, scheduler, random, store, peers, EntryHostParts.standard(), telemetry);
+    }
+
+    /** Wires an entry host with the site's live-host list and worker control. */
+    public static EntryHost create(
+            EntryHostOptions options,
+            Clock clock,
+            Scheduler scheduler,
+            UniformRandomProvider random,
+            PlatformStore store,
+            PeerLink peers,
+            EntryHostParts parts,
+            Telemetry telemetry) {
         StoreKeys keys = new StoreKeys(options.site());
+        MemberId self = options.self().id();
         ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
-        PromiseTimes times = PromiseTimes.of(options.promiseTime(), options.clockDriftRatio());
-        Membership.Settings settings =
-                new Membership.Settings(options.self(), keys, times, options.heartbeatInterval());
-        Membership membership = Membership.create(settings, clock, scheduler, store, follower, peers, telemetry);
-        SingleHost alone = new SingleHost(follower::current);
+        Membership membership = Membership.create(
+                new Membership.Settings(
+                        options.self(),
+                        keys,
+                        PromiseTimes.of(options.promiseTime(), options.clockDriftRatio()),
+                        options.heartbeatInterval()),
+                clock,
+                scheduler,
+                store,
+                follower,
+                peers,
+                telemetry);
+        ClaimService claims = ClaimService.create(
+                self,
+                keys,
+                store,
+                clock,
+                scheduler,
+                random,
+                peers,
+                () -> membership.view().members(),
+                telemetry);
+        AllotmentService limits = AllotmentService.create(
+                self, keys, store, clock, scheduler, peers, membership, follower::current, telemetry);
         FleetUsage usage = FleetUsage.create(clock);
         membership.reportUsage(usage);
         RequestBroker broker = Broker.create(new BrokerParts(
@@ -69,29 +120,43 @@
                 () -> membership.view().members(),
                 follower::current,
                 membership.leases(),
-                alone,
-                alone,
+                limits,
+                claims,
                 usage,
-                LiveHosts.unknown(),
-                BackgroundWork.none(),
+                parts.liveHosts(),
+                parts.backgroundWork(),
                 new SharePolicy.Weighted(),
                 Placement.standard(),
                 clock,
                 scheduler,
                 random,
                 telemetry));
-        return new EntryHost(options, follower, membership, broker);
+        RequestBroker capped = new DeadlineCap(broker, follower::current);
+        return new EntryHost(options, scheduler, follower, membership, claims, limits, capped);
     }
 
     /** Reads the configuration and joins the members. */
     public void start() {
         membership.start();
+        follower.onChange(configuration -> onConfiguration());
         follower.start();
     }
 
+    private void onConfiguration() {
+        if (membership.viewRevision() != membersRevision) {
+            membersRevision = membership.viewRevision();
+            claims.onMembersChanged();
+            limits.onMembersChanged();
+        }
+        limits.onConfiguration();
+    }
+
     /** Handles a peer's message. */
     public void receive(MemberId from, PeerMessage message) {
-        membership.receive(from, message);
+        boolean handled = membership.receive(from, message) || claims.receive(from, message);
+        if (!handled) {
+            limits.receive(from, message);
+        }
     }
 
     /** The requests' entry point. */
@@ -119,6 +184,11 @@
         return membership.inForce();
     }
 
+    /** This host's allotments of the upper limits. */
+    public TeamLimits limits() {
+        return limits;
+    }
+
     /** This host. */
     public Member self() {
         return options.self();
@@ -129,14 +199,36 @@
         return membership.view().members();
     }
 
-    /** Stops accepting requests, completes those accepted, and leaves the members record. */
+    /** Stops accepting requests, completes those accepted, gives its allotments back and leaves the members record. */
     public CompletionStage<Void> leave() {
         broker.drain();
-        return membership.leave(LEAVE_TIMEOUT);
+        return when(() -> broker.openRequests() == 0, Duration.ofDays(1))
+                .thenCompose(drained -> {
+                    limits.surrender();
+                    return when(limits::surrendered, SURRENDER_TIMEOUT);
+                })
+                .thenCompose(surrendered -> membership.leave(LEAVE_TIMEOUT));
+    }
+
+    private CompletableFuture<Void> when(BooleanSupplier condition, Duration timeout) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        scheduler.schedule(timeout, () -> result.complete(null));
+        poll(condition, result);
+        return result;
+    }
+
+    private void poll(BooleanSupplier condition, CompletableFuture<Void> result) {
+        if (condition.getAsBoolean()) {
+            result.complete(null);
+        } else if (!result.isDone()) {
+            scheduler.schedule(POLL_INTERVAL, () -> poll(condition, result));
+        }
     }
 
     @Override
     public void close() {
+        claims.close();
+        limits.close();
         membership.close();
         follower.close();
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/membership/PeerLeases.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/membership/PeerLeases.java
@@ -154,9 +154,13 @@
         return peer == null ? 0 : peer.acknowledgedRevision;
     }
 
-    /** Whether a change is in force: a majority of the members has acknowledged it. */
+    /**
+     * Whether a change is in force: a majority of the members has acknowledged it. Only a view that is itself complete
+     * up to the change knows the members whose majority counts.
+     */
     public boolean inForce(long revision) {
-        return acknowledgedBy(revision).size() >= members.get().majority();
+        return follower.revision() >= revision
+                && acknowledgedBy(revision).size() >= members.get().majority();
     }
 
     @Override
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -19,6 +19,7 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import org.basilswitch.daemon.ListenOptions;
+import org.basilswitch.daemon.tls.TlsMaterial;
 import org.basilswitch.daemon.tls.TlsReloader;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
@@ -42,60 +43,56 @@
     private final FrameCodec codec;
     private final Telemetry telemetry;
     private final PeerMeters meters;
-    private final NetServer server;
-    private final NetClient client;
+    private NetServer server;
+    private String listenIp;
+    private NetClient client;
     private final Map<MemberId, PeerConnection> connections = new HashMap<>();
     private final Set<NetSocket> accepted = new HashSet<>();
+    private final Map<MemberId, Member> greeted = new HashMap<>();
+    private boolean closed;
     private Supplier<List<Member>> members = List::of;
     private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
 
     private PeerTransport(
-            Vertx vertx,
-            ListenOptions listen,
-            String site,
-            MemberId self,
-            FrameCodec codec,
-            Telemetry telemetry,
-            PeerMeters meters) {
+            Vertx vertx, String site, MemberId self, FrameCodec codec, Telemetry telemetry, PeerMeters meters) {
         this.vertx = vertx;
         this.site = site;
         this.self = self;
         this.codec = codec;
         this.telemetry = telemetry;
         this.meters = meters;
-        boolean tls = listen.tls().isPresent();
-        this.server = vertx.createNetServer(new NetServerOptions()
-                .setHost(listen.ip())
-                .setPort(listen.port())
-                .setSsl(tls));
-        this.client = vertx.createNetClient(new NetClientOptions()
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                .setSsl(tls)
-                .setHostnameVerificationAlgorithm(""));
     }
 
     /** Creates a transport; nothing is received before {@link #listen} and {@link #start}. */
     public static PeerTransport create(
-            Vertx vertx,
-            ListenOptions listen,
-            String site,
-            MemberId self,
-            FrameCodec codec,
-            Telemetry telemetry,
-            PeerMeters meters) {
-        return new PeerTransport(vertx, listen, site, self, codec, telemetry, meters);
+            Vertx vertx, String site, MemberId self, FrameCodec codec, Telemetry telemetry, PeerMeters meters) {
+        return new PeerTransport(vertx, site, self, codec, telemetry, meters);
     }
 
     /** Starts listening; the peer port is known afterwards. */
     public Future<Void> listen(ListenOptions listen, TlsReloader tls) {
-        server.connectHandler(this::onAccepted);
-        return tls.apply(
-                        listen.tls(),
-                        material -> Future.join(
-                                server.updateSSLOptions(material.serverOptions()),
-                                client.updateSSLOptions(material.clientOptions())))
-                .compose(done -> server.listen())
-                .mapEmpty();
+        return tls.open(listen.tls(), material -> listen(listen, material), this::update);
+    }
+
+    private Future<NetServer> listen(ListenOptions listen, Optional<TlsMaterial> tls) {
+        NetServerOptions serverOptions =
+                new NetServerOptions().setHost(listen.ip()).setPort(listen.port());
+        NetClientOptions clientOptions = new NetClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setHostnameVerificationAlgorithm("");
+        tls.ifPresent(material -> {
+            material.applyTo(serverOptions);
+            material.applyTo(clientOptions);
+        });
+        listenIp = listen.ip();
+        client = vertx.createNetClient(clientOptions);
+        server = vertx.createNetServer(serverOptions).connectHandler(this::onAccepted);
+        return server.listen();
+    }
+
+    private Future<?> update(TlsMaterial material) {
+        return Future.join(
+                server.updateSSLOptions(material.serverOptions()), client.updateSSLOptions(material.clientOptions()));
     }
 
     /** Starts delivering messages and finding peers' addresses. */
@@ -112,6 +109,9 @@
 
     @Override
     public void send(MemberId to, PeerMessage message) {
+        if (closed) {
+            return;
+        }
         PeerConnection connection = connections.get(to);
         if (connection == null) {
             Optional<Member> peer = find(to);
@@ -119,7 +119,8 @@
                 telemetry.count(CounterCode.PEER_MESSAGES_DROPPED, "unknown-member");
                 return;
             }
-            Buffer hello = FrameReader.frame(Hello.of(site, self).encode());
+            Buffer hello = FrameReader.frame(
+                    Hello.of(site, self, listenIp + ":" + actualPort()).encode());
             connection = PeerConnection.open(vertx, client, peer.get(), hello, telemetry, meters);
             connections.put(to, connection);
         }
@@ -127,11 +128,14 @@
     }
 
     private Optional<Member> find(MemberId id) {
-        return members.get().stream().filter(member -> member.id().equals(id)).findFirst();
+        return members.get().stream()
+                .filter(member -> member.id().equals(id))
+                .findFirst()
+                .or(() -> Optional.ofNullable(greeted.get(id)));
     }
 
     private void prune() {
-        Set<MemberId> present = new HashSet<>();
+        Set<MemberId> present = new HashSet<>(greeted.keySet());
         members.get().forEach(member -> present.add(member.id()));
         connections.entrySet().removeIf(entry -> {
             boolean gone = !present.contains(entry.getKey());
@@ -147,11 +151,12 @@
         Inbound inbound = new Inbound(socket);
         socket.handler(FrameReader.create(inbound::onFrame, inbound::onInvalidLength));
         socket.exceptionHandler(error -> socket.close());
-        socket.closeHandler(closed -> accepted.remove(socket));
+        socket.closeHandler(closed -> inbound.onClosed());
     }
 
     /** Closes all connections and stops listening. */
     public Future<Void> shutdown() {
+        closed = true;
         connections.values().forEach(PeerConnection::close);
         connections.clear();
         return Future.join(server.close(), client.close()).mapEmpty();
@@ -187,10 +192,22 @@
             } else if (!hello.get().site().equals(site)) {
                 reject("site", "site=" + hello.get().site());
             } else {
-                sender = Optional.of(new MemberId(hello.get().member()));
+                greet(hello.get());
             }
         }
 
+        /** A host that is about to join asks members for acknowledgements, which have to reach it. */
+        private void greet(Hello hello) {
+            MemberId id = new MemberId(hello.member());
+            sender = Optional.of(id);
+            greeted.put(id, new Member(id, hello.member(), hello.address(), ""));
+        }
+
+        private void onClosed() {
+            accepted.remove(socket);
+            sender.ifPresent(greeted::remove);
+        }
+
         private void onMessage(MemberId from, byte[] frame) {
             codec.decode(frame)
                     .peekLeft(error -> reject("message", error))
