--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -18,6 +18,7 @@
             ServeCommand.class,
             CheckCommand.class,
             BenchCommand.class,
+            CatalogueCommand.class,
             DemoCommand.class,
             StandInCommand.class,
         })
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -13,6 +13,7 @@
 import org.basilswitch.daemon.peer.FrameCodec;
 import org.basilswitch.daemon.peer.PeerMeters;
 import org.basilswitch.daemon.peer.PeerTransport;
+import org.basilswitch.daemon.telemetry.DaemonMeter;
 import org.basilswitch.daemon.telemetry.DaemonTelemetry;
 import org.basilswitch.daemon.telemetry.MeteredStore;
 import org.basilswitch.daemon.telemetry.Meters;
@@ -110,6 +111,7 @@
                 hostOptions, clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(), store, peers, telemetry);
         peers.start(host::members, host::receive);
         openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
+        registerGauges();
         host.start();
         return Future.join(callers.listen(options.callers(), tls), administration.listen(options.administration(), tls))
                 .mapEmpty();
@@ -123,6 +125,13 @@
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
 
+    private void registerGauges() {
+        meters.gauge(DaemonMeter.OPEN_REQUESTS, callers::openRequests);
+        meters.gauge(DaemonMeter.READY, () -> isReady() ? 1 : 0);
+        meters.gauge(
+                DaemonMeter.CONFIGURATION_REVISION, () -> host.configuration().revision());
+    }
+
     private void report() {
         telemetry.event(
                 EventCode.ENTRY_HOST_STARTED,
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerMeters.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerMeters.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import org.basilswitch.daemon.telemetry.DaemonMeter;
 
 /** Counts control traffic between entry hosts. */
 public final class PeerMeters {
@@ -10,14 +11,14 @@
     private final Counter receivedBytes;
     private final Counter sentFrames;
     private final Counter receivedFrames;
-    private int connected;
+    private volatile int connected;
 
     private PeerMeters(MeterRegistry registry) {
-        sentBytes = counter(registry, "basilswitch.peer.bytes", "sent");
-        receivedBytes = counter(registry, "basilswitch.peer.bytes", "received");
-        sentFrames = counter(registry, "basilswitch.peer.frames", "sent");
-        receivedFrames = counter(registry, "basilswitch.peer.frames", "received");
-        Gauge.builder("basilswitch.peers.connected", () -> connected).register(registry);
+        sentBytes = counter(registry, DaemonMeter.PEER_BYTES, "sent");
+        receivedBytes = counter(registry, DaemonMeter.PEER_BYTES, "received");
+        sentFrames = counter(registry, DaemonMeter.PEER_FRAMES, "sent");
+        receivedFrames = counter(registry, DaemonMeter.PEER_FRAMES, "received");
+        Gauge.builder(DaemonMeter.PEERS_CONNECTED.metric(), () -> connected).register(registry);
     }
 
     /** Registers the meters. */
@@ -25,8 +26,8 @@
         return new PeerMeters(registry);
     }
 
-    private static Counter counter(MeterRegistry registry, String name, String direction) {
-        return Counter.builder(name).tag("direction", direction).register(registry);
+    private static Counter counter(MeterRegistry registry, DaemonMeter meter, String direction) {
+        return Counter.builder(meter.metric()).tag("direction", direction).register(registry);
     }
 
     void sent(int bytes) {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/MeteredStore.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/MeteredStore.java
@@ -65,7 +65,7 @@
     private void count(String kind, String result) {
         counters.computeIfAbsent(
                         kind + " " + result,
-                        key -> Counter.builder("basilswitch.store.calls")
+                        key -> Counter.builder(DaemonMeter.STORE_CALLS.metric())
                                 .tag("kind", kind)
                                 .tag("result", result)
                                 .register(registry))
@@ -73,7 +73,7 @@
     }
 
     private Timer timer(String kind) {
-        return Timer.builder("basilswitch.store.duration")
+        return Timer.builder(DaemonMeter.STORE_DURATION.metric())
                 .tag("kind", kind)
                 .serviceLevelObjectives(LatencyBuckets.all())
                 .register(registry);
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/Meters.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/Meters.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -45,6 +47,11 @@
         return builder.register(registry);
     }
 
+    /** Registers a gauge that is read with each scrape, from another thread than the event loop's. */
+    public void gauge(DaemonMeter meter, Supplier<Number> value) {
+        Gauge.builder(meter.metric(), value).strongReference(true).register(registry);
+    }
+
     /** Records a request's time from its head to its end. */
     public void requestEnded(String queue, Refusal.Outcome outcome, long durationNanos) {
         requestTimers
@@ -54,7 +61,7 @@
     }
 
     private Timer requestTimer(String queue, Refusal.Outcome outcome) {
-        return Timer.builder("basilswitch.request.duration")
+        return Timer.builder(DaemonMeter.REQUEST_DURATION.metric())
                 .tag("queue", queue)
                 .tag("outcome", outcome.text())
                 .serviceLevelObjectives(LatencyBuckets.all())
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/ProcessMeters.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/ProcessMeters.java
@@ -20,9 +20,9 @@
     public static void register(MeterRegistry registry) {
         OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
         FunctionCounter.builder(
-                        "basilswitch.process.cpu.seconds", system, bean -> bean.getProcessCpuTime() / NANOS_PER_SECOND)
+                        DaemonMeter.PROCESS_CPU.metric(), system, bean -> bean.getProcessCpuTime() / NANOS_PER_SECOND)
                 .register(registry);
-        Gauge.builder("basilswitch.process.heap.live.bytes", ProcessMeters::liveHeapBytes)
+        Gauge.builder(DaemonMeter.LIVE_HEAP.metric(), ProcessMeters::liveHeapBytes)
                 .strongReference(true)
                 .register(registry);
     }
