--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/DeadlineCap.java
@@ -0,0 +1,43 @@
+package org.basilswitch.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.basilswitch.configuration.SiteConfiguration;
+import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.dispatch.RequestSpec;
+import org.basilswitch.limit.LongestWork;
+
+/**
+ * Cuts callers' deadlines to the longest of any queue. The units of a crashed entry host are used again after that
+ * time, so no request may run longer.
+ */
+final class DeadlineCap implements RequestBroker {
+    private final RequestBroker broker;
+    private final Supplier<SiteConfiguration> configuration;
+
+    DeadlineCap(RequestBroker broker, Supplier<SiteConfiguration> configuration) {
+        this.broker = broker;
+        this.configuration = configuration;
+    }
+
+    @Override
+    public RequestHandle submit(RequestSpec spec, RequestObserver observer) {
+        Duration longest = LongestWork.of(configuration.get()).deadline();
+        Optional<Duration> deadline = spec.deadline().map(asked -> asked.compareTo(longest) > 0 ? longest : asked);
+        RequestSpec capped =
+                new RequestSpec(spec.queue(), spec.keySecret(), spec.idempotencyKey(), deadline, spec.priority());
+        return broker.submit(capped, observer);
+    }
+
+    @Override
+    public void drain() {
+        broker.drain();
+    }
+
+    @Override
+    public int openRequests() {
+        return broker.openRequests();
+    }
+}
