--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.HelpCommand;
 
 /** The program {@code basilswitch}. */
+/** The command line's entry point. */
 @Command(
         name = "basilswitch",
         mixinStandardHelpOptions = true,
