Read the platform's list of live hosts, which lags

A leaving backend server must get no new work after 5 s although the list lags. LiveHostReader polls the list, ignores an older one, lets a host's own word go before it, and says nothing once the list has been unreadable for 30 s. The stand-in list shows hosts as they were some time ago (standin live-list).

Four tests with a list 1 s old: leaving is known within the bound of 5 s, own word counts at once, an unreadable list turns unknown and back, a host never listed is unknown and not gone. 14 tests of the stand-in worker: slots, late start, connection cap, each fault, reboot, drain, tasks under leases. Not wired into the entry host yet.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/StandInCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/StandInCommand.java
@@ -7,5 +7,5 @@
         name = "standin",
         mixinStandardHelpOptions = true,
         description = "Runs stand-ins for the platform on loopback, for trials and tests.",
-        subcommands = {StoreCommand.class, WorkerCommand.class})
+        subcommands = {StoreCommand.class, WorkerCommand.class, LiveListCommand.class})
 public final class StandInCommand {}
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -41,6 +41,8 @@
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
+    LIVE_LIST_UNREADABLE(1804, Severity.WARN, "list of live hosts can't be read; keeping the last one for some time"),
+    LIVE_LIST_READ(1805, Severity.INFO, "list of live hosts is read again"),
     CALLER_REQUEST_MALFORMED(2001, Severity.INFO, "caller's request is malformed; refused"),
     CALLER_HEADERS_TOO_LARGE(2002, Severity.INFO, "caller's headers are too large; refused"),
     CALLER_BODY_TOO_LARGE(2003, Severity.INFO, "caller's body is over the limit; refused"),
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/HostListDocument.java
@@ -0,0 +1,36 @@
+package org.basilswitch.daemon.livelist;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+
+import org.basilswitch.configuration.RecordCodec;
+
+/**
+ * The list as the platform serves it.
+ *
+ * @param measuredAt UTC instant at which the platform saw the hosts like this
+ * @param live names of live hosts
+ * @param leaving names of hosts about to leave
+ */
+record HostListDocument(String measuredAt, Set<String> live, Set<String> leaving) {
+
+    /** A checked list. */
+    record Listed(Instant measuredAt, Set<String> live, Set<String> leaving) {}
+
+    static Optional<Listed> decode(byte[] bytes) {
+        return RecordCodec.decode(bytes, HostListDocument.class).flatMap(HostListDocument::checked);
+    }
+
+    private Optional<Listed> checked() {
+        if (measuredAt == null || live == null || leaving == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Listed(Instant.parse(measuredAt), Set.copyOf(live), Set.copyOf(leaving)));
+        } catch (DateTimeException | NullPointerException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LiveHostReader.java
@@ -0,0 +1,157 @@
+package org.basilswitch.daemon.livelist;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.HostAndPort;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.time.Clock;
+
+/**
+ * Reads the platform's list of hosts again and again.
+ *
+ * <p>The list lags, so a host's own word goes before it: a host that has said that it is leaving counts as leaving for
+ * as long as the list may still be from before, and longer when it says so again. A list that can't be read for some
+ * time says nothing. All calls are made on the event loop of the context.
+ */
+public final class LiveHostReader implements LiveHosts, AutoCloseable {
+    private static final String PATH = "/v1/hosts";
+    private static final int HTTP_OK = 200;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration STALE_AFTER = Duration.ofSeconds(30);
+    private static final Duration OWN_WORD_TIME = Duration.ofSeconds(10);
+
+    private final Vertx vertx;
+    private final Context context;
+    private final Clock clock;
+    private final Telemetry telemetry;
+    private final HostAndPort address;
+    private final Duration interval;
+    private final HttpClient client;
+    private final Map<String, Long> leavingByOwnWordNanos = new HashMap<>();
+    private final Set<String> everListed = new HashSet<>();
+    private Optional<HostListDocument.Listed> list = Optional.empty();
+    private long readNanos;
+    private boolean readable = true;
+    private boolean closed;
+
+    private LiveHostReader(
+            Vertx vertx, Context context, Clock clock, Telemetry telemetry, HostAndPort address, Duration interval) {
+        this.vertx = vertx;
+        this.context = context;
+        this.clock = clock;
+        this.telemetry = telemetry;
+        this.address = address;
+        this.interval = interval;
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) REQUEST_TIMEOUT.toMillis()),
+                new PoolOptions().setHttp1MaxSize(1));
+    }
+
+    /**
+     * Starts reading.
+     *
+     * @param vertx runs timers and the client
+     * @param context event loop of the entry host
+     * @param clock monotonic time
+     * @param telemetry told when the list becomes unreadable and readable
+     * @param address where the list is served
+     * @param interval time between two readings
+     */
+    public static LiveHostReader start(
+            Vertx vertx, Context context, Clock clock, Telemetry telemetry, HostAndPort address, Duration interval) {
+        LiveHostReader reader = new LiveHostReader(vertx, context, clock, telemetry, address, interval);
+        context.runOnContext(ignored -> reader.poll());
+        return reader;
+    }
+
+    private void poll() {
+        if (closed) {
+            return;
+        }
+        client.request(HttpMethod.GET, address.port(), address.host(), PATH)
+                .compose(request ->
+                        request.idleTimeout(REQUEST_TIMEOUT.toMillis()).send())
+                .compose(response -> response.body().map(body -> decode(response, body)))
+                .otherwise(Optional.empty())
+                .onSuccess(read -> context.runOnContext(ignored -> onRead(read)));
+    }
+
+    private static Optional<HostListDocument.Listed> decode(HttpClientResponse response, Buffer body) {
+        return response.statusCode() == HTTP_OK ? HostListDocument.decode(body.getBytes()) : Optional.empty();
+    }
+
+    private void onRead(Optional<HostListDocument.Listed> read) {
+        read.ifPresent(this::adopt);
+        if (read.isPresent() != readable) {
+            readable = read.isPresent();
+            telemetry.event(readable ? EventCode.LIVE_LIST_READ : EventCode.LIVE_LIST_UNREADABLE, "address=" + address);
+        }
+        vertx.setTimer(Math.max(1, interval.toMillis()), ignored -> context.runOnContext(again -> poll()));
+    }
+
+    private void adopt(HostListDocument.Listed next) {
+        if (list.isPresent() && next.measuredAt().isBefore(list.get().measuredAt())) {
+            return;
+        }
+        list = Optional.of(next);
+        readNanos = clock.monotonicNanos();
+        everListed.addAll(next.live());
+        everListed.addAll(next.leaving());
+    }
+
+    /** Notes that a host itself refused work because it is leaving. */
+    public void leavingByOwnWord(String host) {
+        leavingByOwnWordNanos.put(host, clock.monotonicNanos());
+    }
+
+    @Override
+    public Presence presence(String host) {
+        if (saidItself(host)) {
+            return Presence.LEAVING;
+        }
+        boolean stale = clock.monotonicNanos() - readNanos > STALE_AFTER.toNanos();
+        if (list.isEmpty() || stale) {
+            return Presence.UNKNOWN;
+        }
+        if (list.get().leaving().contains(host)) {
+            return Presence.LEAVING;
+        }
+        if (list.get().live().contains(host)) {
+            return Presence.LIVE;
+        }
+        return everListed.contains(host) ? Presence.GONE : Presence.UNKNOWN;
+    }
+
+    private boolean saidItself(String host) {
+        Long saidNanos = leavingByOwnWordNanos.get(host);
+        if (saidNanos == null) {
+            return false;
+        }
+        boolean recent = clock.monotonicNanos() - saidNanos <= OWN_WORD_TIME.toNanos();
+        if (!recent) {
+            leavingByOwnWordNanos.remove(host);
+        }
+        return recent;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        client.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LiveHostReaderTest.java
@@ -0,0 +1,135 @@
+package org.basilswitch.daemon.livelist;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.HostAndPort;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.placement.LiveHosts.Presence;
+import org.basilswitch.standin.hosts.HostListServer;
+import org.basilswitch.standin.hosts.HostListServer.ListFaults;
+import org.basilswitch.standin.hosts.HostListServer.Listing;
+import org.basilswitch.time.Clock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** The reader with a list that lags, goes down and comes back. */
+public final class LiveHostReaderTest {
+    private static final Duration LAG = Duration.ofSeconds(1);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+    private static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final long STEP_MS = 20;
+
+    private final AtomicLong skippedNanos = new AtomicLong();
+    private Vertx vertx;
+    private Context context;
+    private HostListServer server;
+    private LiveHostReader reader;
+
+    /** Starts a list of two hosts and a reader. */
+    @BeforeMethod
+    public void start() {
+        skippedNanos.set(0);
+        vertx = Vertx.vertx();
+        context = vertx.getOrCreateContext();
+        server = HostListServer.start(vertx, 0, Set.of("a", "b"), LAG).await();
+        reader = LiveHostReader.start(
+                vertx,
+                context,
+                new SkippingClock(skippedNanos),
+                Telemetry.none(),
+                HostAndPort.create("127.0.0.1", server.port()),
+                POLL_INTERVAL);
+    }
+
+    /** Stops both. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        reader.close();
+        vertx.close().await();
+    }
+
+    private Presence presence(String host) throws Exception {
+        CompletableFuture<Presence> answer = new CompletableFuture<>();
+        context.runOnContext(ignored -> answer.complete(reader.presence(host)));
+        return answer.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    private Duration timeUntil(String host, Presence expected) throws Exception {
+        long startNanos = System.nanoTime();
+        while (presence(host) != expected) {
+            Duration waited = Duration.ofNanos(System.nanoTime() - startNanos);
+            assertTrue(waited.compareTo(PATIENCE) < 0, host + " is " + presence(host) + ", not " + expected);
+            TimeUnit.MILLISECONDS.sleep(STEP_MS);
+        }
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    /** A leaving host is known as such within the bound although the list shows it late; the other stays live. */
+    @Test
+    public void leavingHostIsKnownWithinTheBoundThroughALaggingList() throws Exception {
+        timeUntil("a", Presence.LIVE);
+        server.set("a", Listing.LEAVING).await();
+        Duration known = timeUntil("a", Presence.LEAVING);
+        assertTrue(known.compareTo(LEAVING_BOUND) < 0, "known after " + known);
+        assertEquals(presence("b"), Presence.LIVE);
+        server.set("a", Listing.GONE).await();
+        timeUntil("a", Presence.GONE);
+        server.set("a", Listing.LIVE).await();
+        timeUntil("a", Presence.LIVE);
+    }
+
+    /** A host's own word counts at once and for some seconds, whatever the list says. */
+    @Test
+    public void ownWordGoesBeforeTheList() throws Exception {
+        timeUntil("a", Presence.LIVE);
+        context.runOnContext(ignored -> reader.leavingByOwnWord("a"));
+        assertEquals(presence("a"), Presence.LEAVING);
+        skippedNanos.addAndGet(Duration.ofSeconds(11).toNanos());
+        assertEquals(presence("a"), Presence.LIVE);
+    }
+
+    /** A list that can't be read keeps its word for some time and then says nothing; it counts again once read. */
+    @Test
+    public void unreadableListSaysNothingAfterSomeTime() throws Exception {
+        timeUntil("a", Presence.LIVE);
+        server.setFaults(new ListFaults(true, 0)).await();
+        TimeUnit.MILLISECONDS.sleep(3 * POLL_INTERVAL.toMillis());
+        assertEquals(presence("a"), Presence.LIVE);
+        skippedNanos.addAndGet(Duration.ofSeconds(31).toNanos());
+        assertEquals(presence("a"), Presence.UNKNOWN);
+        server.setFaults(new ListFaults(false, 0)).await();
+        timeUntil("a", Presence.LIVE);
+    }
+
+    /** A host that the list has never shown is unknown, not gone. */
+    @Test
+    public void neverListedHostIsUnknown() throws Exception {
+        timeUntil("a", Presence.LIVE);
+        assertEquals(presence("stranger"), Presence.UNKNOWN);
+    }
+
+    /** The system's clocks, with time skipped on demand. */
+    private record SkippingClock(AtomicLong skippedNanos) implements Clock {
+        @Override
+        public Instant instant() {
+            return Instant.now();
+        }
+
+        @Override
+        public long monotonicNanos() {
+            return System.nanoTime() + skippedNanos.get();
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/hosts/HostListServer.java
@@ -0,0 +1,167 @@
+package org.basilswitch.standin.hosts;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.standin.ControlJson;
+import org.basilswitch.standin.HttpAnswers;
+
+/**
+ * The stand-in list: {@code GET /v1/hosts} answers with the hosts as they were some time ago.
+ *
+ * <p>{@code POST /control/host} with {@link HostChange} changes a host now; {@code POST /control/faults} sets
+ * {@link ListFaults}.
+ */
+public final class HostListServer extends VerticleBase {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final Duration HISTORY = Duration.ofMinutes(2);
+
+    private final int requestedPort;
+    private final Set<String> live;
+    private final Set<String> leaving = new TreeSet<>();
+    private final Deque<Published> history = new ArrayDeque<>();
+    private ListFaults faults;
+    private HttpServer server;
+
+    private HostListServer(int port, Set<String> hosts, Duration lag) {
+        this.requestedPort = port;
+        this.live = new TreeSet<>(hosts);
+        this.faults = new ListFaults(false, lag.toMillis());
+    }
+
+    /** What a host is listed as. */
+    public enum Listing {
+        LIVE,
+        LEAVING,
+        GONE
+    }
+
+    /** A change of one host. */
+    public record HostChange(String host, Listing listing) {}
+
+    /**
+     * Faults of the list.
+     *
+     * @param down whether connections are closed without an answer
+     * @param lagMs age of the hosts' states when they are published, in milliseconds
+     */
+    public record ListFaults(boolean down, long lagMs) {}
+
+    private record Published(long nanos, HostList list) {}
+
+    /** Starts a list of live hosts on a loopback port; 0 takes a free one. */
+    public static Future<HostListServer> start(Vertx vertx, int port, Set<String> hosts, Duration lag) {
+        HostListServer list = new HostListServer(port, hosts, lag);
+        return vertx.deployVerticle(list).map(list);
+    }
+
+    @Override
+    public Future<?> start() {
+        remember();
+        server = vertx.createHttpServer();
+        server.requestHandler(request -> request.body().onSuccess(body -> handle(request, body)));
+        return server.listen(requestedPort, LOOPBACK);
+    }
+
+    /** The port that the list is served on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Changes a host now; the list shows it after its lag. */
+    public Future<Void> set(String host, Listing listing) {
+        return onEventLoop(() -> change(new HostChange(host, listing)));
+    }
+
+    /** Sets the faults. */
+    public Future<Void> setFaults(ListFaults next) {
+        return onEventLoop(() -> faults = next);
+    }
+
+    private Future<Void> onEventLoop(Runnable action) {
+        Promise<Void> done = Promise.promise();
+        context.runOnContext(ignored -> {
+            action.run();
+            done.complete();
+        });
+        return done.future();
+    }
+
+    private void change(HostChange change) {
+        live.remove(change.host());
+        leaving.remove(change.host());
+        switch (change.listing()) {
+            case LIVE -> live.add(change.host());
+            case LEAVING -> leaving.add(change.host());
+            case GONE -> {
+                // on neither list
+            }
+        }
+        remember();
+    }
+
+    private void remember() {
+        long nowNanos = System.nanoTime();
+        history.addLast(new Published(nowNanos, HostList.of(Instant.now(), live, leaving)));
+        while (history.size() > 1 && nowNanos - history.peekFirst().nanos() > HISTORY.toNanos()) {
+            history.removeFirst();
+        }
+    }
+
+    private HostList lagging() {
+        long limitNanos = System.nanoTime() - Duration.ofMillis(faults.lagMs()).toNanos();
+        Published shown = history.peekFirst();
+        for (Published published : history) {
+            if (published.nanos() - limitNanos <= 0) {
+                shown = published;
+            }
+        }
+        Instant measuredAt = Instant.now().minusMillis(faults.lagMs());
+        return HostList.of(measuredAt, shown.list().live(), shown.list().leaving());
+    }
+
+    private void handle(HttpServerRequest request, Buffer body) {
+        switch (request.path()) {
+            case "/v1/hosts" -> list(request);
+            case "/control/host" -> control(request, body);
+            case "/control/faults" -> controlFaults(request, body);
+            default -> HttpAnswers.json(request.response(), 404, RecordCodec.encode("unknown path"));
+        }
+    }
+
+    private void list(HttpServerRequest request) {
+        if (faults.down()) {
+            request.connection().close();
+            return;
+        }
+        HttpAnswers.json(request.response(), 200, RecordCodec.encode(lagging()));
+    }
+
+    private void control(HttpServerRequest request, Buffer body) {
+        Optional<HostChange> decoded = RecordCodec.decode(body.getBytes(), HostChange.class)
+                .filter(change -> change.host() != null && change.listing() != null);
+        decoded.ifPresent(this::change);
+        HttpAnswers.json(
+                request.response(),
+                decoded.isPresent() ? 200 : 400,
+                RecordCodec.encode(decoded.isPresent() ? "changed" : "send host and listing"));
+    }
+
+    private void controlFaults(HttpServerRequest request, Buffer body) {
+        ControlJson.merge(faults, body).ifPresent(next -> faults = next);
+        HttpAnswers.json(request.response(), 200, RecordCodec.encode(faults));
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/TaskTableTest.java
@@ -0,0 +1,97 @@
+package org.basilswitch.standin.worker;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.basilswitch.standin.worker.TaskTable.Phase;
+import org.basilswitch.standin.worker.TaskTable.TaskSpec;
+import org.basilswitch.time.VirtualTime;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tasks under leases on a virtual clock. */
+public final class TaskTableTest {
+    private VirtualTime time;
+    private TaskTable tasks;
+
+    /** Creates an empty table. */
+    @BeforeMethod
+    public void create() {
+        time = VirtualTime.create();
+        tasks = TaskTable.create(time);
+    }
+
+    private static TaskSpec spec(String id, long workMs, long leaseMs, long progressMs) {
+        return new TaskSpec(id, "depot", 4, 1000, 1, 6, 1500, workMs, leaseMs, progressMs);
+    }
+
+    private void pass(Duration duration) {
+        long ticks = duration.toMillis() / TaskTable.TICK.toMillis();
+        for (long i = 0; i < ticks; i++) {
+            time.runFor(TaskTable.TICK);
+            tasks.tick();
+        }
+    }
+
+    private Phase phase(String id) {
+        return tasks.find(id).orElseThrow().phase();
+    }
+
+    /** A task ends when its work is done, and later when it is throttled. */
+    @Test
+    public void throttledTaskTakesLonger() {
+        tasks.start(spec("fast", 2000, 60_000, 0));
+        tasks.start(spec("slow", 2000, 60_000, 0));
+        tasks.throttle("slow", 0.5);
+        pass(Duration.ofMillis(2200));
+        assertEquals(phase("fast"), Phase.COMPLETED);
+        assertEquals(phase("slow"), Phase.RUNNING);
+        pass(Duration.ofMillis(2000));
+        assertEquals(phase("slow"), Phase.COMPLETED);
+    }
+
+    /** A task whose lease is not renewed is stopped; a renewed one goes on. */
+    @Test
+    public void lapsedLeaseStopsTheTask() {
+        tasks.start(spec("kept", 0, 1000, 0));
+        tasks.start(spec("lapsed", 0, 1000, 0));
+        pass(Duration.ofMillis(800));
+        tasks.renew("kept");
+        pass(Duration.ofMillis(800));
+        assertEquals(phase("kept"), Phase.RUNNING);
+        assertEquals(phase("lapsed"), Phase.LEASE_LAPSED);
+        tasks.renew("lapsed");
+        assertEquals(phase("lapsed"), Phase.LEASE_LAPSED);
+    }
+
+    /** A checkpoint keeps the progress, from which the task goes on elsewhere; a stop loses it. */
+    @Test
+    public void checkpointKeepsProgress() {
+        tasks.start(spec("a", 3000, 60_000, 0));
+        tasks.start(spec("b", 3000, 60_000, 0));
+        pass(Duration.ofSeconds(1));
+        double kept = tasks.checkpoint("a").orElseThrow().checkpointMs();
+        assertEquals(kept, 1000, 1);
+        assertEquals(tasks.stop("b").orElseThrow().checkpointMs(), 0, 0);
+        TaskTable elsewhere = TaskTable.create(time);
+        assertEquals(elsewhere.start(spec("a", 3000, 60_000, (long) kept)).progressMs(), kept, 1);
+    }
+
+    /** The usage report shows what ran some seconds ago, by what tasks use and not by what they declare. */
+    @Test
+    public void usageReportLags() {
+        pass(Duration.ofSeconds(5));
+        tasks.start(spec("a", 0, 60_000, 0));
+        pass(Duration.ofSeconds(1));
+        assertEquals(tasks.usageReport().tasks(), List.of());
+        pass(Duration.ofSeconds(3));
+        TaskTable.Usage usage = tasks.usageReport();
+        assertEquals(usage.tasks(), List.of("a"));
+        assertEquals(usage.processors(), 6, 0.001);
+        assertEquals(usage.memoryBytes(), 1500);
+        assertTrue(usage.ageMs() >= 2900, "age " + usage.ageMs());
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
@@ -0,0 +1,214 @@
+package org.basilswitch.standin.worker;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** The stand-in worker over HTTP: slots, refusals that are true, faults, and its own record. */
+public final class WorkerServerTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final long LONG_MS = 600;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private Vertx vertx;
+    private RunRecord record;
+    private WorkerServer worker;
+
+    /** Starts a worker of two slots. */
+    @BeforeMethod
+    public void start() {
+        vertx = Vertx.vertx();
+        record = RunRecord.create();
+        WorkerOptions options = WorkerOptions.of("w").withSlots(2, 8).withServiceTime(new ServiceTime.Fixed(1));
+        worker = WorkerServer.start(vertx, options, record).await();
+    }
+
+    /** Stops it. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        vertx.close().await();
+    }
+
+    private HttpRequest.Builder run(String id, double serviceMs) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + worker.port() + "/v1/run"))
+                .timeout(PATIENCE)
+                .header("Basilswitch-Request-Id", id)
+                .header("Basilswitch-Attempt", "1")
+                .header("Basilswitch-Team", "depot")
+                .header("Basilswitch-Queue", "quotes")
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"testId\":\"" + id + "\",\"serviceMs\":" + serviceMs + "}"));
+    }
+
+    private CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest.Builder request) {
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+        return sendAsync(request).get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    private HttpResponse<String> control(String path, String body) throws Exception {
+        return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + worker.port() + path))
+                .POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    private void awaitRunning(int count) throws Exception {
+        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (worker.running().await() != count) {
+            assertTrue(System.nanoTime() < limitNanos, "never ran " + count);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private static String header(HttpResponse<?> response, String name) {
+        return response.headers().firstValue(name).orElse("");
+    }
+
+    /** An answer repeats the request's identifier and attempt, and the run is recorded for its team. */
+    @Test
+    public void answerRepeatsIdentifierAndRunIsRecorded() throws Exception {
+        HttpResponse<String> response = send(run("r1", 5));
+        assertEquals(response.statusCode(), 200);
+        assertEquals(header(response, "Basilswitch-Request-Id"), "r1");
+        assertEquals(header(response, "Basilswitch-Attempt"), "1");
+        assertTrue(response.body().contains("\"testId\":\"r1\""), response.body());
+        Run recorded = record.snapshot().runs().getFirst();
+        assertEquals(recorded.team(), "depot");
+        assertTrue(recorded.endedMicros() >= recorded.startedMicros());
+    }
+
+    /** A request after its time to start is refused and not recorded as run. */
+    @Test
+    public void lateStartIsRefusedAndNotRun() throws Exception {
+        String past = Instant.now().minusSeconds(1).toString();
+        HttpResponse<String> response = send(run("late", 5).header("Basilswitch-Start-Before", past));
+        assertEquals(response.statusCode(), 412);
+        assertEquals(header(response, "Basilswitch-Request-Id"), "late");
+        assertEquals(record.snapshot().runs().size(), 0);
+        assertEquals(record.snapshot().refused(), Map.of("late", 1L));
+    }
+
+    /** With its slots taken a worker refuses as busy; what it refused has not run. */
+    @Test
+    public void fullWorkerIsBusy() throws Exception {
+        CompletableFuture<HttpResponse<String>> first = sendAsync(run("a", LONG_MS));
+        CompletableFuture<HttpResponse<String>> second = sendAsync(run("b", LONG_MS));
+        awaitRunning(2);
+        HttpResponse<String> third = send(run("c", 5));
+        assertEquals(third.statusCode(), 503);
+        assertEquals(header(third, "Basilswitch-Worker"), "busy");
+        assertEquals(first.get().statusCode(), 200);
+        assertEquals(second.get().statusCode(), 200);
+        assertEquals(record.teams().get("depot").maxRunning(), 2);
+        assertEquals(RunAudit.of(record.snapshot().runs()).runsByTestId(), Map.of("a", 1L, "b", 1L));
+    }
+
+    /** Connections beyond the cap are closed. */
+    @Test
+    public void connectionsAreCapped() throws Exception {
+        worker.setFaults(WorkerFaults.none().withHang(true));
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            answers.add(sendAsync(run("x" + i, 1)));
+        }
+        CompletableFuture<Object> firstEnded = CompletableFuture.anyOf(answers.stream()
+                .map(answer -> answer.handle((response, error) -> error != null))
+                .toArray(CompletableFuture[]::new));
+        firstEnded.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (!record.snapshot().refused().containsKey("connections")) {
+            assertTrue(System.nanoTime() < limitNanos, "no connection was refused");
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    /** A worker that fails everything answers 500 at once, and the runs count. */
+    @Test
+    public void failsEverythingOnDemand() throws Exception {
+        assertEquals(control("/control/faults", "{\"failEverything\":true}").statusCode(), 200);
+        assertEquals(send(run("f", 500)).statusCode(), 500);
+        assertEquals(record.teams().get("depot").started(), 1);
+        control("/control/faults", "{\"failEverything\":false}");
+        assertEquals(send(run("g", 1)).statusCode(), 200);
+    }
+
+    /** Crossed answers go to each other's request. */
+    @Test
+    public void crossesAnswersOnDemand() throws Exception {
+        worker.setFaults(WorkerFaults.none().withCrossed(true));
+        CompletableFuture<HttpResponse<String>> first = sendAsync(run("a", 5));
+        CompletableFuture<HttpResponse<String>> second = sendAsync(run("b", 5));
+        assertEquals(header(first.get(), "Basilswitch-Request-Id"), "b");
+        assertEquals(header(second.get(), "Basilswitch-Request-Id"), "a");
+    }
+
+    /** A late answer comes after its run has ended, whose slot is free by then. */
+    @Test
+    public void answersLateOnDemand() throws Exception {
+        worker.setFaults(WorkerFaults.none().withLateMs(LONG_MS));
+        CompletableFuture<HttpResponse<String>> late = sendAsync(run("l", 1));
+        awaitRunning(1);
+        awaitRunning(0);
+        assertTrue(!late.isDone(), "answered before the delay");
+        assertEquals(late.get().statusCode(), 200);
+    }
+
+    /** A reboot cuts what runs, refuses connections, and serves again on the same port. */
+    @Test
+    public void rebootCutsAndServesAgain() throws Exception {
+        worker.setFaults(WorkerFaults.none().withHang(true));
+        CompletableFuture<HttpResponse<String>> cut = sendAsync(run("h", 1));
+        awaitRunning(1);
+        worker.setFaults(WorkerFaults.none());
+        worker.stopNow().await();
+        assertThrows(ExecutionException.class, () -> cut.get());
+        assertThrows(ExecutionException.class, () -> send(run("refused", 1)));
+        worker.startAgain().await();
+        assertEquals(send(run("again", 1)).statusCode(), 200);
+        assertEquals(record.teams().get("depot").running(), 0);
+    }
+
+    /** A draining worker finishes what runs and takes nothing new. */
+    @Test
+    public void drainingWorkerTakesNothingNew() throws Exception {
+        CompletableFuture<HttpResponse<String>> running = sendAsync(run("r", LONG_MS));
+        awaitRunning(1);
+        control("/control/drain", "");
+        assertEquals(send(run("n", 1)).statusCode(), 503);
+        assertEquals(running.get().statusCode(), 200);
+        control("/control/resume", "");
+        assertEquals(send(run("m", 1)).statusCode(), 200);
+    }
+
+    /** Missing and malformed headers and unknown paths are refused. */
+    @Test
+    public void malformedRequestsAreRefused() throws Exception {
+        assertEquals(control("/v1/run", "{}").statusCode(), 400);
+        assertEquals(
+                send(run("x", 1).header("Basilswitch-Start-Before", "yesterday"))
+                        .statusCode(),
+                400);
+        assertEquals(control("/elsewhere", "").statusCode(), 404);
+        assertEquals(control("/control/faults", "{\"slowFactor\":-1}").statusCode(), 400);
+    }
+}
