--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -7,7 +7,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 
-/** The command line's entry point. */
+/** The program {@code basilswitch}. */
 @Command(
         name = "basilswitch",
         mixinStandardHelpOptions = true,
@@ -15,6 +15,7 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             HelpCommand.class,
+            ServeCommand.class,
             CheckCommand.class,
             BenchCommand.class,
             DemoCommand.class,
@@ -24,8 +25,8 @@
     private Main() {}
 
     /** Runs a command and exits with its code: 0 done, 1 refused or failed, 2 wrong usage. */
-    public static void main(String[] args) {
-        System.exit(commandLine().execute(args));
+    public static void main(String[] arguments) {
+        System.exit(commandLine().execute(arguments));
     }
 
     /** The commands, without running one. */
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -99,8 +99,8 @@
     private void startEntryHost(Settings.EntryHostSettings settings) {
         DaemonOptions options = DaemonOptions.loopback(site.name(), settings.name(), settings.zone());
         EntryHostServer.Parts parts = new EntryHostServer.Parts(
-                (hostVertx, clock, scheduler) ->
-                        EtcdStore.create(hostVertx, hostVertx.getOrCreateContext(), storeOptions(), Telemetry.none()),
+                (hostVertx, clock, scheduler, telemetry) ->
+                        EtcdStore.create(hostVertx, hostVertx.getOrCreateContext(), storeOptions(), telemetry),
                 ThriftFrameCodec.create(),
                 AdministrationRoutes.none());
         entryHosts.add(EntryHostServer.start(vertx, options, parts).await());
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/PeerTransport.java
@@ -38,24 +38,24 @@
     private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(5);
 
     private final Vertx vertx;
-    private final String listenIp;
     private final String site;
     private final MemberId self;
     private final FrameCodec codec;
     private final Telemetry telemetry;
     private final PeerMeters meters;
     private NetServer server;
+    private String listenIp;
     private NetClient client;
     private final Map<MemberId, PeerConnection> connections = new HashMap<>();
     private final Set<NetSocket> accepted = new HashSet<>();
     private final Map<MemberId, Member> greeted = new HashMap<>();
+    private boolean closed;
     private Supplier<List<Member>> members = List::of;
     private BiConsumer<MemberId, PeerMessage> receiver = (from, message) -> {};
 
     private PeerTransport(
             Vertx vertx, String site, MemberId self, FrameCodec codec, Telemetry telemetry, PeerMeters meters) {
         this.vertx = vertx;
-        this.listenIp = listen.ip();
         this.site = site;
         this.self = self;
         this.codec = codec;
@@ -84,6 +84,7 @@
             material.applyTo(serverOptions);
             material.applyTo(clientOptions);
         });
+        listenIp = listen.ip();
         client = vertx.createNetClient(clientOptions);
         server = vertx.createNetServer(serverOptions).connectHandler(this::onAccepted);
         return server.listen();
@@ -108,6 +109,9 @@
 
     @Override
     public void send(MemberId to, PeerMessage message) {
+        if (closed) {
+            return;
+        }
         PeerConnection connection = connections.get(to);
         if (connection == null) {
             Optional<Member> peer = find(to);
@@ -152,6 +156,7 @@
 
     /** Closes all connections and stops listening. */
     public Future<Void> shutdown() {
+        closed = true;
         connections.values().forEach(PeerConnection::close);
         connections.clear();
         return Future.join(server.close(), client.close()).mapEmpty();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/ThriftFrameCodec.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/peer/ThriftFrameCodec.java
@@ -7,9 +7,8 @@
 import org.basilswitch.peer.codec.DecodeError;
 import org.basilswitch.peer.codec.PeerCodec;
 
-/** Peer messages as Thrift structs in the compact protocol. */
+/** Frames of Thrift's compact protocol. */
 public final class ThriftFrameCodec implements FrameCodec {
-
     private ThriftFrameCodec() {}
 
     /** Creates the codec. */
@@ -24,13 +23,13 @@
 
     @Override
     public Either<String, Optional<PeerMessage>> decode(byte[] frame) {
-        return PeerCodec.decode(frame)
-                .map(Optional::of)
-                .fold(
-                        error -> switch (error) {
-                            case DecodeError.UnknownKind unknown -> Either.right(Optional.empty());
-                            case DecodeError.Malformed malformed -> Either.left(malformed.toString());
-                        },
-                        Either::right);
+        return PeerCodec.decode(frame).fold(ThriftFrameCodec::onError, message -> Either.right(Optional.of(message)));
+    }
+
+    private static Either<String, Optional<PeerMessage>> onError(DecodeError error) {
+        return switch (error) {
+            case DecodeError.Malformed malformed -> Either.left(malformed.detail());
+            case DecodeError.UnknownKind unknown -> Either.right(Optional.empty());
+        };
     }
 }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
@@ -15,15 +15,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
-import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.ConfigurationRecord;
 import org.basilswitch.configuration.Pool;
 import org.basilswitch.configuration.Queue;
 import org.basilswitch.configuration.RecordCodec;
-import org.basilswitch.daemon.peer.FrameCodec;
-import org.basilswitch.peer.PeerMessage;
+import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.PlatformStore;
@@ -52,8 +50,9 @@
         this.client = client;
         this.scheme = scheme;
         worker = FakeWorker.start(vertx);
-        StoreFactory stores = (unused, clock, scheduler) -> store(clock, scheduler, connections);
-        EntryHostServer.Parts parts = new EntryHostServer.Parts(stores, new NoMessages(), AdministrationRoutes.none());
+        StoreFactory stores = (unused, clock, scheduler, telemetry) -> store(clock, scheduler, connections);
+        EntryHostServer.Parts parts =
+                new EntryHostServer.Parts(stores, ThriftFrameCodec.create(), AdministrationRoutes.none());
         server = EntryHostServer.start(vertx, options, parts).await();
         await(() -> status("/readyz") == 200);
     }
@@ -81,6 +80,7 @@
 
     static DaemonOptions options() {
         return DaemonOptions.loopback(SITE, "entry1", "z1")
+                .withTiming(new DaemonOptions.PeerTiming(Duration.ofMillis(300), Duration.ofMillis(100), 0.01))
                 .withShutdown(new ShutdownOptions(Duration.ofMillis(300), Duration.ofSeconds(10)));
     }
 
@@ -164,17 +164,4 @@
     public void close() {
         vertx.close().await();
     }
-
-    /** A codec of a protocol without messages. */
-    private static final class NoMessages implements FrameCodec {
-        @Override
-        public byte[] encode(PeerMessage message) {
-            return new byte[] {0};
-        }
-
-        @Override
-        public Either<String, Optional<PeerMessage>> decode(byte[] frame) {
-            return Either.left("not a message");
-        }
-    }
 }
