--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -9,5 +9,6 @@
         description = "Measures; each subcommand prints its figures beside targets and baselines of the same run.",
         subcommands = {
             ProxyCommand.class,
+            FaultsCommand.class,
         })
 public final class BenchCommand {}
