Add the command line of the administration interface, apply and diff

check, diff, apply, status, pool, host, team, key, queue, share, limit, wave and audit talk to any entry host, go on to the next when one can't answer, and ask for a change again with the same operation id. Secrets of keys are made by the command line; only hashes leave it.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/CheckCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/CheckCommand.java
@@ -14,7 +14,10 @@
 import picocli.CommandLine.Spec;
 
 /** Checks settings without talking to anything. */
-@Command(name = "check", description = "Checks settings offline and names every fault at once.")
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks settings offline and names every fault at once.")
 final class CheckCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -1,5 +1,17 @@
 package org.basilswitch.cli;
 
+import org.basilswitch.cli.admin.ApplyCommand;
+import org.basilswitch.cli.admin.AuditCommand;
+import org.basilswitch.cli.admin.DiffCommand;
+import org.basilswitch.cli.admin.HostCommand;
+import org.basilswitch.cli.admin.KeyCommand;
+import org.basilswitch.cli.admin.LimitCommand;
+import org.basilswitch.cli.admin.PoolCommand;
+import org.basilswitch.cli.admin.QueueCommand;
+import org.basilswitch.cli.admin.ShareCommand;
+import org.basilswitch.cli.admin.StatusCommand;
+import org.basilswitch.cli.admin.TeamCommand;
+import org.basilswitch.cli.admin.WaveCommand;
 import org.basilswitch.cli.bench.BenchCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -13,6 +25,19 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             HelpCommand.class,
+            CheckCommand.class,
+            DiffCommand.class,
+            ApplyCommand.class,
+            StatusCommand.class,
+            PoolCommand.class,
+            HostCommand.class,
+            TeamCommand.class,
+            KeyCommand.class,
+            QueueCommand.class,
+            ShareCommand.class,
+            LimitCommand.class,
+            WaveCommand.class,
+            AuditCommand.class,
             BenchCommand.class,
         })
 public final class Main {
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/admin/AdministrationCommand.java
@@ -0,0 +1,133 @@
+package org.basilswitch.cli.admin;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.basilswitch.daemon.admin.ChangeAnswer;
+import org.basilswitch.daemon.admin.Problem;
+import org.basilswitch.daemon.admin.RecordView;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ScopeType;
+import picocli.CommandLine.Spec;
+
+/** What all commands to the administration interface share. */
+abstract class AdministrationCommand {
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private Connection connection;
+
+    @Option(names = "--json", scope = ScopeType.INHERIT, description = "Prints JSON.")
+    private boolean json;
+
+    final PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    final PrintWriter errors() {
+        return spec.commandLine().getErr();
+    }
+
+    final boolean json() {
+        return json;
+    }
+
+    static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    /** Runs something with a client and turns a failure into a message and an exit code. */
+    final int with(Function<AdministrationClient, Integer> action) {
+        try (AdministrationClient client = connection.open()) {
+            return action.apply(client);
+        } catch (CommandFailure e) {
+            errors().println(e.getMessage());
+            errors().flush();
+            return Output.REFUSED;
+        }
+    }
+
+    /** Makes a change and prints what became of it. */
+    final int change(Function<AdministrationClient, Either<Problem, ChangeAnswer>> action) {
+        return with(client -> {
+            Either<Problem, ChangeAnswer> result = action.apply(client);
+            if (json) {
+                Output.json(out(), result.fold(problem -> problem, answer -> answer));
+            }
+            PrintWriter text = json ? new PrintWriter(java.io.Writer.nullWriter()) : out();
+            return Output.change(text, errors(), result);
+        });
+    }
+
+    /** Prints all records of a kind. */
+    final int list(String kind) {
+        return with(client -> {
+            List<RecordView> records = client.list(kind);
+            if (json) {
+                Output.json(out(), records);
+            } else {
+                Output.table(out(), rows(records));
+            }
+            return Output.DONE;
+        });
+    }
+
+    private static List<List<String>> rows(List<RecordView> records) {
+        List<List<String>> rows = new ArrayList<>();
+        for (RecordView view : records) {
+            if (rows.isEmpty()) {
+                rows.add(titles(view.record()));
+            }
+            List<String> row = new ArrayList<>();
+            view.record().forEach(value -> row.add(text(value)));
+            row.add(Long.toString(view.revision()));
+            rows.add(row);
+        }
+        return rows;
+    }
+
+    private static List<String> titles(JsonNode record) {
+        List<String> titles = new ArrayList<>();
+        for (Iterator<String> names = record.fieldNames(); names.hasNext(); ) {
+            titles.add(names.next());
+        }
+        titles.add("revision");
+        return titles;
+    }
+
+    private static String text(JsonNode value) {
+        return value.isArray() ? Integer.toString(value.size()) : value.asText();
+    }
+
+    /** Prints one record. */
+    final int show(String kind, String name) {
+        return with(client -> {
+            RecordView view = client.find(kind, name)
+                    .orElseThrow(() -> new CommandFailure(kind + "/" + name + " does not exist; list " + kind));
+            Output.json(out(), view);
+            return Output.DONE;
+        });
+    }
+
+    final int patch(String kind, String name, ObjectNode fields) {
+        return change(client -> client.patch(kind, name, fields));
+    }
+
+    final int create(String kind, String name, ObjectNode record) {
+        return change(client -> client.put(kind, name, record, 0, true));
+    }
+
+    final int remove(String kind, String name) {
+        return change(client -> client.delete(kind, name));
+    }
+}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/admin/DesiredRecords.java
@@ -0,0 +1,99 @@
+package org.basilswitch.cli.admin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.basilswitch.administration.RecordKey;
+import org.basilswitch.administration.RecordReader;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.daemon.admin.RecordView;
+import org.basilswitch.daemon.settings.Difference;
+
+/**
+ * The records of settings beside those of a running site.
+ *
+ * <p>A host's pool and state are what the site starts with; once it runs, operators and pool controllers change them, so
+ * that those of the running site are kept.
+ */
+final class DesiredRecords {
+    private static final List<String> KEPT = List.of("pool", "state");
+
+    private final Map<RecordKey, ObjectNode> desired = new LinkedHashMap<>();
+    private final Map<RecordKey, RecordView> running = new LinkedHashMap<>();
+
+    private DesiredRecords() {}
+
+    /** Reads the running site's records of the kinds that the settings hold. */
+    static DesiredRecords read(List<ConfigurationRecord> records, AdministrationClient client) {
+        DesiredRecords result = new DesiredRecords();
+        Set<String> kinds = new LinkedHashSet<>();
+        for (ConfigurationRecord record : records) {
+            RecordKey key = RecordKey.of(record);
+            result.desired.put(key, (ObjectNode) RecordReader.tree(record));
+            kinds.add(key.kind());
+        }
+        for (String kind : kinds) {
+            client.list(kind).forEach(view -> result.running.put(new RecordKey(kind, view.name()), view));
+        }
+        result.desired.forEach(result::keep);
+        return result;
+    }
+
+    private void keep(RecordKey key, ObjectNode record) {
+        RecordView view = running.get(key);
+        if (view != null && key.kind().equals("hosts")) {
+            KEPT.forEach(field -> record.set(field, view.record().path(field)));
+        }
+    }
+
+    /** Records that the site lacks or holds otherwise, in the order in which they can be written. */
+    List<RecordKey> toWrite() {
+        return desired.keySet().stream()
+                .filter(key -> !Optional.ofNullable(running.get(key))
+                        .map(view -> view.record().toString())
+                        .equals(Optional.of(desired.get(key).toString())))
+                .toList();
+    }
+
+    /** Records that the settings don't hold. */
+    List<RecordKey> others() {
+        return running.keySet().stream()
+                .filter(key -> !desired.containsKey(key))
+                .toList();
+    }
+
+    JsonNode record(RecordKey key) {
+        return desired.get(key);
+    }
+
+    /** The revision that a write has to expect; 0 when the record is new. */
+    long revision(RecordKey key) {
+        return Optional.ofNullable(running.get(key)).map(RecordView::revision).orElse(0L);
+    }
+
+    /** Differences from the running site to the settings. */
+    List<Difference> differences() {
+        Map<RecordKey, JsonNode> now = running.entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, entry -> entry.getValue().record()));
+        return new ArrayList<>(Difference.between(flat(now), flat(desired)));
+    }
+
+    private static Map<String, String> flat(Map<RecordKey, ? extends JsonNode> records) {
+        Map<String, String> values = new TreeMap<>();
+        records.forEach((key, record) -> record.properties()
+                .forEach(field -> values.put(
+                        key.kind() + "." + key.name() + "." + field.getKey(),
+                        field.getValue().asText())));
+        return values;
+    }
+}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/admin/DiffCommand.java
@@ -0,0 +1,58 @@
+package org.basilswitch.cli.admin;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import org.basilswitch.cli.SettingsFiles;
+import org.basilswitch.daemon.settings.Difference;
+import org.basilswitch.daemon.settings.Settings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Shows what differs between settings, or between a running site and settings. */
+@Command(
+        name = "diff",
+        mixinStandardHelpOptions = true,
+        description = "Shows what differs from other settings (--from), or else from a running entry host, to these"
+                + " settings. Exit code 1 when something does.")
+public final class DiffCommand extends AdministrationCommand implements Callable<Integer> {
+    @Mixin
+    private SettingsFiles files;
+
+    @Option(names = "--from", paramLabel = "FILE", description = "Base file of the settings to compare from.")
+    private Path fromBase;
+
+    @Option(names = "--from-overlay", paramLabel = "FILE", description = "Overlay of those; may be repeated.")
+    private List<Path> fromOverlays = new ArrayList<>();
+
+    @Override
+    public Integer call() {
+        Optional<Settings> to = files.load(errors());
+        if (to.isEmpty()) {
+            return Output.REFUSED;
+        }
+        if (fromBase == null) {
+            return with(client ->
+                    print(DesiredRecords.read(to.get().records(), client).differences()));
+        }
+        return Settings.load(fromBase, fromOverlays)
+                .peekLeft(problems -> SettingsFiles.print(problems, errors()))
+                .fold(
+                        problems -> Output.REFUSED,
+                        from -> print(Difference.between(from.fields(), to.get().fields())));
+    }
+
+    private int print(List<Difference> differences) {
+        if (json()) {
+            Output.json(out(), differences.stream().map(Difference::text).toList());
+        } else {
+            differences.forEach(difference -> out().println(difference.text()));
+            out().flush();
+        }
+        return differences.isEmpty() ? Output.DONE : Output.REFUSED;
+    }
+}
--- /dev/null
+++ b/basilswitch-cli/src/test/java/org/basilswitch/cli/admin/AdministrationCommandsTest.java
@@ -0,0 +1,178 @@
+package org.basilswitch.cli.admin;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.basilswitch.cli.admin.RunningSite.Run;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Drives a running entry host by the command line, in the order of an operator's day. */
+public final class AdministrationCommandsTest {
+    private static final Path ROOT = Path.of("").toAbsolutePath().getParent();
+    private static final List<String> SETTINGS = List.of(
+            "--settings",
+            ROOT.resolve("sites/base.json").toString(),
+            "--overlay",
+            ROOT.resolve("sites/fraser-fathom.json").toString());
+
+    private RunningSite site;
+
+    /** Starts the entry host and applies the settings. */
+    @BeforeClass
+    public void start() {
+        site = RunningSite.start();
+        Run applied = site.run(with("apply"));
+        assertEquals(applied.code(), Output.DONE, applied.errors());
+        assertTrue(applied.out().contains("56 records written"), applied.out());
+    }
+
+    /** Stops the entry host. */
+    @AfterClass
+    public void stop() {
+        site.close();
+    }
+
+    private static String[] with(String command, String... more) {
+        return Stream.of(Stream.of(command), SETTINGS.stream(), Stream.of(more))
+                .flatMap(part -> part)
+                .toArray(String[]::new);
+    }
+
+    private Run good(String... arguments) {
+        Run run = site.run(arguments);
+        assertEquals(run.code(), Output.DONE, String.join(" ", arguments) + ": " + run.errors());
+        return run;
+    }
+
+    /** Applying again writes nothing, and the running site does not differ from its settings. */
+    @Test
+    public void applyIsIdempotent() {
+        RunningSite fresh = RunningSite.start();
+        try (fresh) {
+            assertTrue(fresh.run(with("apply", "--dry-run")).out().contains("would write queues/invoices"));
+            assertTrue(fresh.run(with("apply")).out().contains("56 records written"));
+            assertTrue(fresh.run(with("apply")).out().contains("0 records written"));
+            Run diff = fresh.run(with("diff"));
+            assertEquals(diff.code(), 0, diff.out());
+            fresh.run("limit", "set", "burnaby-diners", "50");
+            assertEquals(fresh.run(with("diff")).out().trim(), "~ teams.burnaby-diners.limitTasks: 50 -> 48");
+        }
+    }
+
+    /** Shares and limits are set and shown. */
+    @Test
+    public void sharesAndLimits() {
+        assertTrue(good("limit", "set", "delta-kitchens", "170").out().contains("in force at 1 of 1"));
+        good("share", "set", "delta-kitchens", "5");
+        assertTrue(good("limit", "list").out().matches("(?s).*delta-kitchens +170\\s.*"));
+        assertTrue(good("share", "list", "--json").out().contains("\"shareWeight\" : 5"));
+        assertEquals(site.run("limit", "set", "nobody", "1").code(), Output.REFUSED);
+    }
+
+    /** A key's secret is printed once; withdrawn, it can't come back. */
+    @Test
+    public void keysAreCreatedGrantedAndWithdrawn() {
+        Run created = good("key", "create", "tablet", "--team", "fathom-drivers");
+        assertTrue(created.out().contains("secret (shown only now): "));
+        Run shown = good("key", "show", "tablet");
+        String secret =
+                created.out().substring(created.out().indexOf("now): ") + 6).trim();
+        assertFalse(shown.out().contains(secret));
+        good("key", "grant", "tablet", "--team", "delta-kitchens");
+        String hash = shown.out().replaceAll("(?s).*\"sha256Hex\" : \"([0-9a-f]{64})\".*", "$1");
+        good("key", "withdraw", "tablet");
+        Run again = site.run("key", "grant", "tablet", "--team", "fathom-drivers", "--sha256", hash);
+        assertEquals(again.code(), Output.REFUSED);
+        assertTrue(again.errors().contains("key-hash-used"), again.errors());
+    }
+
+    /** A host moves only once it is drained. */
+    @Test
+    public void hostsAreDrainedAndMoved() {
+        Run refused = site.run("host", "move", "host-01", "--to", "invoices");
+        assertTrue(refused.errors().contains("host-not-drained"), refused.errors());
+        good("host", "drain", "host-01");
+        good("host", "move", "host-01", "--to", "invoices");
+        assertTrue(good("host", "show", "host-01").out().contains("\"pool\" : \"invoices\""));
+        good("host", "drain", "host-02");
+        good("host", "activate", "host-02");
+        assertEquals(site.run("pool", "remove", "invoices").code(), Output.REFUSED);
+    }
+
+    /** A wave is planned, started, paused, resumed and aborted. */
+    @Test
+    public void wavesAreDriven() {
+        good("wave", "plan", "kernel", "--pools", "manifests", "--concurrent", "2");
+        good("wave", "start", "kernel");
+        assertEquals(site.run("wave", "start", "no-such").code(), Output.REFUSED);
+        good("wave", "pause", "kernel");
+        good("wave", "resume", "kernel");
+        good("wave", "abort", "kernel");
+        assertTrue(good("wave", "list").out().contains("ABORTED"));
+        good("wave", "remove", "kernel");
+    }
+
+    /** Pools, teams and queues are added, changed and removed. */
+    @Test
+    public void recordsAreAddedAndRemoved() {
+        good("pool", "add", "extra");
+        good("queue", "set", "extra-queue", "--pool", "extra", "--idempotent", "true");
+        good("queue", "set", "extra-queue", "--deadline-ms", "1500");
+        assertTrue(good("queue", "show", "extra-queue").out().contains("\"deadlineMs\" : 1500"));
+        good("queue", "remove", "extra-queue");
+        good("pool", "remove", "extra");
+        good("team", "add", "guests", "--limit", "3");
+        good("team", "remove", "guests");
+        good(
+                "host",
+                "add",
+                "host-99",
+                "--address",
+                "127.0.0.1:19099",
+                "--pool",
+                "backoffice",
+                "--zone",
+                "surrey",
+                "--rack",
+                "rack-10");
+        assertTrue(good("pool", "list").out().contains("backoffice"));
+    }
+
+    /** The status and the audit records are shown. */
+    @Test
+    public void statusAndAudit() {
+        String status = good("status").out();
+        assertTrue(status.contains("site fraser-fathom"), status);
+        assertTrue(status.contains("backoffice (spare)"), status);
+        assertTrue(good("status", "--json").out().contains("\"answeredBy\" : \"entry-1\""));
+        assertTrue(good("audit", "--record", "teams/city-inspectors").out().contains("by ada at "));
+    }
+
+    /** Without an entry host or with a wrong key the message says what to do. */
+    @Test
+    public void failuresNameTheRemedy() {
+        Run wrongKey = RunningSite.runOffline("status", "--url", site.url(), "--operator-key", "wrong");
+        assertEquals(wrongKey.code(), Output.REFUSED);
+        assertTrue(wrongKey.errors().contains("Send your operator key"), wrongKey.errors());
+        Run nobody = RunningSite.runOffline("status", "--url", "http://127.0.0.1:1", "--operator-key", "x");
+        assertEquals(nobody.code(), Output.REFUSED);
+        assertTrue(nobody.errors().contains("check --url"), nobody.errors());
+    }
+
+    /** Checking settings offline names every fault and sets the exit code. */
+    @Test
+    public void checkNamesFaults() {
+        Run good = RunningSite.runOffline(with("check"));
+        assertTrue(good.out().contains("complete and consistent"), good.errors());
+        Run bad = RunningSite.runOffline("check", "--settings", SETTINGS.get(1));
+        assertEquals(bad.code(), 1);
+        assertTrue(bad.errors().contains("base.json:3:1: site: missing"), bad.errors());
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/administration/ChangeRun.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/administration/ChangeRun.java
@@ -23,6 +23,7 @@
  */
 final class ChangeRun {
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
+    private static final Duration VIEW_POLL_INTERVAL = Duration.ofMillis(5);
 
     private final Administrator.Parts parts;
     private final RetentionLease operations;
@@ -187,7 +188,7 @@
                 .orElse(0);
         long viewRevision = parts.view().get().revision();
         if (viewRevision < guardRevision) {
-            again(ChangeRefusal.Code.VIEW_BEHIND, "view at " + viewRevision + ", store at " + guardRevision);
+            awaitView(before, after, "view at " + viewRevision + ", store at " + guardRevision);
             return;
         }
         Optional<ChangeRefusal> refusal = after.map(
@@ -202,6 +203,14 @@
                                 audit.current(), auditLease -> commit(before, after, operationLease, auditLease))));
     }
 
+    private void awaitView(Optional<ConfigurationRecord> before, Optional<ConfigurationRecord> after, String detail) {
+        if (parts.clock().monotonicNanos() > endNanos) {
+            refuse(ChangeRefusal.Code.VIEW_BEHIND, detail);
+        } else {
+            parts.scheduler().schedule(VIEW_POLL_INTERVAL, () -> checkView(before, after));
+        }
+    }
+
     private void commit(
             Optional<ConfigurationRecord> before,
             Optional<ConfigurationRecord> after,
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/ChangeHeaders.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/admin/ChangeHeaders.java
@@ -14,8 +14,9 @@
  * @param operationId the caller's id of the operation
  * @param expectedRevision revision in {@code If-Match}; 0 with {@code If-None-Match: *}
  */
-record ChangeHeaders(String operationId, long expectedRevision) {
-    static final String OPERATION_ID = "Basilswitch-Operation-Id";
+public record ChangeHeaders(String operationId, long expectedRevision) {
+    /** Header that carries the operation id. */
+    public static final String OPERATION_ID = "Basilswitch-Operation-Id";
 
     private static final int BAD_REQUEST = 400;
     private static final int PRECONDITION_REQUIRED = 428;
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/Difference.java
@@ -0,0 +1,43 @@
+package org.basilswitch.daemon.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * A field that differs between two sets of values.
+ *
+ * @param path path of the field, such as {@code teams.depot.limitTasks}
+ * @param before value in the first set; empty when it is absent there
+ * @param after value in the second set; empty when it is absent there
+ */
+public record Difference(String path, Optional<String> before, Optional<String> after) {
+
+    /** Compares two sets of values, in order of their paths. */
+    public static List<Difference> between(Map<String, ?> first, Map<String, ?> second) {
+        TreeSet<String> paths = new TreeSet<>(first.keySet());
+        paths.addAll(second.keySet());
+        List<Difference> differences = new ArrayList<>();
+        for (String path : paths) {
+            Optional<String> before = Optional.ofNullable(first.get(path)).map(String::valueOf);
+            Optional<String> after = Optional.ofNullable(second.get(path)).map(String::valueOf);
+            if (!before.equals(after)) {
+                differences.add(new Difference(path, before, after));
+            }
+        }
+        return differences;
+    }
+
+    /** The difference in one line, marked with {@code +}, {@code -} or {@code ~}. */
+    public String text() {
+        if (before.isEmpty()) {
+            return "+ " + path + ": " + after.orElse("");
+        }
+        if (after.isEmpty()) {
+            return "- " + path + ": " + before.get();
+        }
+        return "~ " + path + ": " + before.get() + " -> " + after.get();
+    }
+}
