--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -13,10 +13,13 @@
 import org.basilswitch.cli.admin.TeamCommand;
 import org.basilswitch.cli.admin.WaveCommand;
 import org.basilswitch.cli.bench.BenchCommand;
+import org.basilswitch.cli.demo.DemoCommand;
+import org.basilswitch.cli.standin.StandInCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 
+/** The program {@code basilswitch}. */
 /** The command line's entry point. */
 @Command(
         name = "basilswitch",
@@ -25,6 +28,7 @@
         description = "Fleet capacity and maintenance manager.",
         subcommands = {
             HelpCommand.class,
+            ServeCommand.class,
             CheckCommand.class,
             DiffCommand.class,
             ApplyCommand.class,
@@ -39,13 +43,15 @@
             WaveCommand.class,
             AuditCommand.class,
             BenchCommand.class,
+            DemoCommand.class,
+            StandInCommand.class,
         })
 public final class Main {
     private Main() {}
 
     /** Runs a command and exits with its code: 0 done, 1 refused or failed, 2 wrong usage. */
-    public static void main(String[] args) {
-        System.exit(commandLine().execute(args));
+    public static void main(String[] arguments) {
+        System.exit(commandLine().execute(arguments));
     }
 
     /** The commands, without running one. */
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/FakeWorker.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/FakeWorker.java
@@ -27,6 +27,7 @@
     }
 
     private void onRequest(HttpServerRequest request) {
+        request.exceptionHandler(cut -> {});
         requestIds.add(request.getHeader("Basilswitch-Request-Id"));
         handler.handle(request);
     }
