--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -1,5 +1,17 @@
 package org.basilswitch.cli;
 
+import org.basilswitch.cli.admin.ApplyCommand;
+import org.basilswitch.cli.admin.AuditCommand;
+import org.basilswitch.cli.admin.DiffCommand;
+import org.basilswitch.cli.admin.HostCommand;
+import org.basilswitch.cli.admin.KeyCommand;
+import org.basilswitch.cli.admin.LimitCommand;
+import org.basilswitch.cli.admin.PoolCommand;
+import org.basilswitch.cli.admin.QueueCommand;
+import org.basilswitch.cli.admin.ShareCommand;
+import org.basilswitch.cli.admin.StatusCommand;
+import org.basilswitch.cli.admin.TeamCommand;
+import org.basilswitch.cli.admin.WaveCommand;
 import org.basilswitch.cli.bench.BenchCommand;
 import org.basilswitch.cli.demo.DemoCommand;
 import org.basilswitch.cli.standin.StandInCommand;
@@ -18,7 +30,20 @@
             HelpCommand.class,
             ServeCommand.class,
             CheckCommand.class,
+            DiffCommand.class,
+            ApplyCommand.class,
+            StatusCommand.class,
+            PoolCommand.class,
+            HostCommand.class,
+            TeamCommand.class,
+            KeyCommand.class,
+            QueueCommand.class,
+            ShareCommand.class,
+            LimitCommand.class,
+            WaveCommand.class,
+            AuditCommand.class,
             BenchCommand.class,
+            CatalogueCommand.class,
             DemoCommand.class,
             StandInCommand.class,
         })
