Give each entry host the pool controllers and a client of the worker hosts

Cause: the fleet's controllers ran in simulations only. Change: the daemon competes for the pools' duties, reads host reports and reboots hosts over HTTP, and wires the reader of the live-host list; the stand-in worker has a host agent whose reboot call names a boot.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/WorkerCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/WorkerCommand.java
@@ -59,7 +59,10 @@
         ServiceTime distribution = ServiceTime.of(serviceTime, meanMs);
         for (int i = 0; i < count; i++) {
             String workerName = count == 1 ? name : String.format("%s-%02d", name, first + i);
-            WorkerOptions options = new WorkerOptions(workerName, port + i, slots, connections, distribution);
+            WorkerOptions options = WorkerOptions.of(workerName)
+                    .withPort(port + i)
+                    .withSlots(slots, connections)
+                    .withServiceTime(distribution);
             WorkerServer.start(vertx, options, record).await();
         }
         spec.commandLine().getOut().println(count + " workers ready from 127.0.0.1:" + port);
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/FleetUsage.java
@@ -169,6 +169,11 @@
         }
     }
 
+    /** Running and waiting requests of a pool across the fleet. */
+    public int demandSlots(String pool) {
+        return poolOf(fleet, pool).demand();
+    }
+
     /** Adds to this host's own counts. */
     void addOwn(String pool, String team, int runningChange, int waitingChange) {
         long now = clock.monotonicNanos();
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -44,6 +44,7 @@
     private final Membership membership;
     private final ClaimService claims;
     private final AllotmentService limits;
+    private final FleetUsage usage;
     private final RequestBroker broker;
     private long membersRevision;
 
@@ -54,6 +55,7 @@
             Membership membership,
             ClaimService claims,
             AllotmentService limits,
+            FleetUsage usage,
             RequestBroker broker) {
         this.options = options;
         this.scheduler = scheduler;
@@ -61,6 +63,7 @@
         this.membership = membership;
         this.claims = claims;
         this.limits = limits;
+        this.usage = usage;
         this.broker = broker;
     }
 
@@ -132,7 +135,7 @@
                 random,
                 telemetry));
         RequestBroker capped = new DeadlineCap(broker, follower::current);
-        return new EntryHost(options, scheduler, follower, membership, claims, limits, capped);
+        return new EntryHost(options, scheduler, follower, membership, claims, limits, usage, capped);
     }
 
     /** Reads the configuration and joins the members. */
@@ -189,6 +192,11 @@
         return limits;
     }
 
+    /** Slots that a pool's requests use or wait for across the fleet, as this host last heard. */
+    public int demandSlots(String pool) {
+        return usage.demandSlots(pool);
+    }
+
     /** This host. */
     public Member self() {
         return options.self();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -1,6 +1,7 @@
 package org.basilswitch.daemon;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.UUID;
 
 import io.vertx.core.Context;
@@ -10,6 +11,8 @@
 import io.vertx.core.Vertx;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.daemon.caller.CallerPort;
+import org.basilswitch.daemon.fleet.FleetDuties;
+import org.basilswitch.daemon.livelist.LiveHostReader;
 import org.basilswitch.daemon.peer.FrameCodec;
 import org.basilswitch.daemon.peer.PeerMeters;
 import org.basilswitch.daemon.peer.PeerTransport;
@@ -21,12 +24,16 @@
 import org.basilswitch.daemon.tls.TlsReloader;
 import org.basilswitch.daemon.worker.WorkerClients;
 import org.basilswitch.daemon.worker.WorkerExchange;
+import org.basilswitch.dispatch.BackgroundWork;
 import org.basilswitch.entry.EntryHost;
 import org.basilswitch.entry.EntryHostOptions;
+import org.basilswitch.entry.EntryHostParts;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.fleet.FleetOptions;
 import org.basilswitch.membership.Member;
 import org.basilswitch.peer.MemberId;
+import org.basilswitch.placement.LiveHosts;
 import org.basilswitch.store.PlatformStore;
 
 /**
@@ -48,6 +55,7 @@
     private PeerTransport peers;
     private WorkerClients workers;
     private EntryHost host;
+    private FleetDuties fleet;
     private CallerPort callers;
     private AdministrationPort administration;
     private volatile boolean stopping;
@@ -107,12 +115,34 @@
                 options.timing().promiseTime(),
                 options.timing().heartbeatInterval(),
                 options.timing().clockDriftRatio());
+        Optional<LiveHostReader> list = options.worker()
+                .liveList()
+                .map(address -> LiveHostReader.start(
+                        vertx,
+                        context,
+                        clock,
+                        telemetry,
+                        address,
+                        options.worker().listInterval()));
+        EntryHostParts hostParts = new EntryHostParts(
+                list.<LiveHosts>map(reader -> reader).orElse(LiveHosts.unknown()), BackgroundWork.none());
         host = EntryHost.create(
-                hostOptions, clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(), store, peers, telemetry);
+                hostOptions,
+                clock,
+                scheduler,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                store,
+                peers,
+                hostParts,
+                telemetry);
         peers.start(host::members, host::receive);
         openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
         registerGauges();
         host.start();
+        fleet = FleetDuties.start(
+                options.site(),
+                FleetOptions.defaults(),
+                new FleetDuties.Parts(vertx, context, host, store, clock, scheduler, telemetry, list));
         return Future.join(callers.listen(options.callers(), tls), administration.listen(options.administration(), tls))
                 .mapEmpty();
     }
@@ -202,6 +232,7 @@
     private void drain(Promise<Void> done) {
         telemetry.event(EventCode.SHUTDOWN_DRAINING, "open=" + callers.openRequests());
         callers.drain();
+        fleet.close();
         host.broker().drain();
         long limitNanos =
                 clock.monotonicNanos() + options.shutdown().drainTime().toNanos();
@@ -232,6 +263,7 @@
 
     private Future<Void> closePorts() {
         closed = true;
+        fleet.close();
         host.close();
         tls.close();
         workers.close();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
@@ -69,8 +69,13 @@
                 limits.callerIdleTimeout());
     }
 
-    private static WorkerOptions worker(Settings.DaemonLimits limits) {
+    private static WorkerOptions worker(Settings settings) {
         WorkerOptions defaults = WorkerOptions.defaults();
-        return new WorkerOptions(defaults.connectTimeout(), limits.serverIdleTimeout(), defaults.startWindow());
+        return new WorkerOptions(
+                defaults.connectTimeout(),
+                settings.limits().serverIdleTimeout(),
+                defaults.startWindow(),
+                settings.liveHosts().address(),
+                settings.liveHosts().pollInterval());
     }
 }
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/fleet/FleetDuties.java
@@ -0,0 +1,86 @@
+package org.basilswitch.daemon.fleet;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import org.basilswitch.daemon.livelist.LiveHostReader;
+import org.basilswitch.entry.EntryHost;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.fleet.FleetContext;
+import org.basilswitch.fleet.FleetControllers;
+import org.basilswitch.fleet.FleetOptions;
+import org.basilswitch.fleet.InForceGate;
+import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** The pool controllers that this entry host competes for, with their client of the worker hosts. */
+public final class FleetDuties implements AutoCloseable {
+    private final HttpWorkerPlatform workers;
+    private final FleetControllers controllers;
+
+    private FleetDuties(HttpWorkerPlatform workers, FleetControllers controllers) {
+        this.workers = workers;
+        this.controllers = controllers;
+    }
+
+    /**
+     * What the duties run with.
+     *
+     * @param vertx creates the client of the worker hosts
+     * @param context event loop of the entry host
+     * @param host the entry host
+     * @param store the platform's store
+     * @param clock clock
+     * @param scheduler timers on the event loop
+     * @param telemetry events and counters
+     * @param list reader of the live-host list; empty when the site has none
+     */
+    public record Parts(
+            Vertx vertx,
+            Context context,
+            EntryHost host,
+            PlatformStore store,
+            Clock clock,
+            Scheduler scheduler,
+            Telemetry telemetry,
+            Optional<LiveHostReader> list) {}
+
+    /** Starts competing for the pools' controllers. */
+    public static FleetDuties start(String site, FleetOptions options, Parts parts) {
+        HttpWorkerPlatform workers = HttpWorkerPlatform.create(
+                parts.vertx(), parts.context(), () -> parts.list().flatMap(LiveHostReader::latest));
+        FleetContext context = new FleetContext(
+                options,
+                new StoreKeys(site),
+                parts.clock(),
+                parts.scheduler(),
+                parts.store(),
+                workers,
+                InForceGate.create(parts.host().inForce()),
+                parts.host()::configuration,
+                parts.telemetry());
+        FleetControllers controllers = FleetControllers.create(
+                context, parts.host().self().id(), parts.host()::members, pool -> demand(parts.host(), pool));
+        controllers.start();
+        return new FleetDuties(workers, controllers);
+    }
+
+    private static OptionalInt demand(EntryHost host, String pool) {
+        return host.ready() ? OptionalInt.of(host.demandSlots(pool)) : OptionalInt.empty();
+    }
+
+    /** The controllers. */
+    public FleetControllers controllers() {
+        return controllers;
+    }
+
+    @Override
+    public void close() {
+        controllers.close();
+        workers.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/fleet/RebootDocument.java
@@ -0,0 +1,4 @@
+package org.basilswitch.daemon.fleet;
+
+/** A reboot call: the boot that it ends. */
+record RebootDocument(String bootId) {}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LiveHostReader.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LiveHostReader.java
@@ -18,6 +18,7 @@
 import io.vertx.core.net.HostAndPort;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.fleet.WorkerPlatform;
 import org.basilswitch.placement.LiveHosts;
 import org.basilswitch.time.Clock;
 
@@ -119,6 +120,13 @@
         leavingByOwnWordNanos.put(host, clock.monotonicNanos());
     }
 
+    /** The last list that was read; empty while none is recent. */
+    public Optional<WorkerPlatform.LiveHostList> latest() {
+        boolean stale = clock.monotonicNanos() - readNanos > STALE_AFTER.toNanos();
+        return list.filter(known -> !stale)
+                .map(known -> new WorkerPlatform.LiveHostList(known.measuredAt(), known.live(), known.leaving()));
+    }
+
     @Override
     public Presence presence(String host) {
         if (saidItself(host)) {
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerControl.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerControl.java
@@ -15,8 +15,8 @@
  *
  * <p>{@code /control/faults} reads and sets {@link WorkerFaults}; {@code /control/drain} and {@code /control/resume}
  * stop and start accepting; {@code /control/stop} and {@code /control/reboot?downMs=} cut everything;
- * {@code GET /control/record} gives the {@link RunRecord.Snapshot}. Tasks are kept under {@code /v1/tasks}, usage is
- * reported by {@code GET /v1/usage}.
+ * {@code GET /v1/host} and {@code POST /v1/host/reboot} are the {@link HostAgent}'s; {@code GET /control/record} gives
+ * the {@link RunRecord.Snapshot}. Tasks are kept under {@code /v1/tasks}, usage is reported by {@code GET /v1/usage}.
  */
 final class WorkerControl {
     private static final String TASKS = "/v1/tasks";
@@ -25,13 +25,16 @@
     private final WorkerServer worker;
     private final TaskTable tasks;
 
-    private WorkerControl(WorkerServer worker, TaskTable tasks) {
+    private final HostAgent agent;
+
+    private WorkerControl(WorkerServer worker, TaskTable tasks, HostAgent agent) {
         this.worker = worker;
         this.tasks = tasks;
+        this.agent = agent;
     }
 
-    static WorkerControl of(WorkerServer worker, TaskTable tasks) {
-        return new WorkerControl(worker, tasks);
+    static WorkerControl of(WorkerServer worker, TaskTable tasks, HostAgent agent) {
+        return new WorkerControl(worker, tasks, agent);
     }
 
     void handle(HttpServerRequest request, Buffer body) {
@@ -49,11 +52,23 @@
                 ok(request, "rebooting");
                 worker.reboot(downTime(request));
             }
+            case "/v1/host" -> ok(request, agent.report());
+            case "/v1/host/reboot" -> reboot(request, body);
             case "/v1/usage" -> ok(request, tasks.usageReport());
             default -> tasks(request, body);
         }
     }
 
+    private void reboot(HttpServerRequest request, Buffer body) {
+        Optional<HostAgent.RebootCall> call = RecordCodec.decode(body.getBytes(), HostAgent.RebootCall.class);
+        if (call.isEmpty() || !agent.ends(call.get())) {
+            refuse(request, 409, "another boot");
+            return;
+        }
+        ok(request, "rebooting");
+        worker.reboot(worker.options().rebootTime());
+    }
+
     private void faults(HttpServerRequest request, Buffer body) {
         if (request.method() == HttpMethod.GET) {
             ok(request, worker.faults());
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
@@ -41,6 +41,7 @@
     private final Set<ActiveRun> active = new HashSet<>();
     private final SplittableRandom random;
     private TaskTable tasks;
+    private HostAgent agent;
     private WorkerControl control;
     private HttpServer server;
     private volatile int port;
@@ -64,7 +65,9 @@
     public Future<?> start() {
         tasks = TaskTable.create(VertxTime.on(vertx, context));
         vertx.setPeriodic(TaskTable.TICK.toMillis(), ignored -> tasks.tick());
-        control = WorkerControl.of(this, tasks);
+        agent = HostAgent.of(options.name());
+        vertx.setPeriodic(HostAgent.SAMPLE_INTERVAL.toMillis(), ignored -> agent.sample(active.size()));
+        control = WorkerControl.of(this, tasks, agent);
         return listen();
     }
 
@@ -237,12 +240,25 @@
             Set.copyOf(active).forEach(this::end);
             waitingForPair = Optional.empty();
             tasks.clear();
+            agent.rebooted();
             Set.copyOf(connections).forEach(HttpConnection::close);
             server.close().onComplete(closed -> promise.complete());
         });
         return promise.future();
     }
 
+    /** How the worker was started. */
+    WorkerOptions options() {
+        return options;
+    }
+
+    /** Boots so far, the first one included. */
+    public Future<Long> boots() {
+        Promise<Long> promise = Promise.promise();
+        context.runOnContext(ignored -> promise.complete(agent.boots()));
+        return promise.future();
+    }
+
     /** Listens again on the same port after {@link #stopNow}. */
     public Future<Void> startAgain() {
         Promise<Void> promise = Promise.promise();
