--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetInvariants.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetInvariants.java
@@ -14,17 +14,22 @@
 import org.basilswitch.store.PlatformStore;
 
 /** Checks every change in the store: budgets hold, steps are allowed, and no host leaves the record of its pool. */
-final class FleetInvariants implements PlatformStore.WatchListener {
+public final class FleetInvariants implements PlatformStore.WatchListener {
     private final String prefix;
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<String, Pool> pools = new HashMap<>();
     private int moves;
     private String violation = "";
 
-    FleetInvariants(String prefix) {
+    private FleetInvariants(String prefix) {
         this.prefix = prefix;
     }
 
+    /** Creates checks of the configuration records under a prefix, to be given to a watch from the first revision. */
+    public static FleetInvariants create(String prefix) {
+        return new FleetInvariants(prefix);
+    }
+
     @Override
     public void onChanges(long revision, List<PlatformStore.Change> changes) {
         for (PlatformStore.Change change : changes) {
@@ -76,16 +81,17 @@
     }
 
     /** The hosts' records now. */
-    List<Host> hosts() {
+    public List<Host> hosts() {
         return List.copyOf(hosts.values());
     }
 
-    int moves() {
+    /** Moves between pools so far. */
+    public int moves() {
         return moves;
     }
 
     /** The last violation; empty when there was none. */
-    Optional<String> violation() {
+    public Optional<String> violation() {
         return violation.isEmpty() ? Optional.empty() : Optional.of(violation);
     }
 }
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
@@ -39,7 +39,7 @@
     private final StoreKeys keys = new StoreKeys("bench");
     private final MemoryStore store = MemoryStore.create(time, time);
     private final FakeWorkers workers;
-    private final FleetInvariants invariants = new FleetInvariants(keys.configuration());
+    private final FleetInvariants invariants = FleetInvariants.create(keys.configuration());
     private final RevisionTimes revisions = new RevisionTimes(time);
     private final List<String> pools = new ArrayList<>();
     private final List<FleetMember> members = new ArrayList<>();
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintWriter;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +47,11 @@
     @Option(names = "--entry-hosts", defaultValue = "3", description = "Number of entry hosts, 3 to 6; default 3.")
     private int entryHosts;
 
+    @Option(
+            names = "--wave",
+            description = "Runs a maintenance wave over all hosts under load, with a rack failing midway.")
+    private boolean wave;
+
     @Option(names = "--keep", description = "Stays up after the report and prints curl lines; Ctrl-C ends it.")
     private boolean keep;
 
@@ -96,8 +102,10 @@
         Duration duration = Duration.ofSeconds(seconds);
         LoadGenerator load = LoadGenerator.start(fleet.vertx(), DemoLoad.options(demoSite, fleet, duration))
                 .await();
+        Optional<DemoWave> maintenance = wave ? Optional.of(DemoWave.start(demoSite, fleet)) : Optional.empty();
         LoadResult result = watch(demoSite, fleet, load);
-        return report(demoSite, fleet, result);
+        boolean passed = report(demoSite, fleet, result);
+        return maintenance.map(running -> running.report(out)).orElse(true) && passed;
     }
 
     private static boolean awaitReady(DemoFleet fleet) throws InterruptedException {
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -1,6 +1,7 @@
 package org.basilswitch.cli.demo;
 
 import java.net.URI;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.net.HostAndPort;
 import org.basilswitch.bench.load.EntryTarget;
 import org.basilswitch.configuration.ConfigurationFollower;
 import org.basilswitch.configuration.ConfigurationRecord;
@@ -23,11 +25,13 @@
 import org.basilswitch.daemon.store.EtcdStore;
 import org.basilswitch.daemon.store.EtcdStoreOptions;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.standin.hosts.HostListServer;
 import org.basilswitch.standin.store.StoreServer;
 import org.basilswitch.standin.worker.RunRecord;
 import org.basilswitch.standin.worker.WorkerOptions;
 import org.basilswitch.standin.worker.WorkerServer;
 import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.store.Transaction;
 
@@ -37,10 +41,15 @@
 
     private final DemoSite site;
     private final Vertx vertx;
+    private static final Duration REBOOT_TIME = Duration.ofSeconds(2);
+    private static final Duration LIST_LAG = Duration.ofSeconds(2);
+    private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
+
     private final RunRecord record = RunRecord.create();
     private final Map<String, WorkerServer> workers = new TreeMap<>();
     private final List<EntryHostServer> entryHosts = new ArrayList<>();
     private StoreServer store;
+    private HostListServer list;
     private EtcdStore adapter;
     private ConfigurationFollower follower;
 
@@ -61,9 +70,12 @@
     private void startStandIns() {
         store = StoreServer.start(vertx, 0).await();
         for (Host host : site.hosts()) {
-            WorkerOptions options = WorkerOptions.of(host.name()).withSlots(host.slots(), host.connections());
+            WorkerOptions options = WorkerOptions.of(host.name())
+                    .withSlots(host.slots(), host.connections())
+                    .withRebootTime(REBOOT_TIME);
             workers.put(host.name(), WorkerServer.start(vertx, options, record).await());
         }
+        list = HostListServer.start(vertx, 0, workers.keySet(), LIST_LAG).await();
     }
 
     private void writeConfiguration() {
@@ -97,7 +109,9 @@
     }
 
     private void startEntryHost(Settings.EntryHostSettings settings) {
-        DaemonOptions options = DaemonOptions.loopback(site.name(), settings.name(), settings.zone());
+        DaemonOptions options = DaemonOptions.loopback(site.name(), settings.name(), settings.zone())
+                .withWorker(org.basilswitch.daemon.WorkerOptions.defaults()
+                        .withLiveList(HostAndPort.create("127.0.0.1", list.port()), LIST_INTERVAL));
         EntryHostServer.Parts parts = new EntryHostServer.Parts(
                 (hostVertx, clock, scheduler, telemetry) ->
                         EtcdStore.create(hostVertx, hostVertx.getOrCreateContext(), storeOptions(), telemetry),
@@ -106,6 +120,18 @@
         entryHosts.add(EntryHostServer.start(vertx, options, parts).await());
     }
 
+    Map<String, WorkerServer> workers() {
+        return workers;
+    }
+
+    HostListServer list() {
+        return list;
+    }
+
+    PlatformStore platformStore() {
+        return adapter;
+    }
+
     Vertx vertx() {
         return vertx;
     }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
@@ -31,7 +31,7 @@
                         settings.membership().heartbeatInterval(),
                         settings.membership().clockDriftRatio()),
                 caller(limits),
-                worker(limits),
+                worker(settings),
                 new ShutdownOptions(limits.balancerWait(), limits.shutdownGrace()));
     }
 
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/hosts/HostListServer.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/hosts/HostListServer.java
@@ -27,6 +27,7 @@
  */
 public final class HostListServer extends VerticleBase {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final Duration MEASURE_INTERVAL = Duration.ofMillis(500);
     private static final Duration HISTORY = Duration.ofMinutes(2);
 
     private final int requestedPort;
@@ -71,6 +72,7 @@
     @Override
     public Future<?> start() {
         remember();
+        vertx.setPeriodic(MEASURE_INTERVAL.toMillis(), ignored -> remember());
         server = vertx.createHttpServer();
         server.requestHandler(request -> request.body().onSuccess(body -> handle(request, body)));
         return server.listen(requestedPort, LOOPBACK);
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/HostAgent.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/HostAgent.java
@@ -15,6 +15,7 @@
     private final String host;
     private final Deque<Report> samples = new ArrayDeque<>();
     private long boots = 1;
+    private int cutByReboots;
 
     private HostAgent(String host) {
         this.host = host;
@@ -48,6 +49,16 @@
         samples.clear();
     }
 
+    /** Counts the requests that a reboot call cuts. */
+    void countCut(int runningTasks) {
+        cutByReboots += runningTasks;
+    }
+
+    /** Requests cut by reboot calls so far. */
+    int cutByReboots() {
+        return cutByReboots;
+    }
+
     /** Boots so far. */
     long boots() {
         return boots;
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerControl.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerControl.java
@@ -66,6 +66,7 @@
             return;
         }
         ok(request, "rebooting");
+        agent.countCut(worker.runningNow());
         worker.reboot(worker.options().rebootTime());
     }
 
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
@@ -252,13 +252,26 @@
         return options;
     }
 
-    /** Boots so far, the first one included. */
-    public Future<Long> boots() {
-        Promise<Long> promise = Promise.promise();
-        context.runOnContext(ignored -> promise.complete(agent.boots()));
+    /** Requests that run now; on the worker's own event loop. */
+    int runningNow() {
+        return active.size();
+    }
+
+    /** Boots so far, the first one included, and requests cut by reboot calls. */
+    public Future<BootCount> boots() {
+        Promise<BootCount> promise = Promise.promise();
+        context.runOnContext(ignored -> promise.complete(new BootCount(agent.boots(), agent.cutByReboots())));
         return promise.future();
     }
 
+    /**
+     * A host's boots.
+     *
+     * @param boots boots so far, the first one included
+     * @param cutByReboots requests that ran when a reboot call came
+     */
+    public record BootCount(long boots, int cutByReboots) {}
+
     /** Listens again on the same port after {@link #stopNow}. */
     public Future<Void> startAgain() {
         Promise<Void> promise = Promise.promise();
