Wait for a late run by the worker's record instead of by polling

Cause: answersLateOnDemand polled every 5 ms for a run of 1 ms to be seen running, and failed once when it was never caught ('never ran 1'). Change: the test waits until the record shows that the run was started, then until none runs; what it asserts is unchanged.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
@@ -72,6 +72,17 @@
                 .POST(HttpRequest.BodyPublishers.ofString(body)));
     }
 
+    private void awaitStarted(long count) throws Exception {
+        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (record.teams().values().stream()
+                        .mapToLong(RunRecord.TeamCount::started)
+                        .sum()
+                != count) {
+            assertTrue(System.nanoTime() < limitNanos, "never started " + count);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
     private void awaitRunning(int count) throws Exception {
         long limitNanos = System.nanoTime() + PATIENCE.toNanos();
         while (worker.running().await() != count) {
@@ -167,7 +178,7 @@
     public void answersLateOnDemand() throws Exception {
         worker.setFaults(WorkerFaults.none().withLateMs(LONG_MS));
         CompletableFuture<HttpResponse<String>> late = sendAsync(run("l", 1));
-        awaitRunning(1);
+        awaitStarted(1);
         awaitRunning(0);
         assertTrue(!late.isDone(), "answered before the delay");
         assertEquals(late.get().statusCode(), 200);
