--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -10,6 +10,7 @@
         subcommands = {
             ProxyCommand.class,
             BufferCommand.class,
+            ClaimsCommand.class,
             FaultsCommand.class,
             SlopesCommand.class,
             WaveCommand.class,
