Give a leaving backend server no new work, whichever way it is known

The live-host list lags, so an entry host now takes three words: the configuration's state, the list (LiveHostReader through EntryHostParts), and the server's own refusal, Basilswitch-Worker: leaving on a 503, which goes before the list for 10 s (OwnWord). WorkerOptions carries the list's address from the settings.

LeavingServerTest counts at the servers' record, with more requests at a time than one server has slots. List 3 s old: nothing runs at the leaving server after 5 s; list a minute old: nothing after 2 s by its own word or by the configuration.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/DaemonOptions.java
@@ -89,6 +89,23 @@
                 shutdown);
     }
 
+    /** The same with another way to speak to backend servers. */
+    public DaemonOptions withWorker(WorkerOptions next) {
+        return new DaemonOptions(
+                site,
+                node,
+                zone,
+                callers,
+                administration,
+                peers,
+                storeEndpoints,
+                tlsCheckInterval,
+                timing,
+                caller,
+                next,
+                shutdown);
+    }
+
     /** The same with other shutdown steps. */
     public DaemonOptions withShutdown(ShutdownOptions next) {
         return new DaemonOptions(
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -1,6 +1,7 @@
 package org.basilswitch.daemon;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.UUID;
 
 import io.vertx.core.Context;
@@ -10,6 +11,8 @@
 import io.vertx.core.Vertx;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.daemon.caller.CallerPort;
+import org.basilswitch.daemon.livelist.LiveHostReader;
+import org.basilswitch.daemon.livelist.OwnWord;
 import org.basilswitch.daemon.peer.FrameCodec;
 import org.basilswitch.daemon.peer.PeerMeters;
 import org.basilswitch.daemon.peer.PeerTransport;
@@ -20,12 +23,15 @@
 import org.basilswitch.daemon.tls.TlsReloader;
 import org.basilswitch.daemon.worker.WorkerClients;
 import org.basilswitch.daemon.worker.WorkerExchange;
+import org.basilswitch.dispatch.BackgroundWork;
 import org.basilswitch.entry.EntryHost;
 import org.basilswitch.entry.EntryHostOptions;
+import org.basilswitch.entry.EntryHostParts;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.membership.Member;
 import org.basilswitch.peer.MemberId;
+import org.basilswitch.placement.LiveHosts;
 import org.basilswitch.store.PlatformStore;
 
 /**
@@ -46,6 +52,8 @@
     private TlsReloader tls;
     private PeerTransport peers;
     private WorkerClients workers;
+    private Optional<LiveHostReader> liveList = Optional.empty();
+    private OwnWord ownWord;
     private EntryHost host;
     private CallerPort callers;
     private AdministrationPort administration;
@@ -106,8 +114,18 @@
                 options.timing().promiseTime(),
                 options.timing().heartbeatInterval(),
                 options.timing().clockDriftRatio());
+        liveList =
+                options.worker().liveList().map(where -> LiveHostReader.start(vertx, context, clock, telemetry, where));
+        ownWord = OwnWord.before(liveList.<LiveHosts>map(list -> list).orElseGet(LiveHosts::unknown), clock);
         host = EntryHost.create(
-                hostOptions, clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(), store, peers, telemetry);
+                hostOptions,
+                clock,
+                scheduler,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                store,
+                peers,
+                new EntryHostParts(ownWord, BackgroundWork.none()),
+                telemetry);
         peers.start(host::members, host::receive);
         openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
         host.start();
@@ -118,7 +136,7 @@
     private void openPorts(AdministrationRoutes.Parts routeParts) {
         workers = WorkerClients.create(vertx, options.worker());
         WorkerExchange.Tools tools =
-                new WorkerExchange.Tools(vertx, clock, options.worker(), workers, host.authority(), telemetry);
+                new WorkerExchange.Tools(vertx, clock, options.worker(), workers, host.authority(), ownWord, telemetry);
         callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
@@ -226,6 +244,7 @@
         host.close();
         tls.close();
         workers.close();
+        liveList.ifPresent(LiveHostReader::close);
         return Future.join(callers.shutdown(), administration.shutdown(), peers.shutdown())
                 .transform(closed -> vertx.undeploy(deploymentId))
                 .otherwiseEmpty();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.vertx.core.net.HostAndPort;
+import org.basilswitch.daemon.livelist.LiveListOptions;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.store.EtcdStoreOptions;
 import org.basilswitch.daemon.tls.TlsFiles;
@@ -31,7 +32,7 @@
                         settings.membership().heartbeatInterval(),
                         settings.membership().clockDriftRatio()),
                 caller(limits),
-                worker(limits),
+                worker(settings),
                 new ShutdownOptions(limits.balancerWait(), limits.shutdownGrace()));
     }
 
@@ -69,8 +70,13 @@
                 limits.callerIdleTimeout());
     }
 
-    private static WorkerOptions worker(Settings.DaemonLimits limits) {
+    private static WorkerOptions worker(Settings settings) {
         WorkerOptions defaults = WorkerOptions.defaults();
-        return new WorkerOptions(defaults.connectTimeout(), limits.serverIdleTimeout(), defaults.startWindow());
+        Optional<LiveListOptions> liveList = settings.liveHosts()
+                .address()
+                .map(address ->
+                        new LiveListOptions(address, settings.liveHosts().pollInterval()));
+        return new WorkerOptions(
+                defaults.connectTimeout(), settings.limits().serverIdleTimeout(), defaults.startWindow(), liveList);
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LiveHostReader.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LiveHostReader.java
@@ -1,9 +1,7 @@
 package org.basilswitch.daemon.livelist;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -24,16 +22,14 @@
 /**
  * Reads the platform's list of hosts again and again.
  *
- * <p>The list lags, so a host's own word goes before it: a host that has said that it is leaving counts as leaving for
- * as long as the list may still be from before, and longer when it says so again. A list that can't be read for some
- * time says nothing. All calls are made on the event loop of the context.
+ * <p>A list that is older than the one before is ignored; a list that can't be read for some time says nothing. All
+ * calls are made on the event loop of the context.
  */
 public final class LiveHostReader implements LiveHosts, AutoCloseable {
     private static final String PATH = "/v1/hosts";
     private static final int HTTP_OK = 200;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration STALE_AFTER = Duration.ofSeconds(30);
-    private static final Duration OWN_WORD_TIME = Duration.ofSeconds(10);
 
     private final Vertx vertx;
     private final Context context;
@@ -42,21 +38,19 @@
     private final HostAndPort address;
     private final Duration interval;
     private final HttpClient client;
-    private final Map<String, Long> leavingByOwnWordNanos = new HashMap<>();
     private final Set<String> everListed = new HashSet<>();
     private Optional<HostListDocument.Listed> list = Optional.empty();
     private long readNanos;
     private boolean readable = true;
     private boolean closed;
 
-    private LiveHostReader(
-            Vertx vertx, Context context, Clock clock, Telemetry telemetry, HostAndPort address, Duration interval) {
+    private LiveHostReader(Vertx vertx, Context context, Clock clock, Telemetry telemetry, LiveListOptions options) {
         this.vertx = vertx;
         this.context = context;
         this.clock = clock;
         this.telemetry = telemetry;
-        this.address = address;
-        this.interval = interval;
+        this.address = options.address();
+        this.interval = options.pollInterval();
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout((int) REQUEST_TIMEOUT.toMillis()),
                 new PoolOptions().setHttp1MaxSize(1));
@@ -69,12 +63,11 @@
      * @param context event loop of the entry host
      * @param clock monotonic time
      * @param telemetry told when the list becomes unreadable and readable
-     * @param address where the list is served
-     * @param interval time between two readings
+     * @param options where and how often to read
      */
     public static LiveHostReader start(
-            Vertx vertx, Context context, Clock clock, Telemetry telemetry, HostAndPort address, Duration interval) {
-        LiveHostReader reader = new LiveHostReader(vertx, context, clock, telemetry, address, interval);
+            Vertx vertx, Context context, Clock clock, Telemetry telemetry, LiveListOptions options) {
+        LiveHostReader reader = new LiveHostReader(vertx, context, clock, telemetry, options);
         context.runOnContext(ignored -> reader.poll());
         return reader;
     }
@@ -114,16 +107,8 @@
         everListed.addAll(next.leaving());
     }
 
-    /** Notes that a host itself refused work because it is leaving. */
-    public void leavingByOwnWord(String host) {
-        leavingByOwnWordNanos.put(host, clock.monotonicNanos());
-    }
-
     @Override
     public Presence presence(String host) {
-        if (saidItself(host)) {
-            return Presence.LEAVING;
-        }
         boolean stale = clock.monotonicNanos() - readNanos > STALE_AFTER.toNanos();
         if (list.isEmpty() || stale) {
             return Presence.UNKNOWN;
@@ -137,18 +122,6 @@
         return everListed.contains(host) ? Presence.GONE : Presence.UNKNOWN;
     }
 
-    private boolean saidItself(String host) {
-        Long saidNanos = leavingByOwnWordNanos.get(host);
-        if (saidNanos == null) {
-            return false;
-        }
-        boolean recent = clock.monotonicNanos() - saidNanos <= OWN_WORD_TIME.toNanos();
-        if (!recent) {
-            leavingByOwnWordNanos.remove(host);
-        }
-        return recent;
-    }
-
     @Override
     public void close() {
         closed = true;
--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/OwnWord.java
@@ -0,0 +1,48 @@
+package org.basilswitch.daemon.livelist;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.basilswitch.placement.LiveHosts;
+import org.basilswitch.time.Clock;
+
+/**
+ * What hosts say of themselves when they refuse a request, which goes before the lagging list: a host that has said
+ * that it is leaving counts as leaving for some time, and longer when it says so again.
+ */
+public final class OwnWord implements LiveHosts {
+    private static final Duration VALID_TIME = Duration.ofSeconds(10);
+
+    private final LiveHosts list;
+    private final Clock clock;
+    private final Map<String, Long> saidNanosByHost = new HashMap<>();
+
+    private OwnWord(LiveHosts list, Clock clock) {
+        this.list = list;
+        this.clock = clock;
+    }
+
+    /** Goes before a list. */
+    public static OwnWord before(LiveHosts list, Clock clock) {
+        return new OwnWord(list, clock);
+    }
+
+    /** Notes that a host refused a request because it is leaving. */
+    public void leaving(String host) {
+        saidNanosByHost.put(host, clock.monotonicNanos());
+    }
+
+    @Override
+    public Presence presence(String host) {
+        Long saidNanos = saidNanosByHost.get(host);
+        if (saidNanos == null) {
+            return list.presence(host);
+        }
+        if (clock.monotonicNanos() - saidNanos <= VALID_TIME.toNanos()) {
+            return Presence.LEAVING;
+        }
+        saidNanosByHost.remove(host);
+        return list.presence(host);
+    }
+}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import org.basilswitch.daemon.WorkerOptions;
+import org.basilswitch.daemon.livelist.OwnWord;
 import org.basilswitch.dispatch.Attempt;
 import org.basilswitch.dispatch.Attempt.Failure;
 import org.basilswitch.event.CounterCode;
@@ -28,6 +29,7 @@
     private final Vertx vertx;
     private final Clock clock;
     private final WorkerOptions options;
+    private final OwnWord ownWord;
     private final Telemetry telemetry;
     private final ServingAuthority authority;
     private final Attempt attempt;
@@ -44,6 +46,7 @@
         this.vertx = tools.vertx();
         this.clock = tools.clock();
         this.options = tools.options();
+        this.ownWord = tools.ownWord();
         this.telemetry = tools.telemetry();
         this.authority = tools.authority();
         this.attempt = attempt;
@@ -59,6 +62,7 @@
             WorkerOptions options,
             WorkerClients clients,
             ServingAuthority authority,
+            OwnWord ownWord,
             Telemetry telemetry) {}
 
     /** Starts an attempt; its end is reported to the attempt first and then to the sink. */
@@ -143,6 +147,7 @@
             telemetry.event(EventCode.WORKER_ANSWER_MISMATCHED, detail());
             failAndReset(Failure.ANSWER_MALFORMED);
         } else if (certainlyNotRun(answer)) {
+            noteLeaving(answer);
             refusedByServer();
         } else {
             forward(answer);
@@ -155,9 +160,15 @@
     }
 
     private static boolean certainlyNotRun(HttpClientResponse answer) {
-        boolean busy =
-                answer.statusCode() == BUSY_STATUS && WorkerHeaders.BUSY.equals(answer.getHeader(WorkerHeaders.WORKER));
-        return busy || answer.statusCode() == TOO_LATE_STATUS;
+        String word = answer.getHeader(WorkerHeaders.WORKER);
+        boolean refused = WorkerHeaders.BUSY.equals(word) || WorkerHeaders.LEAVING.equals(word);
+        return refused && answer.statusCode() == BUSY_STATUS || answer.statusCode() == TOO_LATE_STATUS;
+    }
+
+    private void noteLeaving(HttpClientResponse answer) {
+        if (WorkerHeaders.LEAVING.equals(answer.getHeader(WorkerHeaders.WORKER))) {
+            ownWord.leaving(attempt.server().name());
+        }
     }
 
     /** Keeps the connection when the backend server has read the whole request, as its short answer will end soon. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerHeaders.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerHeaders.java
@@ -24,10 +24,11 @@
     /** UTC instant after which the backend server refuses to start the request, with status 412. */
     public static final CharSequence START_BEFORE = HttpHeaders.createOptimized("Basilswitch-Start-Before");
 
-    /** Set to {@code busy} on a status 503 by which a backend server refuses a request that it has not started. */
+    /** Set to {@code busy} or {@code leaving} on a status 503 that refuses a request which has not been started. */
     public static final CharSequence WORKER = HttpHeaders.createOptimized("Basilswitch-Worker");
 
     static final String BUSY = "busy";
+    static final String LEAVING = "leaving";
 
     /** A caller's headers that are passed on. */
     static final List<String> PASSED_ON = List.of(
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LeavingServerTest.java
@@ -0,0 +1,190 @@
+package org.basilswitch.daemon.livelist;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.HostAndPort;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.configuration.Pool;
+import org.basilswitch.configuration.Queue;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.daemon.AdministrationRoutes;
+import org.basilswitch.daemon.DaemonOptions;
+import org.basilswitch.daemon.EntryHostServer;
+import org.basilswitch.daemon.WorkerOptions;
+import org.basilswitch.daemon.peer.ThriftFrameCodec;
+import org.basilswitch.daemon.store.EtcdStore;
+import org.basilswitch.daemon.store.EtcdStoreOptions;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.standin.hosts.HostListServer;
+import org.basilswitch.standin.hosts.HostListServer.Listing;
+import org.basilswitch.standin.store.StoreServer;
+import org.basilswitch.standin.worker.Run;
+import org.basilswitch.standin.worker.RunRecord;
+import org.basilswitch.standin.worker.WorkerServer;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.store.Transaction;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** A leaving backend server gets no new work after 5 s, by the servers' own record, whichever way that is known. */
+public final class LeavingServerTest {
+    private static final Duration BOUND = Duration.ofSeconds(5);
+    private static final Duration DIRECT_BOUND = Duration.ofSeconds(2);
+    private static final String SITE = "leaving";
+    private static final int REQUESTS = 60;
+    private static final int AT_A_TIME = 12;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final RunRecord record = RunRecord.create();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private EtcdStore store;
+    private HostListServer list;
+    private WorkerServer leaving;
+    private EntryHostServer entryHost;
+
+    /** How the platform or an operator lets a server leave. */
+    private enum Way {
+        LIST,
+        OWN_WORD,
+        CONFIGURATION
+    }
+
+    /** Each way, with the list's lag, longer than the bound where the list is not what tells, and the bound. */
+    @DataProvider
+    public Object[][] ways() {
+        return new Object[][] {
+            {Way.LIST, Duration.ofSeconds(3), BOUND},
+            {Way.OWN_WORD, Duration.ofMinutes(1), DIRECT_BOUND},
+            {Way.CONFIGURATION, Duration.ofMinutes(1), DIRECT_BOUND},
+        };
+    }
+
+    /** Stops everything that a test started. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        entryHost.close();
+        store.close();
+    }
+
+    /** Of the requests sent after the bound, none runs at the leaving server, and all are answered. */
+    @Test(dataProvider = "ways")
+    public void nothingNewAfterTheBound(Way way, Duration lag, Duration bound) throws Exception {
+        start(lag);
+        assertTrue(send(REQUESTS, "before") > 0, "the server got no work while it was live");
+        leave(way);
+        long leftNanos = System.nanoTime();
+        while (System.nanoTime() - leftNanos < bound.toNanos()) {
+            send(1, "during");
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertEquals(send(REQUESTS, "after"), 0);
+    }
+
+    private void start(Duration lag) {
+        StoreServer server = StoreServer.start(vertx, 0).await();
+        EtcdStoreOptions storeOptions = EtcdStoreOptions.of(List.of(URI.create("http://127.0.0.1:" + server.port())));
+        store = EtcdStore.create(vertx, vertx.getOrCreateContext(), storeOptions, Telemetry.none());
+        leaving = worker("w1");
+        WorkerServer staying = worker("w2");
+        list = HostListServer.start(vertx, 0, Set.of("w1", "w2"), lag).await();
+        List.of(
+                        new Pool("pool", 0, false),
+                        new Queue("quotes", "pool", true, true, 60_000, 5_000, 1 << 20, 1000),
+                        host(leaving, HostState.ACTIVE),
+                        host(staying, HostState.ACTIVE))
+                .forEach(this::put);
+        LiveListOptions liveList =
+                new LiveListOptions(HostAndPort.create("127.0.0.1", list.port()), Duration.ofSeconds(1));
+        DaemonOptions options = DaemonOptions.loopback(SITE, "entry-1", "z1")
+                .withWorker(WorkerOptions.defaults().withLiveList(liveList));
+        EntryHostServer.Parts parts = new EntryHostServer.Parts(
+                (owner, clock, scheduler, telemetry) ->
+                        EtcdStore.create(owner, owner.getOrCreateContext(), storeOptions, telemetry),
+                ThriftFrameCodec.create(),
+                AdministrationRoutes.none());
+        entryHost = EntryHostServer.start(vertx, options, parts).await();
+        awaitReady();
+    }
+
+    private WorkerServer worker(String name) {
+        return WorkerServer.start(vertx, org.basilswitch.standin.worker.WorkerOptions.of(name), record)
+                .await();
+    }
+
+    private void awaitReady() {
+        long limitNanos = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!entryHost.ready()) {
+            assertTrue(System.nanoTime() < limitNanos, "the entry host is not ready");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Host host(WorkerServer worker, HostState state) {
+        return new Host(worker.name(), "127.0.0.1:" + worker.port(), "z1", "r1", "pool", state, 8, 64, 64, 1L << 38, 0);
+    }
+
+    private void put(ConfigurationRecord item) {
+        String key = new StoreKeys(SITE).configuration(ConfigurationRecord.kind(item.getClass()), item.name());
+        store.commit(Transaction.builder().put(key, RecordCodec.encode(item)).build())
+                .toCompletableFuture()
+                .join()
+                .getOrElseThrow(error -> new AssertionError(error.toString()));
+    }
+
+    private void leave(Way way) {
+        switch (way) {
+            case LIST -> list.set("w1", Listing.LEAVING).await();
+            case OWN_WORD -> leaving.setDraining(true);
+            case CONFIGURATION -> put(host(leaving, HostState.DRAINING));
+        }
+    }
+
+    /** Sends requests, more at a time than one server has slots; returns how many of them ran at the leaving server. */
+    private long send(int count, String phase) {
+        long before = runsAtLeaving();
+        for (int sent = 0; sent < count; sent += AT_A_TIME) {
+            sendTogether(phase + sent);
+        }
+        return runsAtLeaving() - before;
+    }
+
+    private void sendTogether(String id) {
+        URI uri = URI.create("http://127.0.0.1:" + entryHost.callerPort() + "/v1/queues/quotes/requests");
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < AT_A_TIME; i++) {
+            String body = "{\"testId\":\"" + id + "-" + i + "\",\"serviceMs\":20}";
+            HttpRequest request = HttpRequest.newBuilder(uri)
+                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            answers.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+        }
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            HttpResponse<String> response = answer.join();
+            assertEquals(response.statusCode(), 200, response.body());
+        }
+    }
+
+    private long runsAtLeaving() {
+        return record.snapshot().runs().stream()
+                .map(Run::worker)
+                .filter("w1"::equals)
+                .count();
+    }
+}
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LiveHostReaderTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LiveHostReaderTest.java
@@ -36,6 +36,7 @@
     private Context context;
     private HostListServer server;
     private LiveHostReader reader;
+    private OwnWord ownWord;
 
     /** Starts a list of two hosts and a reader. */
     @BeforeMethod
@@ -49,8 +50,8 @@
                 context,
                 new SkippingClock(skippedNanos),
                 Telemetry.none(),
-                HostAndPort.create("127.0.0.1", server.port()),
-                POLL_INTERVAL);
+                new LiveListOptions(HostAndPort.create("127.0.0.1", server.port()), POLL_INTERVAL));
+        ownWord = OwnWord.before(reader, new SkippingClock(skippedNanos));
     }
 
     /** Stops both. */
@@ -62,7 +63,7 @@
 
     private Presence presence(String host) throws Exception {
         CompletableFuture<Presence> answer = new CompletableFuture<>();
-        context.runOnContext(ignored -> answer.complete(reader.presence(host)));
+        context.runOnContext(ignored -> answer.complete(ownWord.presence(host)));
         return answer.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
     }
 
@@ -94,7 +95,7 @@
     @Test
     public void ownWordGoesBeforeTheList() throws Exception {
         timeUntil("a", Presence.LIVE);
-        context.runOnContext(ignored -> reader.leavingByOwnWord("a"));
+        context.runOnContext(ignored -> ownWord.leaving("a"));
         assertEquals(presence("a"), Presence.LEAVING);
         skippedNanos.addAndGet(Duration.ofSeconds(11).toNanos());
         assertEquals(presence("a"), Presence.LIVE);
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/WorkerServer.java
@@ -30,7 +30,7 @@
 public final class WorkerServer extends VerticleBase {
     private static final String LOOPBACK = "127.0.0.1";
     private static final String RUN_PATH = "/v1/run";
-    private static final String BUSY_HEADER = "Basilswitch-Worker";
+    private static final String REFUSAL_HEADER = "Basilswitch-Worker";
     private static final int MICROS_PER_SECOND = 1_000_000;
     private static final int NANOS_PER_MICRO = 1000;
 
@@ -107,8 +107,8 @@
             HttpAnswers.json(request.response(), 412, RecordCodec.encode("the time to start has passed"));
         } else if (draining || active.size() >= options.slots()) {
             record.refused(draining ? "draining" : "slots");
-            request.response().putHeader(BUSY_HEADER, "busy");
-            HttpAnswers.json(request.response(), 503, RecordCodec.encode("no free slot"));
+            request.response().putHeader(REFUSAL_HEADER, draining ? "leaving" : "busy");
+            HttpAnswers.json(request.response(), 503, RecordCodec.encode("not started"));
         } else {
             begin(run, request.response());
         }
@@ -214,7 +214,7 @@
         faults.set(next);
     }
 
-    /** Refuses new requests as busy, or accepts them again; requests that run are finished. */
+    /** Refuses new requests as leaving, or accepts them again; requests that run are finished. */
     public void setDraining(boolean next) {
         draining = next;
     }
