Learn waits by team, try other hosts' slots sooner, forget old failures

A server with one failure got no requests for good while others were idle (found by PoolServersTest). Change: the wait factor is kept by team and at most 2; after a busy refusal another host's slot is tried again after 0.1 of the mean service instead of 0.25; failures count as load for 1 s. bench shares, placement and retries are commands. Tests: fair queue, division, reports, ejection and random requests (40 seeds) with the promises asserted.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -10,5 +10,8 @@
         subcommands = {
             ProxyCommand.class,
             FaultsCommand.class,
+            SharesCommand.class,
+            PlacementCommand.class,
+            RetriesCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -1,8 +1,10 @@
 package org.basilswitch.admission;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
@@ -15,7 +17,7 @@
 /** The teams' parts of one pool as this entry host applies them: virtual times, slots and expected waits. */
 public final class PoolShares {
     private static final Duration DIVISION_AGE = Duration.ofMillis(10);
-    private static final double MAX_WAIT_FACTOR = 4;
+    private static final double MAX_WAIT_FACTOR = 2;
     private static final double VAIN_WAIT_STEP = 1.05;
     private static final double STARTED_STEP = 0.998;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -28,8 +30,8 @@
     private final Supplier<List<Member>> members;
     private final Set<String> blocked = new HashSet<>();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private PoolDivision.Part part = new PoolDivision.Part(SlotCaps.none(), java.util.Map.of(), 1);
-    private double waitFactor = 1;
+    private PoolDivision.Part part = new PoolDivision.Part(SlotCaps.none(), Map.of(), 1);
+    private final Map<String, Double> waitFactors = new HashMap<>();
     private long dividedNanos = Long.MIN_VALUE;
 
     private PoolShares(
@@ -113,14 +115,18 @@
         return serviceTimes;
     }
 
-    /** Notes that a request waited for longer than it was worth: the expected waits were too short. */
-    public void waitedInVain() {
-        waitFactor = Math.min(MAX_WAIT_FACTOR, waitFactor * VAIN_WAIT_STEP);
+    /** Notes that a team's request waited for longer than it was worth: the expected waits were too short. */
+    public void waitedInVain(String team) {
+        waitFactors.put(team, Math.min(MAX_WAIT_FACTOR, waitFactor(team) * VAIN_WAIT_STEP));
     }
 
-    /** Notes that a request started after waiting. */
-    public void startedAfterWait() {
-        waitFactor = Math.max(1, waitFactor * STARTED_STEP);
+    /** Notes that a team's request started after waiting. */
+    public void startedAfterWait(String team) {
+        waitFactors.put(team, Math.max(1, waitFactor(team) * STARTED_STEP));
+    }
+
+    private double waitFactor(String team) {
+        return waitFactors.getOrDefault(team, 1.0);
     }
 
     /** Expected wait of a team's request behind some others of its team. */
@@ -131,6 +137,6 @@
             return Duration.ZERO;
         }
         return Duration.ofNanos(
-                (long) (waitFactor * excess / slots * serviceTimes.mean().toNanos()));
+                (long) (waitFactor(team) * excess / slots * serviceTimes.mean().toNanos()));
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
@@ -102,7 +102,7 @@
 
     private void expire(Request request) {
         if (waitingRoom.remove(request)) {
-            shares.waitedInVain();
+            shares.waitedInVain(request.team());
             ends.refuse(request, Refusal.Code.DEADLINE, waitingRoom.expectedWait(request));
         }
     }
@@ -257,7 +257,7 @@
     }
 
     private void start(Request request, Host server) {
-        shares.startedAfterWait();
+        shares.startedAfterWait(request.team());
         Holding holding = Holding.take(request.team(), server, parts.limits(), shares, servers, invariants);
         if (request.priority() == RequestSpec.Priority.BACKGROUND) {
             backgroundInFlight++;
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
@@ -28,7 +28,7 @@
     private static final Duration MIN_SILENCE = Duration.ofMillis(500);
     private static final double SILENCE_SERVICE_TIMES = 12;
     private static final double MEAN_WEIGHT = 0.05;
-    private static final double BEYOND_PAUSE_SERVICE_PART = 0.25;
+    private static final double BEYOND_PAUSE_SERVICE_PART = 0.1;
 
     private final String pool;
     private final String zone;
@@ -219,10 +219,11 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
+        long now = clock.monotonicNanos();
         int offset = random.nextInt(candidates.size());
         List<ServerState> rotated = new ArrayList<>(candidates.subList(offset, candidates.size()));
         rotated.addAll(candidates.subList(0, offset));
-        return rotated.stream().min(Comparator.comparingDouble(state -> state.load(meanServiceNanos)));
+        return rotated.stream().min(Comparator.comparingDouble(state -> state.load(meanServiceNanos, now)));
     }
 
     /** Notes that an attempt has been given to a server. */
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/ServerHealth.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/ServerHealth.java
@@ -14,6 +14,7 @@
     static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
     static final Duration MAX_EJECTION = Duration.ofSeconds(30);
 
+    private static final Duration FAILURE_MEMORY = Duration.ofSeconds(1);
     private static final int PROBES_TO_RETURN = 2;
     private static final int MAX_DOUBLINGS = 5;
 
@@ -22,6 +23,7 @@
     private int consecutiveFailures;
     private int ejections;
     private int probesAnswered;
+    private long failedNanos;
     private long ejectedUntilNanos;
     private long returnedNanos;
 
@@ -62,6 +64,7 @@
     /** Notes a failure; returns whether the server deserves ejection. */
     boolean failed(long nowNanos) {
         consecutiveFailures++;
+        failedNanos = nowNanos;
         return state(nowNanos) == State.PROBING || consecutiveFailures >= EJECT_FAILURES;
     }
 
@@ -88,9 +91,9 @@
         };
     }
 
-    /** Failures since the last success. */
-    int consecutiveFailures() {
-        return consecutiveFailures;
+    /** Failures since the last success, for a time after the last of them. */
+    int recentFailures(long nowNanos) {
+        return nowNanos - failedNanos < FAILURE_MEMORY.toNanos() ? consecutiveFailures : 0;
     }
 
     /** States of a server. */
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/ServerState.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/ServerState.java
@@ -134,9 +134,9 @@
     }
 
     /** Load relative to size; recent failures count as load, since a server that fails quickly looks idle. */
-    double load(double poolMeanNanos) {
+    double load(double poolMeanNanos, long nowNanos) {
         double speed = meanServiceNanos == 0 || poolMeanNanos == 0 ? 1 : poolMeanNanos / meanServiceNanos;
         double size = host.slots() * Math.clamp(speed, 0.25, 4);
-        return (inFlight() + 1 + health.consecutiveFailures() * host.slots()) / size;
+        return (inFlight() + 1 + health.recentFailures(nowNanos) * host.slots()) / size;
     }
 }
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/admission/DivisionTest.java
@@ -0,0 +1,162 @@
+package org.basilswitch.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+import org.basilswitch.peer.PeerMessage.TeamUsage;
+import org.basilswitch.time.VirtualTime;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests of max-min parts, usage reports and the division of a pool's slots. */
+public final class DivisionTest {
+    private static final String POOL = "pool";
+
+    /** Unused parts go to those that ask for more, by weight. */
+    @Test
+    public void maxMinLendsUnusedParts() {
+        Map<String, Double> parts = MaxMin.divide(
+                60,
+                Map.of(
+                        "small", new MaxMin.Claim(5, 1),
+                        "large", new MaxMin.Claim(100, 2),
+                        "other", new MaxMin.Claim(100, 1)));
+        assertEquals(parts.get("small"), 5, 1e-9);
+        assertEquals(parts.get("large"), 55.0 * 2 / 3, 1e-9);
+        assertEquals(parts.get("other"), 55.0 / 3, 1e-9);
+    }
+
+    /** Random claims: parts never exceed demand or capacity, and leave nothing that somebody asked for. */
+    @Test
+    public void maxMinWastesNothing() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+        for (int run = 0; run < 500; run++) {
+            Map<String, MaxMin.Claim> claims = new HashMap<>();
+            double demand = 0;
+            for (int i = 0; i < 1 + random.nextInt(8); i++) {
+                MaxMin.Claim claim = new MaxMin.Claim(random.nextInt(50), 1 + random.nextInt(5));
+                claims.put("t" + i, claim);
+                demand += claim.demand();
+            }
+            double sum = 0;
+            for (Map.Entry<String, Double> part : MaxMin.divide(64, claims).entrySet()) {
+                assertTrue(part.getValue() <= claims.get(part.getKey()).demand() + 1e-9);
+                sum += part.getValue();
+            }
+            assertEquals(sum, Math.min(64, demand), 1e-6);
+        }
+    }
+
+    /** Entry hosts with the same reports divide every slot to exactly one of them, at any time and demand. */
+    @Test
+    public void slotsAreDividedExactly() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(3);
+        List<Member> members = members(7);
+        List<Host> servers = servers();
+        for (int run = 0; run < 100; run++) {
+            VirtualTime time = VirtualTime.create();
+            time.runFor(Duration.ofMillis(random.nextInt(100_000)));
+            Map<Member, List<TeamUsage>> reports = new HashMap<>();
+            members.forEach(member -> reports.put(member, usages(random)));
+            Map<String, Integer> given = new HashMap<>();
+            for (Member self : members) {
+                PoolDivision division = PoolDivision.create(self, time, view(self, reports, time), team -> 1);
+                division.compute(POOL, servers, members)
+                        .caps()
+                        .slotsByServer()
+                        .forEach((server, slots) -> given.merge(server, slots, Integer::sum));
+            }
+            servers.forEach(server -> assertEquals(given.get(server.name()), server.slots(), server.name()));
+        }
+    }
+
+    private static List<TeamUsage> usages(UniformRandomProvider random) {
+        List<TeamUsage> usages = new ArrayList<>();
+        for (int team = 0; team < 4; team++) {
+            usages.add(new TeamUsage(POOL, "t" + team, random.nextInt(4), random.nextInt(10), 0));
+        }
+        return usages;
+    }
+
+    private static FleetUsage view(Member self, Map<Member, List<TeamUsage>> reports, VirtualTime time) {
+        FleetUsage usage = FleetUsage.create(time);
+        reports.forEach((member, usages) -> {
+            if (!member.equals(self)) {
+                usage.record(member.id(), usages);
+            }
+        });
+        reports.get(self).forEach(own -> usage.addOwn(POOL, own.team(), own.running(), own.waiting()));
+        return usage;
+    }
+
+    private static List<Member> members(int count) {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(new Member(new MemberId("m" + i), "m" + i, "127.0.0.1:1", "z" + i % 4));
+        }
+        return members;
+    }
+
+    private static List<Host> servers() {
+        List<Host> servers = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            servers.add(new Host(
+                    "s" + i, "127.0.0.1:9000", "z" + i % 4, "r", POOL, HostState.ACTIVE, 8, 64, 8, 1L << 30, 0));
+        }
+        return servers;
+    }
+
+    /** Reports heal after loss, stay within their byte budget, and vanish with a silent or removed peer. */
+    @Test
+    public void reportsHealAndExpire() {
+        VirtualTime time = VirtualTime.create();
+        FleetUsage from = FleetUsage.create(time, 400);
+        FleetUsage to = FleetUsage.create(time);
+        MemberId sender = new MemberId("a");
+        MemberId receiver = new MemberId("b");
+        from.addOwn(POOL, "t", 3, 2);
+        from.changesFor(receiver);
+        for (int i = 0; i < 40; i++) {
+            time.runFor(Duration.ofMillis(250));
+            to.record(sender, from.changesFor(receiver));
+        }
+        assertEquals(to.fleet(POOL).running("t"), 3);
+        assertEquals(to.fleet(POOL).waiting("t"), 2);
+        assertTrue(from.sentBytes() <= 400 * 10 + 512, "bytes " + from.sentBytes());
+        time.runFor(Duration.ofSeconds(6));
+        to.expire();
+        assertEquals(to.fleet(POOL).demand(), 0);
+        to.record(sender, List.of(new TeamUsage(POOL, "t", 1, 0, 0)));
+        to.forget(sender);
+        assertEquals(to.fleet(POOL).demand(), 0);
+    }
+
+    /** Cumulative slot time makes up for what happened between reports. */
+    @Test
+    public void slotTimeIsExactAfterReports() {
+        VirtualTime time = VirtualTime.create();
+        FleetUsage from = FleetUsage.create(time);
+        FleetUsage to = FleetUsage.create(time);
+        MemberId sender = new MemberId("a");
+        from.addOwn(POOL, "t", 0, 1);
+        to.record(sender, from.changesFor(new MemberId("b")));
+        from.addOwn(POOL, "t", 4, 0);
+        time.runFor(Duration.ofSeconds(1));
+        from.addOwn(POOL, "t", -4, 0);
+        time.runFor(Duration.ofSeconds(1));
+        from.addOwn(POOL, "t", 1, 0);
+        to.record(sender, from.changesFor(new MemberId("b")));
+        assertEquals(to.fleet(POOL).usedNanos("t", time.monotonicNanos()), 4_000_000_000L);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/admission/FairQueueTest.java
@@ -0,0 +1,95 @@
+package org.basilswitch.admission;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.dispatch.RequestSpec.Priority;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests of order, starvation bound and bookkeeping of waiting requests. */
+public final class FairQueueTest {
+    private record Item(int number, String team, Priority priority) implements Waiting {}
+
+    /** Teams that always wait are served by weight. */
+    @Test
+    public void backloggedTeamsAreServedByWeight() {
+        FairQueue<Item> queue = FairQueue.create();
+        Map<String, Double> weights = Map.of("a", 4.0, "b", 2.0, "c", 1.0);
+        Map<String, Integer> served = new HashMap<>();
+        int number = 0;
+        for (String team : weights.keySet()) {
+            queue.add(new Item(number++, team, Priority.NORMAL));
+        }
+        for (int i = 0; i < 700; i++) {
+            Item item = queue.take(any -> true, it -> served.getOrDefault(it.team(), 0) / weights.get(it.team()))
+                    .orElseThrow();
+            served.merge(item.team(), 1, Integer::sum);
+            queue.add(new Item(number++, item.team(), Priority.NORMAL));
+        }
+        weights.forEach((team, weight) -> assertEquals(served.get(team), 100 * weight, 1.0, team));
+    }
+
+    /** Urgent goes first, yet a background request is served after a bounded number of starts. */
+    @Test
+    public void lowerPrioritiesDoNotStarve() {
+        FairQueue<Item> queue = FairQueue.create();
+        queue.add(new Item(-1, "a", Priority.BACKGROUND));
+        queue.add(new Item(-2, "a", Priority.NORMAL));
+        int starts = 0;
+        Item item = new Item(0, "a", Priority.URGENT);
+        while (item.priority() != Priority.BACKGROUND) {
+            queue.add(new Item(starts, "a", Priority.URGENT));
+            item = queue.take(any -> true, it -> 0).orElseThrow();
+            starts++;
+            assertTrue(starts <= FairQueue.STARVATION_STARTS + 2, "starts " + starts);
+        }
+        assertTrue(starts > FairQueue.STARVATION_STARTS / 2);
+    }
+
+    /** Seeds of the random runs. */
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+    }
+
+    /** Over random additions, removals, takings and returns, each request leaves exactly once, and counts agree. */
+    @Test(dataProvider = "seeds")
+    public void everyRequestLeavesOnce(long seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        FairQueue<Item> queue = FairQueue.create();
+        Set<Item> inside = new HashSet<>();
+        for (int step = 0; step < 20_000; step++) {
+            switch (random.nextInt(5)) {
+                case 0, 1 -> {
+                    Item item = new Item(step, "t" + random.nextInt(4), Priority.values()[random.nextInt(3)]);
+                    queue.add(item);
+                    inside.add(item);
+                }
+                case 2 ->
+                    inside.stream().findAny().ifPresent(item -> {
+                        assertTrue(queue.remove(item));
+                        assertTrue(!queue.remove(item));
+                        inside.remove(item);
+                    });
+                case 3 -> {
+                    String blocked = "t" + random.nextInt(4);
+                    Optional<Item> taken = queue.take(it -> !it.team().equals(blocked), Item::number);
+                    taken.ifPresent(item ->
+                            assertTrue(inside.remove(item) && !item.team().equals(blocked)));
+                }
+                default -> queue.take(it -> true, Item::number).ifPresent(queue::putBack);
+            }
+            assertEquals(queue.size(), inside.size());
+        }
+        assertEquals(new HashSet<>(queue.all()), inside);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/RandomRequestsTest.java
@@ -0,0 +1,161 @@
+package org.basilswitch.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.dispatch.Refusal.Outcome;
+import org.basilswitch.dispatch.RequestSpec.Priority;
+import org.basilswitch.dispatch.TestSite.TestCaller;
+import org.basilswitch.placement.Placement;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Random requests, callbacks and faults against the promises that each request is kept. */
+public final class RandomRequestsTest {
+    private static final Attempt.Failure[] FAILURES = Attempt.Failure.values();
+
+    /** Seeds of the runs. */
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[40][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    /** Every request ends once; non-idempotent ones are sent at most once, and never after not-run was told. */
+    @Test(dataProvider = "seeds")
+    public void promisesHold(long seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        TestSite site = TestSite.create(4, 3, Placement.standard(), seed);
+        site.allotted.put("a", 5);
+        Running running = new Running();
+        List<RandomCaller> callers = new ArrayList<>();
+        for (int step = 0; step < 1_500; step++) {
+            callers.add(submit(site, random, running));
+            disturb(site, random, step);
+            site.run(random.nextInt(30));
+            int cancelled = random.nextInt(callers.size());
+            if (random.nextInt(10) == 0) {
+                callers.get(cancelled).caller.handle.cancel();
+            }
+        }
+        site.authorised = true;
+        site.run(60_000);
+        callers.forEach(RandomCaller::check);
+        assertEquals(site.broker.openRequests(), 0);
+        assertEquals(site.unitsHeld(), 0);
+        assertEquals(site.violations(), 0);
+        assertTrue(running.most <= 5, "running at the servers: " + running.most);
+    }
+
+    private static void disturb(TestSite site, UniformRandomProvider random, int step) {
+        if (random.nextInt(40) == 0) {
+            site.authorised = !site.authorised;
+        }
+        if (random.nextInt(50) == 0) {
+            HostState state = random.nextBoolean() ? HostState.ACTIVE : HostState.DRAINING;
+            site.put(TestSite.host("s" + random.nextInt(4), 3, state));
+        }
+        if (step % 100 == 0) {
+            site.claimResult = random.nextInt(4) == 0
+                    ? new RequestClaims.Unavailable("store is down")
+                    : new RequestClaims.Granted();
+        }
+    }
+
+    private static RandomCaller submit(TestSite site, UniformRandomProvider random, Running running) {
+        boolean once = random.nextBoolean();
+        RequestSpec spec = new RequestSpec(
+                once ? TestSite.ONCE : TestSite.REPEATABLE,
+                Optional.of(random.nextBoolean() ? "secret-a" : "secret-b"),
+                random.nextInt(3) == 0 ? Optional.of("id-" + random.nextInt()) : Optional.empty(),
+                Optional.of(Duration.ofMillis(20 + random.nextInt(3_000))),
+                Priority.values()[random.nextInt(3)]);
+        RandomCaller caller = new RandomCaller(site, random, once, running);
+        caller.caller = site.submit(spec);
+        caller.caller.script = caller::carryOut;
+        return caller;
+    }
+
+    /** Requests of team {@code a} running at the servers. */
+    private static final class Running {
+        private int now;
+        private int most;
+
+        private void change(String team, int change) {
+            now += team.equals("a") ? change : 0;
+            most = Math.max(most, now);
+        }
+    }
+
+    /** Carries attempts out with random failures, and calls back late and repeatedly. */
+    private static final class RandomCaller {
+        private final TestSite site;
+        private final UniformRandomProvider random;
+        private final boolean once;
+        private final Running running;
+        private TestCaller caller;
+        private int sends;
+        private int refusedSends;
+        private boolean answered;
+
+        private RandomCaller(TestSite site, UniformRandomProvider random, boolean once, Running running) {
+            this.running = running;
+            this.site = site;
+            this.random = random;
+            this.once = once;
+        }
+
+        private void carryOut(Attempt attempt) {
+            site.time.schedule(Duration.ofMillis(random.nextInt(20)), () -> {
+                if (random.nextInt(8) == 0) {
+                    attempt.failed(Attempt.Failure.CONNECT_REFUSED);
+                } else if (attempt.beginSend()) {
+                    sends++;
+                    running.change(attempt.team(), 1);
+                    assertTrue(caller.refusals.isEmpty(), "sent after a refusal");
+                    site.time.schedule(Duration.ofMillis(random.nextInt(300)), () -> end(attempt));
+                }
+                if (random.nextInt(5) == 0) {
+                    site.time.schedule(Duration.ofMillis(400), () -> attempt.failed(Attempt.Failure.RESET));
+                }
+            });
+        }
+
+        private void end(Attempt attempt) {
+            running.change(attempt.team(), -1);
+            if (random.nextInt(3) > 0) {
+                answered = true;
+                attempt.answered(200);
+                attempt.answered(200);
+                return;
+            }
+            Attempt.Failure failure = FAILURES[random.nextInt(FAILURES.length)];
+            refusedSends += failure == Attempt.Failure.SERVER_BUSY ? 1 : 0;
+            attempt.failed(failure);
+            attempt.failed(Attempt.Failure.SERVER_BUSY);
+        }
+
+        private void check() {
+            int unrefusedSends = sends - refusedSends;
+            assertTrue(!once || unrefusedSends <= 1, "sent " + unrefusedSends + " times");
+            assertEquals(caller.refusals.size(), answered ? 0 : 1);
+            if (!answered && unrefusedSends > 0) {
+                assertEquals(caller.refusal().outcome(), Outcome.UNKNOWN);
+            }
+            if (!answered && unrefusedSends == 0) {
+                assertEquals(caller.refusal().outcome(), Outcome.NOT_RUN);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/placement/PoolServersTest.java
@@ -0,0 +1,172 @@
+package org.basilswitch.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.placement.PoolServers.Result;
+import org.basilswitch.time.VirtualTime;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Tests of choice, ejection, probes and hard caps. */
+public final class PoolServersTest {
+    private static final Duration SERVICE = Duration.ofMillis(100);
+
+    private final VirtualTime time = VirtualTime.create();
+
+    private PoolServers pool(Placement placement, List<Host> hosts, LiveHosts liveHosts) {
+        PoolServers servers = PoolServers.create(
+                "pool", "z0", placement, time, RandomSource.XO_RO_SHI_RO_128_PP.create(5), liveHosts, Telemetry.none());
+        servers.update(hosts);
+        return servers;
+    }
+
+    private static List<Host> hosts(int count, int slots) {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(new Host(
+                    "s" + i, "127.0.0.1:1", "z" + i % 4, "r", "pool", HostState.ACTIVE, slots, 64, 8, 1L << 30, 0));
+        }
+        return hosts;
+    }
+
+    private Optional<Host> send(PoolServers servers, Object token) {
+        Optional<Host> host = servers.choose(Set.of(), SlotCaps.none());
+        host.ifPresent(chosen -> servers.started(chosen, token));
+        return host;
+    }
+
+    /** Runs one request after another; the faulty servers fail at once. Returns requests by server. */
+    private Map<String, Integer> drive(PoolServers servers, Set<String> faulty, Duration duration) {
+        Map<String, Integer> counts = new HashMap<>();
+        long end = time.monotonicNanos() + duration.toNanos();
+        while (time.monotonicNanos() < end) {
+            Object token = new Object();
+            Optional<Host> host = send(servers, token);
+            time.runFor(Duration.ofMillis(10));
+            host.ifPresent(chosen -> {
+                counts.merge(chosen.name(), 1, Integer::sum);
+                boolean fails = faulty.contains(chosen.name());
+                servers.ended(chosen, token, fails ? Result.FAILURE : Result.SUCCESS);
+            });
+        }
+        return counts;
+    }
+
+    /** The strategies. */
+    @DataProvider
+    public Object[][] placements() {
+        return new Object[][] {
+            {new Placement.UniformRandom()},
+            {new Placement.RoundRobin()},
+            {new Placement.LeastInFlight()},
+            {new Placement.LocalProbing(2)},
+            {new Placement.DividedSlots(2)},
+        };
+    }
+
+    /** Slots are a hard cap of each strategy. */
+    @Test(dataProvider = "placements")
+    public void slotsAreNeverExceeded(Placement placement) {
+        PoolServers servers = pool(placement, hosts(4, 2), LiveHosts.unknown());
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 20; i++) {
+            send(servers, i).ifPresent(host -> counts.merge(host.name(), 1, Integer::sum));
+        }
+        assertEquals(counts, Map.of("s0", 2, "s1", 2, "s2", 2, "s3", 2));
+    }
+
+    /** A server that fails quickly looks idle, yet is ejected and only probed; it comes back when it is sound again. */
+    @Test(dataProvider = "placements")
+    public void failingServerIsEjectedAndLetBack(Placement placement) {
+        PoolServers servers = pool(placement, hosts(4, 4), LiveHosts.unknown());
+        drive(servers, Set.of(), Duration.ofSeconds(1));
+        drive(servers, Set.of("s0"), Duration.ofSeconds(2));
+        int probes = drive(servers, Set.of("s0"), Duration.ofSeconds(10)).getOrDefault("s0", 0);
+        assertTrue(probes >= 1 && probes <= 10, "probes " + probes);
+        drive(servers, Set.of(), Duration.ofSeconds(40));
+        int back = drive(servers, Set.of(), Duration.ofSeconds(4)).getOrDefault("s0", 0);
+        assertTrue(back >= 40, "requests after return " + back);
+    }
+
+    /** However many fail, at most half of the servers are ejected. */
+    @Test
+    public void poolIsNeverEjectedEmpty() {
+        PoolServers servers = pool(Placement.standard(), hosts(4, 4), LiveHosts.unknown());
+        Set<String> all = Set.of("s0", "s1", "s2", "s3");
+        drive(servers, all, Duration.ofSeconds(5));
+        for (int i = 0; i < 100; i++) {
+            assertTrue(send(servers, new Object()).isPresent() || i >= 8, "request " + i);
+        }
+    }
+
+    /** A hanging server is ejected by silence long before its requests time out. */
+    @Test
+    public void hangingServerIsEjectedBySilence() {
+        PoolServers servers = pool(new Placement.LeastInFlight(), hosts(4, 8), LiveHosts.unknown());
+        drive(servers, Set.of(), Duration.ofSeconds(1));
+        Map<Object, Host> answered = new HashMap<>();
+        int lateToHanging = 0;
+        for (int step = 0; step < 400; step++) {
+            Object token = step;
+            Optional<Host> host = send(servers, token);
+            if (host.isPresent() && host.get().name().equals("s0")) {
+                lateToHanging += step > 200 ? 1 : 0;
+            } else {
+                host.ifPresent(chosen -> answered.put(token, chosen));
+            }
+            time.runFor(Duration.ofMillis(10));
+            Host chosen = answered.remove((Object) (step - 10));
+            if (chosen != null) {
+                servers.ended(chosen, step - 10, Result.SUCCESS);
+            }
+        }
+        assertEquals(lateToHanging, 0);
+    }
+
+    /** Servers gone from the list are used only when all are gone; leaving ones never. */
+    @Test
+    public void liveHostListIsHonoured() {
+        Map<String, LiveHosts.Presence> list = new HashMap<>();
+        PoolServers servers =
+                pool(Placement.standard(), hosts(2, 4), host -> list.getOrDefault(host, LiveHosts.Presence.LIVE));
+        list.put("s0", LiveHosts.Presence.GONE);
+        assertEquals(servers.serving().size(), 1);
+        list.put("s1", LiveHosts.Presence.GONE);
+        assertEquals(servers.serving().size(), 2);
+        list.put("s1", LiveHosts.Presence.LEAVING);
+        assertEquals(servers.serving().size(), 1);
+        list.put("s0", LiveHosts.Presence.LEAVING);
+        assertFalse(servers.choose(Set.of(), SlotCaps.none()).isPresent());
+    }
+
+    /** A busy server is held off for a bounded time, and then tried by one request. */
+    @Test
+    public void busyServerIsHeldOff() {
+        PoolServers servers = pool(Placement.standard(), hosts(1, 8), LiveHosts.unknown());
+        Object token = new Object();
+        Host host = send(servers, token).orElseThrow();
+        time.runFor(SERVICE);
+        servers.ended(host, token, Result.SUCCESS);
+        Object refused = new Object();
+        send(servers, refused).orElseThrow();
+        servers.ended(host, refused, Result.BUSY);
+        assertFalse(send(servers, new Object()).isPresent());
+        time.runFor(Duration.ofMillis(10));
+        assertTrue(send(servers, new Object()).isPresent());
+        assertFalse(send(servers, new Object()).isPresent());
+    }
+}
