--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -14,5 +14,8 @@
             FaultsCommand.class,
             SlopesCommand.class,
             WaveCommand.class,
+            SharesCommand.class,
+            PlacementCommand.class,
+            RetriesCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -140,9 +140,8 @@
     private void openPorts(AdministrationRoutes.Parts routeParts) {
         timeouts = Timeouts.create(context);
         workers = WorkerClients.create(vertx, options.worker());
-        WorkerExchange.Tools tools =
-                new WorkerExchange.Tools(
-                        timeouts, clock, options.worker(), workers, host.authority(), ownWord, telemetry);
+        WorkerExchange.Tools tools = new WorkerExchange.Tools(
+                timeouts, clock, options.worker(), workers, host.authority(), ownWord, telemetry);
         callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
