--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -10,8 +10,12 @@
         subcommands = {
             ProxyCommand.class,
             BufferCommand.class,
+            ClaimsCommand.class,
             FaultsCommand.class,
             SlopesCommand.class,
             WaveCommand.class,
+            SharesCommand.class,
+            PlacementCommand.class,
+            RetriesCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.net.HostAndPort;
@@ -20,6 +21,7 @@
 import org.basilswitch.daemon.DaemonOptions;
 import org.basilswitch.daemon.EntryHostServer;
 import org.basilswitch.daemon.VertxScheduler;
+import org.basilswitch.daemon.livelist.LiveListOptions;
 import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.store.EtcdStore;
@@ -32,6 +34,7 @@
 import org.basilswitch.standin.worker.WorkerServer;
 import org.basilswitch.store.CommitResult;
 import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.StoreError;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.store.Transaction;
 
@@ -41,6 +44,7 @@
 
     private final DemoSite site;
     private final Vertx vertx;
+    private static final int WRITE_ATTEMPTS = 10;
     private static final Duration REBOOT_TIME = Duration.ofSeconds(2);
     private static final Duration LIST_LAG = Duration.ofSeconds(2);
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
@@ -88,16 +92,27 @@
             String key = keys.configuration(ConfigurationRecord.kind(item.getClass()), item.name());
             records.compare(key, Transaction.ABSENT).put(key, RecordCodec.encode(item));
         }
-        CommitResult result = adapter.commit(records.build())
-                .toCompletableFuture()
-                .join()
-                .getOrElseThrow(error -> new IllegalStateException("the stand-in store refused: " + error));
-        if (result instanceof CommitResult.Conflict) {
-            throw new IllegalStateException("the stand-in store is not empty");
-        }
+        write(records.build());
         follow(keys);
     }
 
+    /** Writes to the fresh store; a conflict after a lost answer shows that the write took effect. */
+    private void write(Transaction records) {
+        boolean answerLost = false;
+        for (int attempt = 0; attempt < WRITE_ATTEMPTS; attempt++) {
+            Either<StoreError, CommitResult> result =
+                    adapter.commit(records).toCompletableFuture().join();
+            if (result.isRight() && (answerLost || result.get() instanceof CommitResult.Committed)) {
+                return;
+            }
+            if (result.isRight()) {
+                throw new IllegalStateException("the stand-in store is not empty");
+            }
+            answerLost |= result.getLeft() instanceof StoreError.Unknown;
+        }
+        throw new IllegalStateException("the stand-in store does not answer; the machine may be too busy");
+    }
+
     private void follow(StoreKeys keys) {
         VertxScheduler scheduler = VertxScheduler.create(vertx, vertx.getOrCreateContext());
         follower = ConfigurationFollower.create(keys, adapter, scheduler, Telemetry.none());
@@ -111,7 +126,8 @@
     private void startEntryHost(Settings.EntryHostSettings settings) {
         DaemonOptions options = DaemonOptions.loopback(site.name(), settings.name(), settings.zone())
                 .withWorker(org.basilswitch.daemon.WorkerOptions.defaults()
-                        .withLiveList(HostAndPort.create("127.0.0.1", list.port()), LIST_INTERVAL));
+                        .withLiveList(
+                                new LiveListOptions(HostAndPort.create("127.0.0.1", list.port()), LIST_INTERVAL)));
         EntryHostServer.Parts parts = new EntryHostServer.Parts(
                 (hostVertx, clock, scheduler, telemetry) ->
                         EtcdStore.create(hostVertx, hostVertx.getOrCreateContext(), storeOptions(), telemetry),
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -13,6 +13,7 @@
 import org.basilswitch.daemon.caller.CallerPort;
 import org.basilswitch.daemon.fleet.FleetDuties;
 import org.basilswitch.daemon.livelist.LiveHostReader;
+import org.basilswitch.daemon.livelist.OwnWord;
 import org.basilswitch.daemon.peer.FrameCodec;
 import org.basilswitch.daemon.peer.PeerMeters;
 import org.basilswitch.daemon.peer.PeerTransport;
@@ -22,6 +23,7 @@
 import org.basilswitch.daemon.telemetry.Meters;
 import org.basilswitch.daemon.telemetry.ProcessMeters;
 import org.basilswitch.daemon.tls.TlsReloader;
+import org.basilswitch.daemon.worker.Timeouts;
 import org.basilswitch.daemon.worker.WorkerClients;
 import org.basilswitch.daemon.worker.WorkerExchange;
 import org.basilswitch.dispatch.BackgroundWork;
@@ -54,6 +56,9 @@
     private TlsReloader tls;
     private PeerTransport peers;
     private WorkerClients workers;
+    private Timeouts timeouts;
+    private Optional<LiveHostReader> liveList = Optional.empty();
+    private OwnWord ownWord;
     private EntryHost host;
     private FleetDuties fleet;
     private CallerPort callers;
@@ -115,17 +120,9 @@
                 options.timing().promiseTime(),
                 options.timing().heartbeatInterval(),
                 options.timing().clockDriftRatio());
-        Optional<LiveHostReader> list = options.worker()
-                .liveList()
-                .map(address -> LiveHostReader.start(
-                        vertx,
-                        context,
-                        clock,
-                        telemetry,
-                        address,
-                        options.worker().listInterval()));
-        EntryHostParts hostParts = new EntryHostParts(
-                list.<LiveHosts>map(reader -> reader).orElse(LiveHosts.unknown()), BackgroundWork.none());
+        liveList =
+                options.worker().liveList().map(where -> LiveHostReader.start(vertx, context, clock, telemetry, where));
+        ownWord = OwnWord.before(liveList.<LiveHosts>map(list -> list).orElseGet(LiveHosts::unknown), clock);
         host = EntryHost.create(
                 hostOptions,
                 clock,
@@ -133,7 +130,7 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(),
                 store,
                 peers,
-                hostParts,
+                new EntryHostParts(ownWord, BackgroundWork.none()),
                 telemetry);
         peers.start(host::members, host::receive);
         openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
@@ -142,15 +139,16 @@
         fleet = FleetDuties.start(
                 options.site(),
                 FleetOptions.defaults(),
-                new FleetDuties.Parts(vertx, context, host, store, clock, scheduler, telemetry, list));
+                new FleetDuties.Parts(vertx, context, host, store, clock, scheduler, telemetry, liveList));
         return Future.join(callers.listen(options.callers(), tls), administration.listen(options.administration(), tls))
                 .mapEmpty();
     }
 
     private void openPorts(AdministrationRoutes.Parts routeParts) {
+        timeouts = Timeouts.create(context);
         workers = WorkerClients.create(vertx, options.worker());
-        WorkerExchange.Tools tools =
-                new WorkerExchange.Tools(vertx, clock, options.worker(), workers, host.authority(), telemetry);
+        WorkerExchange.Tools tools = new WorkerExchange.Tools(
+                timeouts, clock, options.worker(), workers, host.authority(), ownWord, telemetry);
         callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
@@ -267,6 +265,8 @@
         host.close();
         tls.close();
         workers.close();
+        timeouts.close();
+        liveList.ifPresent(LiveHostReader::close);
         return Future.join(callers.shutdown(), administration.shutdown(), peers.shutdown())
                 .transform(closed -> vertx.undeploy(deploymentId))
                 .otherwiseEmpty();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsOptions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.vertx.core.net.HostAndPort;
+import org.basilswitch.daemon.livelist.LiveListOptions;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.store.EtcdStoreOptions;
 import org.basilswitch.daemon.tls.TlsFiles;
@@ -71,11 +72,11 @@
 
     private static WorkerOptions worker(Settings settings) {
         WorkerOptions defaults = WorkerOptions.defaults();
+        Optional<LiveListOptions> liveList = settings.liveHosts()
+                .address()
+                .map(address ->
+                        new LiveListOptions(address, settings.liveHosts().pollInterval()));
         return new WorkerOptions(
-                defaults.connectTimeout(),
-                settings.limits().serverIdleTimeout(),
-                defaults.startWindow(),
-                settings.liveHosts().address(),
-                settings.liveHosts().pollInterval());
+                defaults.connectTimeout(), settings.limits().serverIdleTimeout(), defaults.startWindow(), liveList);
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -3,15 +3,16 @@
 import java.time.Duration;
 import java.util.Map;
 
+import io.netty.util.Timeout;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.MultiMap;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.ConnectionPoolTooBusyException;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import org.basilswitch.daemon.WorkerOptions;
+import org.basilswitch.daemon.livelist.OwnWord;
 import org.basilswitch.dispatch.Attempt;
 import org.basilswitch.dispatch.Attempt.Failure;
 import org.basilswitch.event.CounterCode;
@@ -25,25 +26,25 @@
     private static final int BUSY_STATUS = 503;
     private static final int TOO_LATE_STATUS = 412;
 
-    private final Vertx vertx;
     private final Clock clock;
     private final WorkerOptions options;
+    private final OwnWord ownWord;
     private final Telemetry telemetry;
     private final ServingAuthority authority;
     private final Attempt attempt;
     private final String queue;
     private final RequestBody body;
     private final AnswerSink sink;
-    private long timerId;
+    private Timeout timeout;
     private HttpClientRequest request;
     private boolean sent;
     private boolean begun;
     private boolean ended;
 
     private WorkerExchange(Tools tools, Attempt attempt, String queue, RequestBody body, AnswerSink sink) {
-        this.vertx = tools.vertx();
         this.clock = tools.clock();
         this.options = tools.options();
+        this.ownWord = tools.ownWord();
         this.telemetry = tools.telemetry();
         this.authority = tools.authority();
         this.attempt = attempt;
@@ -54,11 +55,12 @@
 
     /** What all exchanges of an entry host share. */
     public record Tools(
-            Vertx vertx,
+            Timeouts timeouts,
             Clock clock,
             WorkerOptions options,
             WorkerClients clients,
             ServingAuthority authority,
+            OwnWord ownWord,
             Telemetry telemetry) {}
 
     /** Starts an attempt; its end is reported to the attempt first and then to the sink. */
@@ -72,7 +74,7 @@
             AnswerSink sink) {
         WorkerExchange exchange = new WorkerExchange(tools, attempt, queue, body, sink);
         long timeoutMs = Math.max(1, attempt.timeout().toMillis());
-        exchange.timerId = tools.vertx().setTimer(timeoutMs, id -> exchange.onTimeout());
+        exchange.timeout = tools.timeouts().schedule(timeoutMs, exchange::onTimeout);
         tools.clients()
                 .request(attempt.server(), entryHosts, timeoutMs)
                 .onComplete(connected -> exchange.onConnected(connected, callerHeaders));
@@ -107,16 +109,16 @@
     }
 
     private void setHeaders(MultiMap callerHeaders) {
-        Duration timeout = attempt.timeout();
-        Duration window = shorter(timeout, shorter(options.startWindow(), authority.remaining()));
+        Duration left = attempt.timeout();
+        Duration window = shorter(left, shorter(options.startWindow(), authority.remaining()));
         request.putHeader(WorkerHeaders.REQUEST_ID, attempt.requestId());
         request.putHeader(WorkerHeaders.ATTEMPT, Integer.toString(attempt.number()));
         request.putHeader(WorkerHeaders.TEAM, attempt.team());
         request.putHeader(WorkerHeaders.QUEUE, queue);
-        request.putHeader(WorkerHeaders.DEADLINE_MS, Long.toString(timeout.toMillis()));
+        request.putHeader(WorkerHeaders.DEADLINE_MS, Long.toString(left.toMillis()));
         request.putHeader(
                 WorkerHeaders.START_BEFORE, clock.instant().plus(window).toString());
-        for (String name : WorkerHeaders.PASSED_ON) {
+        for (CharSequence name : WorkerHeaders.PASSED_ON) {
             String value = callerHeaders.get(name);
             if (value != null) {
                 request.putHeader(name, value);
@@ -143,6 +145,7 @@
             telemetry.event(EventCode.WORKER_ANSWER_MISMATCHED, detail());
             failAndReset(Failure.ANSWER_MALFORMED);
         } else if (certainlyNotRun(answer)) {
+            noteLeaving(answer);
             refusedByServer();
         } else {
             forward(answer);
@@ -155,9 +158,15 @@
     }
 
     private static boolean certainlyNotRun(HttpClientResponse answer) {
-        boolean busy =
-                answer.statusCode() == BUSY_STATUS && WorkerHeaders.BUSY.equals(answer.getHeader(WorkerHeaders.WORKER));
-        return busy || answer.statusCode() == TOO_LATE_STATUS;
+        String word = answer.getHeader(WorkerHeaders.WORKER);
+        boolean refused = WorkerHeaders.BUSY.equals(word) || WorkerHeaders.LEAVING.equals(word);
+        return refused && answer.statusCode() == BUSY_STATUS || answer.statusCode() == TOO_LATE_STATUS;
+    }
+
+    private void noteLeaving(HttpClientResponse answer) {
+        if (WorkerHeaders.LEAVING.equals(answer.getHeader(WorkerHeaders.WORKER))) {
+            ownWord.leaving(attempt.server().name());
+        }
     }
 
     /** Keeps the connection when the backend server has read the whole request, as its short answer will end soon. */
@@ -236,7 +245,7 @@
             return false;
         }
         ended = true;
-        vertx.cancelTimer(timerId);
+        timeout.cancel();
         body.detach();
         return true;
     }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerHeaders.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerHeaders.java
@@ -1,6 +1,7 @@
 package org.basilswitch.daemon.worker;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.vertx.core.http.HttpHeaders;
 
@@ -24,20 +25,23 @@
     /** UTC instant after which the backend server refuses to start the request, with status 412. */
     public static final CharSequence START_BEFORE = HttpHeaders.createOptimized("Basilswitch-Start-Before");
 
-    /** Set to {@code busy} on a status 503 by which a backend server refuses a request that it has not started. */
+    /** Set to {@code busy} or {@code leaving} on a status 503 that refuses a request which has not been started. */
     public static final CharSequence WORKER = HttpHeaders.createOptimized("Basilswitch-Worker");
 
     static final String BUSY = "busy";
+    static final String LEAVING = "leaving";
 
     /** A caller's headers that are passed on. */
-    static final List<String> PASSED_ON = List.of(
-            "content-type",
-            "content-encoding",
-            "content-language",
-            "accept",
-            "accept-language",
-            "traceparent",
-            "tracestate");
+    static final List<CharSequence> PASSED_ON = Stream.of(
+                    "content-type",
+                    "content-encoding",
+                    "content-language",
+                    "accept",
+                    "accept-language",
+                    "traceparent",
+                    "tracestate")
+            .map(HttpHeaders::createOptimized)
+            .toList();
 
     /** Headers of an answer that belong to the connection, or to the exchange with the entry host. */
     private static final List<String> NOT_FORWARDED = List.of(
