--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/SlopesCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/SlopesCommand.java
@@ -1,6 +1,13 @@
 package org.basilswitch.cli.bench;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import org.basilswitch.bench.slopes.SlopeBench;
@@ -13,12 +20,34 @@
         mixinStandardHelpOptions = true,
         description = "Measures an entry host's control cost at several sizes and prints docs/CAPACITY.md's tables.")
 final class SlopesCommand implements Callable<Integer> {
+    private static final String BEGIN = "<!-- slopes: basilswitch bench slopes -->";
+    private static final String END = "<!-- end of slopes -->";
+
     @Option(names = "--seconds", description = "Virtual seconds for each size (default: ${DEFAULT-VALUE}).")
     private int seconds = 60;
 
+    @Option(names = "--page", description = "Also replaces the table in this page, between its slopes marks.")
+    private Optional<Path> page = Optional.empty();
+
     @Override
-    public Integer call() {
-        SlopeBench.print(System.out, Duration.ofSeconds(seconds));
+    public Integer call() throws IOException {
+        ByteArrayOutputStream table = new ByteArrayOutputStream();
+        SlopeBench.print(new PrintStream(table, true, StandardCharsets.UTF_8), Duration.ofSeconds(seconds));
+        String text = table.toString(StandardCharsets.UTF_8);
+        System.out.print(text);
+        if (page.isPresent()) {
+            replaceTable(page.get(), text);
+        }
         return 0;
     }
+
+    private static void replaceTable(Path page, String table) throws IOException {
+        String old = Files.readString(page);
+        int from = old.indexOf(BEGIN);
+        int to = old.indexOf(END);
+        if (from < 0 || to < from) {
+            throw new IOException(page + " has no lines " + BEGIN + " and " + END);
+        }
+        Files.writeString(page, old.substring(0, from) + BEGIN + "\n" + table + old.substring(to));
+    }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -70,6 +70,17 @@
         return answer;
     }
 
+    /** A client holds bytes of its own, as after a transfer. */
+    private static Entry copy(Entry entry) {
+        return new Entry(entry.key(), entry.value().clone(), entry.createRevision(), entry.modRevision());
+    }
+
+    private static Range copy(Range range) {
+        return new Range(
+                range.revision(),
+                range.entries().stream().map(MemoryStoreClient::copy).toList());
+    }
+
     private static <T> Either<StoreError, T> unknown() {
         return Either.left(new StoreError.Unknown(StoreError.Reason.TIMEOUT, "no answer in time"));
     }
@@ -80,12 +91,12 @@
 
     @Override
     public CompletionStage<Either<StoreError, Optional<Entry>>> get(String key) {
-        return call(() -> Either.right(store.get(key)));
+        return call(() -> Either.right(store.get(key).map(MemoryStoreClient::copy)));
     }
 
     @Override
     public CompletionStage<Either<StoreError, Range>> range(String prefix) {
-        return call(() -> Either.right(store.range(prefix)));
+        return call(() -> Either.right(copy(store.range(prefix))));
     }
 
     @Override
