--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
@@ -69,6 +69,9 @@
         if (!shape.taskTime().isZero()) {
             run.time.schedule(LOAD_TICK, run::load);
         }
+        if (!shape.operatorInterval().isZero()) {
+            RacingOperator.start(run.time, run.store, run.keys, run.random, run.shape);
+        }
         run.scheduleFault(shape.killInterval(), run::killOne);
         run.scheduleFault(shape.pauseInterval(), run::pauseOne);
         return run;
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
@@ -18,6 +18,7 @@
  * @param killInterval mean time between kills of a member, each replaced after some seconds; zero for none
  * @param pauseInterval mean time between pauses of a member for longer than its lease; zero for none
  * @param lostAnswerRatio part of store calls whose answers are lost after they took effect
+ * @param operatorInterval time between an operator's tries to drain a host; zero for none
  */
 public record FleetShape(
         int pools,
@@ -32,7 +33,8 @@
         int members,
         Duration killInterval,
         Duration pauseInterval,
-        double lostAnswerRatio) {
+        double lostAnswerRatio,
+        Duration operatorInterval) {
 
     /** The brief's size, without faults. */
     public static FleetShape ofToday() {
@@ -49,7 +51,8 @@
                 6,
                 Duration.ZERO,
                 Duration.ZERO,
-                0);
+                0,
+                Duration.ZERO);
     }
 
     /** The same shape with another part of hosts that do not return. */
@@ -67,7 +70,8 @@
                 members,
                 killInterval,
                 pauseInterval,
-                lostAnswerRatio);
+                lostAnswerRatio,
+                operatorInterval);
     }
 
     /** The same shape with other numbers of pools and hosts. */
@@ -85,7 +89,8 @@
                 members,
                 killInterval,
                 pauseInterval,
-                lostAnswerRatio);
+                lostAnswerRatio,
+                operatorInterval);
     }
 
     /** The same shape without callers' requests and with another number of spare hosts. */
@@ -103,7 +108,8 @@
                 members,
                 killInterval,
                 pauseInterval,
-                lostAnswerRatio);
+                lostAnswerRatio,
+                operatorInterval);
     }
 
     /** The same shape with members killed and paused and store answers lost. */
@@ -121,6 +127,26 @@
                 members,
                 killEvery,
                 pauseEvery,
-                lostAnswers);
+                lostAnswers,
+                operatorInterval);
+    }
+
+    /** The same shape with an operator who drains hosts at random, and puts them back after some seconds. */
+    public FleetShape withOperator(Duration interval) {
+        return new FleetShape(
+                pools,
+                hostsPerPool,
+                spareHosts,
+                hostsPerRack,
+                zones,
+                budgetHosts,
+                rebootTime,
+                taskTime,
+                returnFailureRatio,
+                members,
+                killInterval,
+                pauseInterval,
+                lostAnswerRatio,
+                interval);
     }
 }
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/RacingOperator.java
@@ -0,0 +1,63 @@
+package org.basilswitch.bench.fleet;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.basilswitch.configuration.ConfigurationFollower;
+import org.basilswitch.configuration.Host;
+import org.basilswitch.configuration.HostState;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.fleet.HostChange;
+import org.basilswitch.fleet.HostChanger;
+import org.basilswitch.store.MemoryStore;
+import org.basilswitch.store.MemoryStoreClient;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.time.VirtualTime;
+
+/** An operator who drains hosts at random while waves run, and puts each back into service after some seconds. */
+final class RacingOperator {
+    private static final Duration OUT_OF_SERVICE_TIME = Duration.ofSeconds(2);
+
+    private final VirtualTime time;
+    private final UniformRandomProvider random;
+    private final ConfigurationFollower follower;
+    private final HostChanger changer;
+    private final Duration interval;
+
+    private RacingOperator(
+            VirtualTime time, MemoryStore store, StoreKeys keys, UniformRandomProvider random, FleetShape shape) {
+        MemoryStoreClient client = MemoryStoreClient.create(store, time, random);
+        this.time = time;
+        this.random = random;
+        this.interval = shape.operatorInterval();
+        this.follower = ConfigurationFollower.create(keys, client, time, Telemetry.none());
+        this.changer = HostChanger.create(keys, client, follower::current);
+    }
+
+    static void start(
+            VirtualTime time, MemoryStore store, StoreKeys keys, UniformRandomProvider random, FleetShape shape) {
+        RacingOperator operator = new RacingOperator(time, store, keys, random, shape);
+        operator.follower.start();
+        time.schedule(operator.interval, operator::drainOne);
+    }
+
+    private void drainOne() {
+        List<Host> active = follower.current().hosts().values().stream()
+                .filter(host -> host.state() == HostState.ACTIVE)
+                .toList();
+        if (!active.isEmpty()) {
+            String name = active.get(random.nextInt(active.size())).name();
+            changer.apply(new HostChange.Step(name, HostState.DRAINING))
+                    .thenAccept(result -> result.peek(revision -> putBackLater(name)));
+        }
+        time.schedule(interval, this::drainOne);
+    }
+
+    private void putBackLater(String name) {
+        time.schedule(
+                OUT_OF_SERVICE_TIME,
+                () -> changer.apply(new HostChange.Step(name, HostState.ACTIVE))
+                        .thenAccept(result -> result.peekLeft(error -> putBackLater(name))));
+    }
+}
--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
@@ -61,6 +61,16 @@
         }
     }
 
+    /** An operator who drains hosts while waves run never takes a pool below its budget together with them. */
+    @Test
+    public void waveHoldsBudgetsAgainstARacingOperator() {
+        FleetShape shape = FleetShape.ofToday().withOperator(Duration.ofMillis(50));
+        for (long seed = 1; seed <= 3; seed++) {
+            WaveReport report = WaveReport.run(shape, seed);
+            assertSafe(report, seed);
+        }
+    }
+
     /** A rack fails during the wave: the spare pool makes up for it, budgets hold, and the wave ends. */
     @Test
     public void waveHoldsBudgetsWhileARackIsDown() {
