Give back lent hosts only

Cause: with the controllers running in each entry host, an idle pool of 8 gave hosts that it had never borrowed to the spare pool; a test of the command line that drains a second host was refused by the budget (AdministrationCommandsTest.hostsAreDrainedAndMoved). Change: a host that leaves the spare pool is marked as lent in the move's own transaction, and only marked hosts are given back.

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLender.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLender.java
@@ -1,12 +1,16 @@
 package org.basilswitch.fleet;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 
 import org.basilswitch.configuration.Host;
 import org.basilswitch.configuration.HostState;
@@ -21,6 +25,8 @@
  * <p>When a pool borrows or gives back is its {@link HostNeed}'s to say, by the lending policy.
  */
 final class HostLender {
+    private static final Duration LOANS_READ_INTERVAL = Duration.ofSeconds(5);
+
     private final FleetContext context;
     private final HostStepper stepper;
     private final String pool;
@@ -43,9 +49,9 @@
             return;
         }
         if (own.spare()) {
-            mostShort(view).ifPresent(borrower -> move(view, borrower, borrower));
-        } else if (givesBack(view, own)) {
-            move(view, spare.get(), pool);
+            mostShort(view).ifPresent(borrower -> move(view, borrower, borrower, host -> true));
+        } else if (givesBack(view, own) && !onHold(pool)) {
+            giveBack(spare.get());
         }
     }
 
@@ -135,23 +141,36 @@
         return context.clock().monotonicNanos() < heldUntilNanos.getOrDefault(name, Long.MIN_VALUE);
     }
 
-    private void move(SiteConfiguration view, String target, String holdKey) {
-        if (onHold(holdKey)) {
-            return;
-        }
-        long holdNanos = Optional.ofNullable(needs.get(holdKey))
-                .map(need -> need.hold().toNanos())
-                .orElse(0L);
+    /** Gives one lent host back; a pool keeps the hosts that it did not borrow. */
+    private void giveBack(String spare) {
+        hold(pool, LOANS_READ_INTERVAL);
+        context.store()
+                .range(context.keys().loans())
+                .thenAccept(result -> result.peek(loans -> {
+                    Set<String> lent = loans.entries().stream()
+                            .map(entry ->
+                                    entry.key().substring(context.keys().loans().length()))
+                            .collect(Collectors.toSet());
+                    move(context.configuration().get(), spare, pool, host -> lent.contains(host.name()));
+                }));
+    }
+
+    private void hold(String key, Duration time) {
+        heldUntilNanos.put(key, context.clock().monotonicNanos() + time.toNanos());
+    }
+
+    private void move(SiteConfiguration view, String target, String holdKey, Predicate<Host> movable) {
         PoolCensus census = PoolCensus.of(view, pool);
         Optional<Host> candidate = view.hostsOf(pool).stream()
                 .filter(host -> host.state() == HostState.ACTIVE && !stepper.isBusy(host))
+                .filter(movable)
                 .min(Comparator.comparingInt((Host host) -> -census.outInRack(host.rack()))
                         .thenComparing(Comparator.comparing(Host::name).reversed()));
         int least = view.pools().get(pool).minAvailableHosts();
         if (candidate.isEmpty() || census.active() <= least) {
             return;
         }
-        heldUntilNanos.put(holdKey, context.clock().monotonicNanos() + holdNanos);
+        Optional.ofNullable(needs.get(holdKey)).ifPresent(need -> hold(holdKey, need.hold()));
         HostProgress progress = HostProgress.draining(
                 HostProgress.Purpose.MOVE, target, context.clock().millis());
         stepper.drain(candidate.get(), progress, UnaryOperator.identity());
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/HostStepper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/HostStepper.java
@@ -13,6 +13,7 @@
 import org.basilswitch.configuration.Host;
 import org.basilswitch.configuration.HostState;
 import org.basilswitch.configuration.MaintenanceWave;
+import org.basilswitch.configuration.Pool;
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.store.PlatformStore;
@@ -116,7 +117,7 @@
     private void onDrained(Host host, Tracked state, WorkerPlatform.Usage usage) {
         if (state.progress.purpose() == HostProgress.Purpose.MOVE) {
             HostChange move = new HostChange.Move(host.name(), state.progress.target());
-            change(move, builder -> builder.delete(progressKey(host)), EventCode.HOST_MOVED);
+            change(move, builder -> markLoan(builder.delete(progressKey(host)), host), EventCode.HOST_MOVED);
             return;
         }
         HostProgress next =
@@ -124,6 +125,13 @@
         change(new HostChange.Step(host.name(), HostState.REBOOTING), withProgress(host, next), EventCode.HOST_STEPPED);
     }
 
+    /** Marks a host that leaves the spare pool as lent, and removes the mark when it leaves another pool. */
+    private Transaction.Builder markLoan(Transaction.Builder builder, Host host) {
+        Pool from = context.configuration().get().pools().get(host.pool());
+        String loan = context.keys().loan(host.name());
+        return from != null && from.spare() ? builder.put(loan, new byte[0]) : builder.delete(loan);
+    }
+
     private void stepRebooting(Host host, Tracked state) {
         String endedBoot = state.progress.bootId();
         long sinceMs = context.clock().millis() - state.progress.startedAtMs();
--- a/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
@@ -68,6 +68,16 @@
         return "/basilswitch/" + site + "/keyhashes/" + sha256Hex;
     }
 
+    /** Key that marks a host as lent by the spare pool. */
+    public String loan(String host) {
+        return loans() + host;
+    }
+
+    /** Prefix of the marks of lent hosts. */
+    public String loans() {
+        return "/basilswitch/" + site + "/fleet/loans/";
+    }
+
     /** Key of a host's progress in maintenance. */
     public String hostProgress(String host) {
         return "/basilswitch/" + site + "/fleet/progress/" + host;
