Replay kept answers to repeated requests; prepare request options once

A caller that lost its answer and repeats the request with its idempotency key gets the first answer again from the entry host that passed it on (16 KiB each, 4 MiB in all, 10 minutes), as the caller's interface says; otherwise 409.

Request options are made once for each backend server; a connection is waited for as long as the attempt lasts.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerPort.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerPort.java
@@ -48,6 +48,7 @@
     private final EntryHost host;
     private final WorkerExchange.Tools tools;
     private final Meters meters;
+    private final KeptAnswers keptAnswers = KeptAnswers.create();
     private final Set<CallerRequest> open = new LinkedHashSet<>();
     private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
     private HttpServer server;
@@ -191,6 +192,20 @@
         discardRest(request, body);
     }
 
+    /** Answers with what an earlier request of the same idempotency key was answered. */
+    void replay(HttpServerRequest request, RequestBody body, KeptAnswers.Answer answer) {
+        if (request.response().closed()) {
+            return;
+        }
+        prepare(request.response());
+        answer.writeTo(request.response());
+        discardRest(request, body);
+    }
+
+    KeptAnswers keptAnswers() {
+        return keptAnswers;
+    }
+
     /** Sets what every answer carries. */
     void prepare(HttpServerResponse response) {
         if (draining) {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerRequest.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerRequest.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -20,16 +22,20 @@
 
 /** One caller's request from its head to its answer or refusal. */
 final class CallerRequest implements RequestObserver, AnswerSink {
+    private static final Buffer NO_BODY = Buffer.buffer();
+
     private final CallerPort port;
     private final HttpServerRequest request;
     private final RequestSpec spec;
     private final RequestBody body;
     private final long startNanos;
+    private final Buffer answerBody;
     private RequestHandle handle = () -> {};
     private Optional<WorkerExchange> exchange = Optional.empty();
     private Optional<Refusal.Code> bodyDefect = Optional.empty();
     private boolean answerBegun;
     private boolean ended;
+    private long answerBytes;
     private long lastReceivedBytes;
     private long lastProgressNanos;
 
@@ -38,6 +44,7 @@
         this.request = request;
         this.spec = spec;
         this.body = body;
+        this.answerBody = spec.idempotencyKey().isPresent() ? Buffer.buffer() : NO_BODY;
         this.startNanos = port.clock().monotonicNanos();
     }
 
@@ -71,6 +78,14 @@
         if (ended) {
             return;
         }
+        Optional<KeptAnswers.Answer> kept = refusal.code() == Refusal.Code.ALREADY_CLAIMED
+                ? port.keptAnswers().find(spec)
+                : Optional.empty();
+        if (kept.isPresent()) {
+            end(Refusal.Outcome.RAN);
+            port.replay(request, body, kept.get());
+            return;
+        }
         Refusal told = bodyDefect
                 .map(code -> new Refusal(code, refusal.outcome(), Optional.empty()))
                 .orElse(refusal);
@@ -89,9 +104,29 @@
         return response;
     }
 
+    @Override
+    public void passing(Buffer chunk) {
+        if (spec.idempotencyKey().isEmpty()) {
+            return;
+        }
+        answerBytes += chunk.length();
+        if (answerBytes <= KeptAnswers.MAX_ANSWER_BYTES) {
+            answerBody.appendBuffer(chunk);
+        }
+    }
+
+    private void keepAnswer(int status) {
+        if (spec.idempotencyKey().isPresent() && answerBytes <= KeptAnswers.MAX_ANSWER_BYTES) {
+            MultiMap headers =
+                    MultiMap.caseInsensitiveMultiMap().addAll(request.response().headers());
+            port.keptAnswers().keep(spec, new KeptAnswers.Answer(status, headers, answerBody));
+        }
+    }
+
     @Override
     public void completed(int status) {
         exchange = Optional.empty();
+        keepAnswer(status);
         end(Refusal.Outcome.RAN);
         port.discardRest(request, body);
     }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/AnswerSink.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/AnswerSink.java
@@ -1,5 +1,6 @@
 package org.basilswitch.daemon.worker;
 
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import org.basilswitch.dispatch.Attempt;
@@ -10,6 +11,9 @@
     /** Writes the answer's status and headers and returns the response to stream the body into. */
     HttpServerResponse begin(HttpClientResponse answer);
 
+    /** A part of the answer's body is about to be passed on. */
+    void passing(Buffer chunk);
+
     /** The whole answer has been passed on. */
     void completed(int status);
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerClients.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerClients.java
@@ -12,7 +12,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
-import io.vertx.core.net.SocketAddress;
 import org.basilswitch.configuration.Host;
 import org.basilswitch.daemon.WorkerOptions;
 
@@ -26,7 +25,7 @@
     private final Vertx vertx;
     private final WorkerOptions options;
     private final Map<Integer, HttpClient> clientsByConnections = new HashMap<>();
-    private final Map<String, SocketAddress> addresses = new HashMap<>();
+    private final Map<String, RequestOptions> targets = new HashMap<>();
 
     private WorkerClients(Vertx vertx, WorkerOptions options) {
         this.vertx = vertx;
@@ -39,18 +38,12 @@
     }
 
     /** Gets a connection to a backend server for one request, or fails without having sent anything. */
-    Future<HttpClientRequest> request(Host server, int entryHosts, long timeoutMs) {
-        SocketAddress address = addresses.computeIfAbsent(server.address(), WorkerClients::parse);
+    Future<HttpClientRequest> request(Host server, int entryHosts) {
+        RequestOptions target = targets.computeIfAbsent(server.address(), WorkerClients::target);
         int connections = Math.max(1, server.connections() / Math.max(1, entryHosts));
-        RequestOptions request = new RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setHost(address.host())
-                .setPort(address.port())
-                .setURI(PATH)
-                .setConnectTimeout(Math.min(timeoutMs, options.connectTimeout().toMillis()));
         return clientsByConnections
                 .computeIfAbsent(connections, this::createClient)
-                .request(request);
+                .request(target);
     }
 
     private HttpClient createClient(int connections) {
@@ -61,10 +54,13 @@
         return vertx.createHttpClient(http, pool);
     }
 
-    private static SocketAddress parse(String address) {
+    private static RequestOptions target(String address) {
         int colon = address.lastIndexOf(':');
-        return SocketAddress.inetSocketAddress(
-                Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon));
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(address.substring(0, colon))
+                .setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setURI(PATH);
     }
 
     /** Closes the connections that no request uses, and the others when their requests end. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -76,7 +76,7 @@
         long timeoutMs = Math.max(1, attempt.timeout().toMillis());
         exchange.timeout = tools.timeouts().schedule(timeoutMs, exchange::onTimeout);
         tools.clients()
-                .request(attempt.server(), entryHosts, timeoutMs)
+                .request(attempt.server(), entryHosts)
                 .onComplete(connected -> exchange.onConnected(connected, callerHeaders));
         return exchange;
     }
@@ -186,7 +186,8 @@
                 response.headers().add(header.getKey(), header.getValue());
             }
         }
-        AnswerPipe.start(answer, response, () -> complete(answer.statusCode()), () -> failAndReset(Failure.RESET));
+        AnswerPipe.start(
+                answer, response, sink, () -> complete(answer.statusCode()), () -> failAndReset(Failure.RESET));
     }
 
     private void complete(int status) {
@@ -265,22 +266,29 @@
     private static final class AnswerPipe {
         private final HttpClientResponse answer;
         private final HttpServerResponse response;
+        private final AnswerSink sink;
         private final Runnable onComplete;
         private final long declaredBytes;
         private long receivedBytes;
         private boolean done;
 
-        private AnswerPipe(HttpClientResponse answer, HttpServerResponse response, Runnable onComplete) {
+        private AnswerPipe(
+                HttpClientResponse answer, HttpServerResponse response, AnswerSink sink, Runnable onComplete) {
             this.answer = answer;
             this.response = response;
+            this.sink = sink;
             this.onComplete = onComplete;
             String length = answer.getHeader(io.vertx.core.http.HttpHeaders.CONTENT_LENGTH);
             this.declaredBytes = length == null ? -1 : Long.parseLong(length);
         }
 
         private static void start(
-                HttpClientResponse answer, HttpServerResponse response, Runnable onComplete, Runnable onBroken) {
-            AnswerPipe pipe = new AnswerPipe(answer, response, onComplete);
+                HttpClientResponse answer,
+                HttpServerResponse response,
+                AnswerSink sink,
+                Runnable onComplete,
+                Runnable onBroken) {
+            AnswerPipe pipe = new AnswerPipe(answer, response, sink, onComplete);
             if (pipe.declaredBytes < 0) {
                 response.setChunked(true);
             }
@@ -291,6 +299,7 @@
 
         private void onChunk(Buffer chunk) {
             receivedBytes += chunk.length();
+            sink.passing(chunk);
             if (receivedBytes == declaredBytes) {
                 done = true;
                 response.end(chunk);
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/CallerPathTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/CallerPathTest.java
@@ -87,6 +87,35 @@
         assertTrue(!problem.getString("remedy").isEmpty());
     }
 
+    /** A request that is sent again with its idempotency key runs once and gets the first answer again. */
+    @Test
+    public void repeatedRequestGetsTheKeptAnswer() {
+        int before = site.worker.requestIds().size();
+        HttpRequest request = site.post(HttpRequest.BodyPublishers.ofString("invoice 12"))
+                .header("Idempotency-Key", "invoice-12")
+                .build();
+        HttpResponse<String> first = site.send(request);
+        HttpResponse<String> again = site.send(request);
+        assertEquals(first.statusCode(), 200);
+        assertEquals(again.statusCode(), 200);
+        assertEquals(again.body(), first.body());
+        assertTrue(first.headers().firstValue("Basilswitch-Replayed").isEmpty());
+        assertEquals(again.headers().firstValue("Basilswitch-Replayed").orElseThrow(), "true");
+        assertEquals(site.worker.requestIds().size(), before + 1);
+    }
+
+    /** An answer too long to keep is not replayed: the caller is told not to send the request again. */
+    @Test
+    public void longAnswersAreNotKept() {
+        HttpRequest request = site.post(HttpRequest.BodyPublishers.ofString("x".repeat(40_000)))
+                .header("Idempotency-Key", "long-1")
+                .build();
+        assertEquals(site.send(request).statusCode(), 200);
+        HttpResponse<String> again = site.send(request);
+        assertEquals(again.statusCode(), 409);
+        assertEquals(new JsonObject(again.body()).getString("code"), "already-claimed");
+    }
+
     /** A body of several megabytes arrives whole both ways. */
     @Test
     public void largeBodiesStream() {
