--- /dev/null
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/load/LoadAuditTest.java
@@ -0,0 +1,93 @@
+package org.basilswitch.bench.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.basilswitch.standin.worker.Run;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Each check of the audit fails on the case that it is meant for, and on no other. */
+public final class LoadAuditTest {
+    private static final LoadStream INVOICES = stream(false);
+    private static final LoadStream QUOTES = stream(true);
+    private static final Outcome OK = new Outcome.Answered(200);
+
+    private static LoadStream stream(boolean idempotent) {
+        return new LoadStream(
+                "depot", Optional.empty(), "queue", idempotent, 1, 1, Duration.ofSeconds(1), new RatePattern.Steady());
+    }
+
+    private static Run run(String testId, long startedMicros, long endedMicros) {
+        return new Run("r", 1, "depot", "queue", testId, "w", startedMicros, endedMicros);
+    }
+
+    private static RequestResult result(String testId, LoadStream stream, Outcome outcome) {
+        return new RequestResult(testId, stream, outcome, 1, Duration.ZERO);
+    }
+
+    private static List<String> broken(long sent, List<RequestResult> results, List<Run> runs, int limit) {
+        LoadCounts counts = new LoadCounts();
+        for (long i = 0; i < sent; i++) {
+            counts.sent();
+        }
+        LoadResult load = new LoadResult(Map.of("depot", counts), results, 0);
+        return LoadAudit.of(load, runs, Map.of("depot", limit)).checks().stream()
+                .filter(check -> !check.holds())
+                .map(LoadAudit.Check::promise)
+                .toList();
+    }
+
+    /** A case, and the promises that it breaks. */
+    @DataProvider
+    public Object[][] cases() {
+        List<Run> once = List.of(run("a", 10, 20));
+        List<Run> twice = List.of(run("a", 10, 20), run("a", 30, 40));
+        Outcome refused = new Outcome.Refused("overloaded");
+        Outcome unknown = new Outcome.Unknown("answer-lost");
+        return new Object[][] {
+            {1, result("a", INVOICES, OK), once, List.of()},
+            {1, result("a", QUOTES, OK), twice, List.of()},
+            {1, result("a", INVOICES, unknown), List.of(), List.of()},
+            {1, result("a", INVOICES, unknown), once, List.of()},
+            {1, result("a", INVOICES, refused), List.of(), List.of()},
+            {2, result("a", INVOICES, OK), once, List.of("answered + refused + unknown = sent")},
+            {1, result("a", INVOICES, OK), twice, List.of("no non-idempotent request ran twice")},
+            {1, result("a", INVOICES, refused), once, List.of("no request refused as not run has run")},
+            {1, result("a", INVOICES, OK), List.of(), List.of("each answered request has run")},
+            {1, result("a", INVOICES, new Outcome.Foreign("b")), once, List.of("no caller got another's answer")},
+        };
+    }
+
+    /** The checks that don't hold are those named. */
+    @Test(dataProvider = "cases")
+    public void brokenPromisesAreNamed(long sent, RequestResult result, List<Run> runs, List<String> expected) {
+        assertEquals(broken(sent, List.of(result), runs, 1), expected);
+    }
+
+    /** Runs that only touch don't overlap; one more at a time than the limit is found. */
+    @Test
+    public void runsOverTheLimitAreFound() {
+        List<RequestResult> results = new ArrayList<>();
+        for (String id : List.of("a", "b", "c")) {
+            results.add(result(id, INVOICES, OK));
+        }
+        List<Run> touching = List.of(run("a", 10, 20), run("b", 20, 30), run("c", 20, 0));
+        assertEquals(broken(3, results, touching, 2), List.of());
+        assertEquals(broken(3, results, touching, 1), List.of("no team had more running than its limit"));
+    }
+
+    /** A burst asks five times its mean and the mean over all turns is about one. */
+    @Test
+    public void burstsTakeTurns() {
+        RatePattern second = new RatePattern.Turns(1, 5, Duration.ofSeconds(3));
+        assertEquals(second.factor(Duration.ofSeconds(1)), RatePattern.QUIET_FACTOR);
+        assertEquals(second.factor(Duration.ofSeconds(4)), RatePattern.BURST_FACTOR);
+        assertEquals(second.factor(Duration.ofSeconds(19)), RatePattern.BURST_FACTOR);
+    }
+}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/SettingsFiles.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/SettingsFiles.java
@@ -11,7 +11,7 @@
 import picocli.CommandLine.Option;
 
 /** The options that name a base and its overlays. */
-final class SettingsFiles {
+public final class SettingsFiles {
     @Option(
             names = "--settings",
             required = true,
@@ -26,7 +26,7 @@
     private List<Path> overlays = new ArrayList<>();
 
     /** Loads the settings, or prints every problem. */
-    Optional<Settings> load(PrintWriter errors) {
+    public Optional<Settings> load(PrintWriter errors) {
         return Settings.load(base, overlays)
                 .peekLeft(problems -> print(problems, errors))
                 .toJavaOptional();
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -9,6 +9,7 @@
         description = "Measures; each subcommand prints its figures beside targets and baselines of the same run.",
         subcommands = {
             ProxyCommand.class,
+            LoadCommand.class,
             FaultsCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoSite.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoSite.java
@@ -3,10 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,13 +12,13 @@
 import org.basilswitch.configuration.Host;
 import org.basilswitch.configuration.Queue;
 import org.basilswitch.configuration.Team;
-import org.basilswitch.configuration.TeamKey;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.settings.SettingsSource;
 
 /** A site's shipped settings, with a key for each team. */
 final class DemoSite {
     private static final String FOLDER = "/sites/";
+    private static final String KEY_PREFIX = "demo-key-of-";
 
     private final Settings settings;
 
@@ -81,7 +78,7 @@
 
     /** The secret of a team's key in the demo. */
     static String secret(Team team) {
-        return "demo-key-of-" + team.name();
+        return TeamKeys.secret(KEY_PREFIX, team);
     }
 
     /** The site's records with the addresses of the started workers and the demo's keys. */
@@ -90,7 +87,7 @@
         for (ConfigurationRecord record : settings.records()) {
             records.add(record instanceof Host host ? withAddress(host, addressByHost.get(host.name())) : record);
         }
-        teams().forEach(team -> records.add(new TeamKey("demo-" + team.name(), team.name(), sha256Hex(secret(team)))));
+        teams().forEach(team -> records.add(TeamKeys.record(KEY_PREFIX, team)));
         return records;
     }
 
@@ -108,13 +105,4 @@
                 host.memoryBytes(),
                 host.accelerators());
     }
-
-    private static String sha256Hex(String secret) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(secret.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/StoreCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/standin/StoreCommand.java
@@ -1,14 +1,31 @@
 package org.basilswitch.cli.standin;
 
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.basilswitch.cli.LogSetup;
+import org.basilswitch.cli.SettingsFiles;
+import org.basilswitch.cli.demo.TeamKeys;
+import org.basilswitch.configuration.ConfigurationRecord;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.configuration.Team;
+import org.basilswitch.daemon.settings.Settings;
+import org.basilswitch.daemon.store.EtcdStore;
+import org.basilswitch.daemon.store.EtcdStoreOptions;
+import org.basilswitch.event.Telemetry;
 import org.basilswitch.standin.store.StoreFaults;
 import org.basilswitch.standin.store.StoreServer;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.store.Transaction;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.ExitCode;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -31,6 +48,21 @@
     @Option(names = "--reads-per-second", defaultValue = "2000", description = "Rate of reads; 0 for none.")
     private long readsPerSecond;
 
+    @ArgGroup(exclusive = false)
+    private Preload preload;
+
+    /** A site whose records the store is to hold from the start. */
+    static final class Preload {
+        @ArgGroup(exclusive = false, multiplicity = "1")
+        private SettingsFiles files;
+
+        @Option(
+                names = "--key-prefix",
+                required = true,
+                description = "Gives each team a key: this prefix and the team's name. For trials only.")
+        private String keyPrefix;
+    }
+
     @Override
     public Integer call() throws InterruptedException {
         LogSetup.quiet();
@@ -38,9 +70,35 @@
         StoreServer server = StoreServer.start(vertx, port).await();
         server.setFaults(StoreFaults.none().withRates(writesPerSecond, readsPerSecond))
                 .await();
+        if (preload != null && !preload(vertx, server)) {
+            return ExitCode.SOFTWARE;
+        }
         spec.commandLine().getOut().println("store ready on 127.0.0.1:" + server.port());
         spec.commandLine().getOut().flush();
         new CountDownLatch(1).await();
         return 0;
     }
+
+    private boolean preload(Vertx vertx, StoreServer server) {
+        Optional<Settings> settings = preload.files.load(spec.commandLine().getErr());
+        if (settings.isEmpty()) {
+            return false;
+        }
+        List<ConfigurationRecord> records = new ArrayList<>(settings.get().records());
+        for (ConfigurationRecord item : settings.get().records()) {
+            if (item instanceof Team team) {
+                records.add(TeamKeys.record(preload.keyPrefix, team));
+            }
+        }
+        StoreKeys keys = new StoreKeys(settings.get().site());
+        Transaction.Builder writes = Transaction.builder();
+        for (ConfigurationRecord item : records) {
+            String key = keys.configuration(ConfigurationRecord.kind(item.getClass()), item.name());
+            writes.put(key, RecordCodec.encode(item));
+        }
+        EtcdStoreOptions options = EtcdStoreOptions.of(List.of(URI.create("http://127.0.0.1:" + server.port())));
+        try (EtcdStore adapter = EtcdStore.create(vertx, vertx.getOrCreateContext(), options, Telemetry.none())) {
+            return adapter.commit(writes.build()).toCompletableFuture().join().isRight();
+        }
+    }
 }
