--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -11,6 +11,7 @@
             ProxyCommand.class,
             BufferCommand.class,
             ClaimsCommand.class,
+            LoadCommand.class,
             FaultsCommand.class,
             SlopesCommand.class,
             WaveCommand.class,
