--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/shares/SharesBench.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/shares/SharesBench.java
@@ -43,7 +43,7 @@
                 FleetShape.ofToday(entryHosts).teamWeights(),
                 seeds,
                 firstSeed);
-        out.println("variant            worst-error-% (equal/skewed)  used-slots  return-s  "
+        out.println("variant            worst-error-% (equal/skewed/uneven)  used-slots  return-s  "
                 + "others-refused-% (calm/burst)  busy/request  report-B/s  violations");
         for (Variant variant : variants()) {
             bench.print(variant, firstSeed, seeds);
@@ -63,12 +63,14 @@
     private void print(Variant variant, long firstSeed, int seeds) {
         Saturation equal = new Saturation();
         Saturation skewed = new Saturation();
+        Saturation uneven = new Saturation();
         Duration returned = Duration.ZERO;
         double calm = 0;
         double burst = 0;
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            saturate(variant, seed, team -> 2.0, equal);
-            saturate(variant, seed, team -> team == 0 ? 10.0 : 1.5, skewed);
+            saturate(variant, seed, team -> 2.0, false, equal);
+            saturate(variant, seed, team -> team == 0 ? 10.0 : 1.5, false, skewed);
+            saturate(variant, seed, team -> 2.0, true, uneven);
             Duration back = timeToReturn(variant, seed);
             returned = returned.compareTo(back) > 0 ? returned : back;
             calm += othersRefused(variant, seed, 1) / seeds;
@@ -76,10 +78,11 @@
         }
         out.printf(
                 Locale.ROOT,
-                "%-18s %13.1f / %-13.1f %12.1f %9s %14.2f / %-12.2f %12.2f %11.0f %11d%n",
+                "%-18s %13.1f / %.1f / %-13.1f %12.1f %9s %14.2f / %-12.2f %12.2f %11.0f %11d%n",
                 variant.name(),
                 100 * equal.worstError,
                 100 * skewed.worstError,
+                100 * uneven.worstError,
                 equal.usedSlots / seeds,
                 returned.compareTo(AFTER_RETURN) > 0
                         ? "never"
@@ -88,13 +91,17 @@
                 100 * burst,
                 equal.busyPerRequest / seeds,
                 equal.reportBytesPerSecond / seeds,
-                equal.violations + skewed.violations);
+                equal.violations + skewed.violations + uneven.violations);
     }
 
-    private void saturate(Variant variant, long seed, Overload overload, Saturation into) {
+    /** Adds a saturated run; uneven ones have the large team's callers at a third of the entry hosts. */
+    private void saturate(Variant variant, long seed, Overload overload, boolean uneven, Saturation into) {
         FleetShape shape = FleetShape.ofToday(entryHosts).withServices(1);
         VirtualFleet fleet = VirtualFleet.create(shape, variant, seed);
         List<Double> ideal = ideal(shape);
+        if (uneven) {
+            fleet.concentrate(0, Math.max(1, entryHosts / 3));
+        }
         fleet.load(new Steady(shape, ideal, overload));
         ShareWindows windows = new ShareWindows(ideal.size());
         windows.run(fleet, WARM_UP.plus(SATURATED));
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualFleet.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualFleet.java
@@ -29,6 +29,7 @@
     private final RunCounters counters = new RunCounters();
     private final Map<String, Outcomes> outcomesByTeam = new HashMap<>();
     private final Outcomes outcomes = new Outcomes();
+    private final Map<Integer, Integer> hostsByTeam = new HashMap<>();
     private SiteConfiguration configuration;
 
     private VirtualFleet(FleetShape shape, long seed) {
@@ -99,6 +100,11 @@
         });
     }
 
+    /** Makes a team's callers use the first entry hosts only. */
+    public void concentrate(int team, int hosts) {
+        hostsByTeam.put(team, hosts);
+    }
+
     /** Submits one request through an entry host chosen at random. */
     public void submit(int service, int team, RequestSpec.Priority priority) {
         RequestSpec spec = new RequestSpec(
@@ -107,7 +113,8 @@
                 Optional.empty(),
                 Optional.of(shape.deadline()),
                 priority);
-        VirtualEntryHost host = entryHosts.get(random.nextInt(entryHosts.size()));
+        int hosts = hostsByTeam.getOrDefault(team, entryHosts.size());
+        VirtualEntryHost host = entryHosts.get(random.nextInt(hosts));
         VirtualCaller caller = new VirtualCaller(this, host, FleetShape.team(team));
         host.broker().submit(spec, caller);
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -78,6 +78,11 @@
         blocked.add(team);
     }
 
+    /** Whether a team had no free unit of its upper limit when it was last its turn. */
+    public boolean isBlocked(String team) {
+        return blocked.contains(team);
+    }
+
     /** Weighted virtual time of a team. */
     public double virtualTime(String team) {
         return shareClock.of(team, serviceTimes.mean().toNanos() / NANOS_PER_SECOND);
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
@@ -92,8 +92,11 @@
             drop(request, holding, Refusal.Code.CALLER_GONE);
         } else if (remaining(request).compareTo(shares.serviceTimes().needed(request.total())) <= 0) {
             drop(request, holding, Refusal.Code.DEADLINE);
-        } else {
+        } else if (servers.serves(holding.server())) {
             attempt(request, holding);
+        } else {
+            giveBack(request, holding);
+            dispatcher.retry(request, Duration.ZERO);
         }
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
@@ -97,14 +97,20 @@
     private void setExpiry(Request request) {
         Duration left = request.remaining(parts.clock().monotonicNanos())
                 .minus(shares.serviceTimes().needed(request.total()));
-        request.expiry(parts.scheduler().schedule(left, () -> expire(request)));
+        Duration delay = left.isNegative() ? Duration.ZERO : left;
+        request.expiry(parts.scheduler().schedule(delay, () -> expire(request)));
     }
 
     private void expire(Request request) {
-        if (waitingRoom.remove(request)) {
+        if (!waitingRoom.remove(request)) {
+            return;
+        }
+        boolean limited = shares.isBlocked(request.team());
+        if (!limited) {
             shares.waitedInVain(request.team());
-            ends.refuse(request, Refusal.Code.DEADLINE, waitingRoom.expectedWait(request));
         }
+        Refusal.Code code = limited ? Refusal.Code.TEAM_LIMIT : Refusal.Code.DEADLINE;
+        ends.refuse(request, code, waitingRoom.expectedWait(request));
     }
 
     /** Returns a request for another attempt after a pause. */
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
@@ -110,6 +110,11 @@
         return present().stream().map(ServerState::host).toList();
     }
 
+    /** Whether a server may still get new work. */
+    public boolean serves(Host server) {
+        return present().stream().anyMatch(state -> state.host().name().equals(server.name()));
+    }
+
     private List<ServerState> present() {
         List<ServerState> listed = new ArrayList<>(active.size());
         List<ServerState> gone = new ArrayList<>();
--- a/basilswitch-core/src/test/java/org/basilswitch/dispatch/BrokerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/BrokerTest.java
@@ -318,4 +318,82 @@
         assertEquals(urgent.attempts.size(), 1);
         assertTrue(normal.attempts.isEmpty());
     }
+
+    /** Background work leaves slots free, so that urgent requests start at once; more of them ask for room. */
+    @Test
+    public void urgentStartsInTheReserve() {
+        TestSite site = TestSite.create(2, 8);
+        for (int i = 0; i < 40; i++) {
+            site.submit(
+                    TestSite.spec(TestSite.REPEATABLE, "a", RequestSpec.Priority.BACKGROUND, Duration.ofSeconds(9)));
+        }
+        site.run(100);
+        List<TestCaller> urgent = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            urgent.add(site.submit(
+                    TestSite.spec(TestSite.REPEATABLE, "b", RequestSpec.Priority.URGENT, Duration.ofSeconds(9))));
+        }
+        site.run(5);
+        assertEquals(urgent.stream().filter(c -> !c.attempts.isEmpty()).count(), 2);
+        assertEquals(site.roomAsked, List.of(TestSite.POOL));
+    }
+
+    /** A server that starts draining while a claim is under way is not used. */
+    @Test
+    public void serverDrainingDuringClaimIsNotUsed() {
+        TestSite site = TestSite.create(2, 8);
+        site.claimDelay = Duration.ofMillis(500);
+        TestCaller caller = site.submit(TestSite.withId(TestSite.ONCE, "a", "id-1"));
+        site.run(100);
+        site.put(TestSite.host("s0", 8, HostState.DRAINING));
+        site.submit(TestSite.REPEATABLE, "a");
+        site.run(600);
+        assertEquals(caller.last().server().name(), "s1");
+        assertEquals(site.claims.get("id-1"), 1);
+    }
+
+    /** When a queue is full, the team with the most waiting requests by weight gives way to the others. */
+    @Test
+    public void fullQueueRefusesTheLargestTeam() {
+        TestSite site = TestSite.create(1, 1);
+        List<TestCaller> large = new ArrayList<>();
+        for (int i = 0; i < 110; i++) {
+            large.add(site.submit(TestSite.ONCE, "a"));
+        }
+        site.run(5);
+        TestCaller small = site.submit(TestSite.ONCE, "b");
+        site.run(5);
+        assertTrue(small.refusals.isEmpty());
+        assertEquals(large.stream().filter(c -> !c.refusals.isEmpty()).count(), 10);
+        large.stream()
+                .filter(c -> !c.refusals.isEmpty())
+                .forEach(c -> assertEquals(c.refusal().code(), Code.QUEUE_FULL));
+    }
+
+    /** Refused callers are asked to return at different times. */
+    @Test
+    public void retryAfterIsSpread() {
+        TestSite site = TestSite.create(1, 1);
+        site.broker.drain();
+        Set<Duration> times = new HashSet<>();
+        for (int i = 0; i < 50; i++) {
+            times.add(refusalOf(site, site.submit(TestSite.ONCE, "a"))
+                    .retryAfter()
+                    .orElseThrow());
+        }
+        assertTrue(times.size() > 40, "distinct times " + times.size());
+        times.forEach(t -> assertTrue(t.toMillis() >= 1_000 && t.toMillis() <= 30_000));
+    }
+
+    /** A request that waited in vain for a unit of its team is told so. */
+    @Test
+    public void limitIsNamedAsReason() {
+        TestSite site = TestSite.create(2, 4);
+        site.allotted.put("a", 0);
+        TestCaller caller =
+                site.submit(TestSite.spec(TestSite.ONCE, "a", RequestSpec.Priority.NORMAL, Duration.ofMillis(200)));
+        site.run(300);
+        assertEquals(caller.refusal().code(), Code.TEAM_LIMIT);
+        assertEquals(caller.refusal().outcome(), Outcome.NOT_RUN);
+    }
 }
