--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/withdraw/KeyProbe.java
@@ -0,0 +1,101 @@
+package org.basilswitch.bench.withdraw;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+/** Sends requests with a key to all entry hosts, again and again, until each refuses it. */
+final class KeyProbe implements AutoCloseable {
+    private static final int UNAUTHORIZED = 401;
+    private static final long INTERVAL_MS = 5;
+    private static final String DEADLINE_MS = "50";
+    private static final long ANSWER_TIMEOUT_MS = 1_000;
+    private static final int NO_ANSWER = 0;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final List<Integer> ports;
+    private final AtomicLong unanswered = new AtomicLong();
+
+    private KeyProbe(Vertx vertx, List<Integer> ports) {
+        this.vertx = vertx;
+        this.client = vertx.createHttpClient();
+        this.ports = ports;
+    }
+
+    static KeyProbe create(Vertx vertx, List<Integer> callerPorts) {
+        return new KeyProbe(vertx, callerPorts);
+    }
+
+    /** Whether each entry host takes the key. */
+    boolean takenEverywhere(String secret) {
+        return ports.stream().noneMatch(port -> status(port, secret).await() == UNAUTHORIZED);
+    }
+
+    /** Completes with the time, in nanoseconds, of the last entry host's first refusal. */
+    CompletableFuture<Long> refusedEverywhere(String secret) {
+        List<CompletableFuture<Long>> refusals =
+                ports.stream().map(port -> refused(port, secret)).toList();
+        return CompletableFuture.allOf(refusals.toArray(CompletableFuture[]::new))
+                .thenApply(all -> refusals.stream()
+                        .mapToLong(CompletableFuture::join)
+                        .max()
+                        .orElseThrow());
+    }
+
+    private CompletableFuture<Long> refused(int port, String secret) {
+        CompletableFuture<Long> refusedAt = new CompletableFuture<>();
+        ask(port, secret, refusedAt);
+        return refusedAt;
+    }
+
+    private void ask(int port, String secret, CompletableFuture<Long> refusedAt) {
+        status(port, secret).onComplete(answer -> {
+            if (answer.succeeded() && answer.result() == UNAUTHORIZED) {
+                refusedAt.complete(System.nanoTime());
+            } else {
+                vertx.setTimer(INTERVAL_MS, id -> ask(port, secret, refusedAt));
+            }
+        });
+    }
+
+    /** Probes that no entry host answered in time; they count as if the key had been taken. */
+    long unanswered() {
+        return unanswered.get();
+    }
+
+    private Future<Integer> status(int port, String secret) {
+        return send(port, secret)
+                .timeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .otherwise(error -> {
+                    unanswered.incrementAndGet();
+                    return NO_ANSWER;
+                });
+    }
+
+    private Future<Integer> send(int port, String secret) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setTimeout(ANSWER_TIMEOUT_MS)
+                .setURI("/v1/queues/" + WithdrawBench.QUEUE + "/requests")
+                .putHeader("Authorization", "Bearer " + secret)
+                .putHeader("Basilswitch-Deadline-Ms", DEADLINE_MS);
+        return client.request(options)
+                .compose(request -> request.send("{}"))
+                .compose(response -> response.body().map(body -> response.statusCode()));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/withdraw/WithdrawReport.java
@@ -0,0 +1,85 @@
+package org.basilswitch.bench.withdraw;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+
+/** The samples of a run and whether the worst met the target. */
+public final class WithdrawReport {
+    private static final double NANOS_PER_MS = 1e6;
+
+    private final WithdrawOptions options;
+    private final List<WithdrawSample> samples;
+    private final long lostAnswers;
+    private final long unansweredProbes;
+
+    WithdrawReport(WithdrawOptions options, List<WithdrawSample> samples, long lostAnswers, long unansweredProbes) {
+        this.options = options;
+        this.samples = List.copyOf(samples);
+        this.lostAnswers = lostAnswers;
+        this.unansweredProbes = unansweredProbes;
+    }
+
+    /** Whether every sample met the target. */
+    public boolean met() {
+        return samples.stream().allMatch(sample -> sample.refusedEverywhere().compareTo(options.target()) <= 0);
+    }
+
+    /** Number of samples. */
+    public int samples() {
+        return samples.size();
+    }
+
+    /** Answers that the store lost during the run. */
+    public long lostAnswers() {
+        return lostAnswers;
+    }
+
+    /** The report for people. */
+    public String text() {
+        List<WithdrawSample> healthy =
+                samples.stream().filter(sample -> !sample.storeFaulty()).toList();
+        List<WithdrawSample> faulty =
+                samples.stream().filter(WithdrawSample::storeFaulty).toList();
+        int asks = faulty.stream().mapToInt(WithdrawSample::asks).sum();
+        return String.format(
+                        Locale.ROOT,
+                        "key withdrawal, %d entry hosts, %d samples, store loses %.0f%% of its answers in half of them%n",
+                        options.entryHosts(),
+                        samples.size(),
+                        100 * options.lostAnswerRatio())
+                + row("refused by every entry host, store healthy", healthy, WithdrawSample::refusedEverywhere)
+                + row("refused by every entry host, answers lost", faulty, WithdrawSample::refusedEverywhere)
+                + row("operator told in force, store healthy", healthy, WithdrawSample::answered)
+                + row("operator told in force, answers lost", faulty, WithdrawSample::answered)
+                + String.format(
+                        Locale.ROOT,
+                        "probes without an answer in 1 s: %d; answers lost by the store: %d;"
+                                + " asks for %d withdrawals meanwhile: %d%n",
+                        unansweredProbes,
+                        lostAnswers,
+                        faulty.size(),
+                        asks)
+                + String.format(
+                        Locale.ROOT,
+                        "target: worst at most %d ms: %s%n",
+                        options.target().toMillis(),
+                        met() ? "met" : "MISSED");
+    }
+
+    private static String row(String title, List<WithdrawSample> samples, Function<WithdrawSample, Duration> time) {
+        List<Long> nanos =
+                samples.stream().map(time).map(Duration::toNanos).sorted().toList();
+        if (nanos.isEmpty()) {
+            return "";
+        }
+        return String.format(
+                Locale.ROOT,
+                "  %-45s p50 %8.1f ms  p99 %8.1f ms  worst %8.1f ms%n",
+                title,
+                nanos.get(nanos.size() / 2) / NANOS_PER_MS,
+                nanos.get(Math.min(nanos.size() - 1, nanos.size() * 99 / 100)) / NANOS_PER_MS,
+                nanos.getLast() / NANOS_PER_MS);
+    }
+}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/Main.java
@@ -20,7 +20,6 @@
 import picocli.CommandLine.HelpCommand;
 
 /** The program {@code basilswitch}. */
-/** The command line's entry point. */
 @Command(
         name = "basilswitch",
         mixinStandardHelpOptions = true,
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/ServeCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/ServeCommand.java
@@ -8,9 +8,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.apache.logging.log4j.LogManager;
-import org.basilswitch.daemon.AdministrationRoutes;
 import org.basilswitch.daemon.EntryHostServer;
 import org.basilswitch.daemon.SettingsOptions;
+import org.basilswitch.daemon.admin.AdministrationInterface;
+import org.basilswitch.daemon.admin.AdministrationOptions;
 import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.store.EtcdStore;
@@ -97,7 +98,7 @@
                 (vertx, clock, scheduler, telemetry) ->
                         EtcdStore.create(vertx, vertx.getOrCreateContext(), storeOptions, telemetry),
                 ThriftFrameCodec.create(),
-                AdministrationRoutes.none());
+                AdministrationInterface.create(AdministrationOptions.of(settings)));
     }
 
     private static void stop(EntryHostServer server, Vertx vertx) {
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/admin/KeyCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/admin/KeyCommand.java
@@ -1,13 +1,7 @@
 package org.basilswitch.cli.admin;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.security.SecureRandom;
-import java.util.Base64;
-import java.util.HexFormat;
-
 import org.basilswitch.administration.OperatorRole;
+import org.basilswitch.cli.Secrets;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 import picocli.CommandLine.Option;
@@ -21,7 +15,6 @@
         subcommands = HelpCommand.class)
 public final class KeyCommand extends AdministrationCommand {
     private static final String KIND = "keys";
-    private static final int SECRET_BYTES = 32;
 
     @Command(description = "Lists all keys by name.")
     int list() {
@@ -37,8 +30,8 @@
     int create(
             @Parameters(paramLabel = "NAME") String name,
             @Option(names = "--team", required = true, description = "The team that the key speaks for.") String team) {
-        String secret = newSecret();
-        int code = create(KIND, name, object().put("team", team).put("sha256Hex", sha256(secret)));
+        String secret = Secrets.create();
+        int code = create(KIND, name, object().put("team", team).put("sha256Hex", Secrets.sha256Hex(secret)));
         if (code == Output.DONE) {
             out().println("secret (shown only now): " + secret);
             out().flush();
@@ -66,26 +59,11 @@
             @Parameters(paramLabel = "NAME") String name,
             @Option(names = "--role", required = true, description = "viewer, operator or administrator.")
                     OperatorRole role) {
-        String secret = newSecret();
+        String secret = Secrets.create();
         out().println("secret (shown only now): " + secret);
-        out().println("\"operators\": { \"" + name + "\": { \"sha256Hex\": \"" + sha256(secret) + "\", \"role\": \""
-                + role.text() + "\" } }");
+        out().println("\"operators\": { \"" + name + "\": { \"sha256Hex\": \"" + Secrets.sha256Hex(secret)
+                + "\", \"role\": \"" + role.text() + "\" } }");
         out().flush();
         return Output.DONE;
     }
-
-    private static String newSecret() {
-        byte[] bytes = new byte[SECRET_BYTES];
-        new SecureRandom().nextBytes(bytes);
-        return Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
-    }
-
-    private static String sha256(String secret) {
-        try {
-            byte[] hash = MessageDigest.getInstance("SHA-256").digest(secret.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(hash);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
-    }
 }
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -10,5 +10,6 @@
         subcommands = {
             ProxyCommand.class,
             FaultsCommand.class,
+            WithdrawCommand.class,
         })
 public final class BenchCommand {}
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
@@ -160,6 +160,12 @@
         out.printf(
                 "  curl -s -d '{\"down\":true}' http://127.0.0.1:%d/control/faults%n",
                 fleet.store().port());
+        out.printf(
+                "  export BASILSWITCH_URL=http://127.0.0.1:%d BASILSWITCH_OPERATOR_KEY=%s%n",
+                entry.administrationPort(), fleet.operatorKey());
+        out.println("  ./basilswitch status");
+        out.printf("  ./basilswitch limit set %s %d%n", team.name(), team.limitTasks() + 1);
+        out.println("  ./basilswitch audit");
         out.flush();
         new CountDownLatch(1).await();
     }
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -1,6 +1,7 @@
 package org.basilswitch.cli.demo;
 
 import java.net.URI;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -8,16 +9,20 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.basilswitch.administration.AdministratorOptions;
+import org.basilswitch.administration.OperatorRole;
 import org.basilswitch.bench.load.EntryTarget;
+import org.basilswitch.cli.Secrets;
 import org.basilswitch.configuration.ConfigurationFollower;
 import org.basilswitch.configuration.ConfigurationRecord;
 import org.basilswitch.configuration.Host;
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.configuration.SiteConfiguration;
-import org.basilswitch.daemon.AdministrationRoutes;
 import org.basilswitch.daemon.DaemonOptions;
 import org.basilswitch.daemon.EntryHostServer;
 import org.basilswitch.daemon.VertxScheduler;
+import org.basilswitch.daemon.admin.AdministrationInterface;
+import org.basilswitch.daemon.admin.AdministrationOptions;
 import org.basilswitch.daemon.peer.ThriftFrameCodec;
 import org.basilswitch.daemon.settings.Settings;
 import org.basilswitch.daemon.store.EtcdStore;
@@ -34,12 +39,15 @@
 /** The demo's servers: the stand-in store and workers, and entry hosts, all on free loopback ports. */
 final class DemoFleet implements AutoCloseable {
     private static final int EVENT_LOOPS = 4;
+    private static final int CHANGE_LIMIT_BYTES = 1 << 20;
+    private static final Duration IN_FORCE_WAIT = Duration.ofSeconds(6);
 
     private final DemoSite site;
     private final Vertx vertx;
     private final RunRecord record = RunRecord.create();
     private final Map<String, WorkerServer> workers = new TreeMap<>();
     private final List<EntryHostServer> entryHosts = new ArrayList<>();
+    private final String operatorKey = Secrets.create();
     private StoreServer store;
     private EtcdStore adapter;
     private ConfigurationFollower follower;
@@ -102,10 +110,24 @@
                 (hostVertx, clock, scheduler, telemetry) ->
                         EtcdStore.create(hostVertx, hostVertx.getOrCreateContext(), storeOptions(), telemetry),
                 ThriftFrameCodec.create(),
-                AdministrationRoutes.none());
+                AdministrationInterface.create(administration()));
         entryHosts.add(EntryHostServer.start(vertx, options, parts).await());
     }
 
+    private AdministrationOptions administration() {
+        Settings.Operator operator =
+                new Settings.Operator("demo", Secrets.sha256Hex(operatorKey), OperatorRole.ADMINISTRATOR);
+        return new AdministrationOptions(
+                List.of(operator),
+                new Settings.AdministrationSettings(AdministratorOptions.defaults(), IN_FORCE_WAIT),
+                CHANGE_LIMIT_BYTES);
+    }
+
+    /** Key of an operator who may change everything. */
+    String operatorKey() {
+        return operatorKey;
+    }
+
     Vertx vertx() {
         return vertx;
     }
