--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -18,5 +18,6 @@
             SharesCommand.class,
             PlacementCommand.class,
             RetriesCommand.class,
+            WithdrawCommand.class,
         })
 public final class BenchCommand {}
