--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SettingsOptionsTest.java
@@ -0,0 +1,60 @@
+package org.basilswitch.daemon;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+import org.basilswitch.daemon.settings.Settings;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Options taken from the settings that ship with the product. */
+public final class SettingsOptionsTest {
+    private static final Path SITES = Path.of("..", "sites");
+
+    /** The shipped sites. */
+    @DataProvider
+    public Object[][] sites() {
+        return new Object[][] {{"fraser-fathom"}, {"canelones"}};
+    }
+
+    private static Settings load(String site) {
+        return Settings.load(SITES.resolve("base.json"), List.of(SITES.resolve(site + ".json")))
+                .getOrElseThrow(problems -> new AssertionError(problems.toString()));
+    }
+
+    /** Each entry host gets its own name, zone and addresses, and the site's limits. */
+    @Test(dataProvider = "sites")
+    public void entryHostsGetTheirOwnAddresses(String site) {
+        Settings settings = load(site);
+        assertTrue(settings.entryHosts().size() >= 3);
+        for (Settings.EntryHostSettings host : settings.entryHosts()) {
+            DaemonOptions options = SettingsOptions.daemon(settings, host);
+            assertEquals(options.site(), site);
+            assertEquals(options.node(), host.name());
+            assertEquals(options.zone(), host.zone());
+            assertEquals(options.callers().port(), host.callerAddress().port());
+            assertEquals(
+                    options.administration().port(),
+                    host.administrationAddress().port());
+            assertEquals(options.peers().port(), host.peerAddress().port());
+            assertTrue(options.callers().tls().isEmpty());
+            assertEquals(options.caller().maxBodyBytes(), settings.limits().bodyLimitBytes());
+            assertEquals(options.caller().maxHeaderBytes(), settings.limits().headerLimitBytes());
+            assertEquals(options.shutdown().balancerTime(), settings.limits().balancerWait());
+            assertEquals(options.timing().promiseTime(), settings.membership().promiseTime());
+        }
+    }
+
+    /** The store's endpoints and time limits are the settings'. */
+    @Test
+    public void storeTakesItsEndpoints() {
+        Settings settings = load("fraser-fathom");
+        assertEquals(SettingsOptions.store(settings).endpoints(), List.of(URI.create("http://127.0.0.1:2379")));
+        assertEquals(SettingsOptions.store(settings).callTimeout(), Duration.ofSeconds(1));
+    }
+}
