--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -33,7 +33,7 @@
 
 /** The demo's servers: the stand-in store and workers, and entry hosts, all on free loopback ports. */
 final class DemoFleet implements AutoCloseable {
-    private static final int EVENT_LOOPS = 4;
+    private static final int EVENT_LOOPS = 8;
 
     private final DemoSite site;
     private final Vertx vertx;
--- /dev/null
+++ b/basilswitch-cli/src/test/java/org/basilswitch/cli/demo/DemoCommandTest.java
@@ -0,0 +1,51 @@
+package org.basilswitch.cli.demo;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+
+import org.basilswitch.cli.Main;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import picocli.CommandLine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** The whole path over loopback: each site's demo runs and every check of its report holds. */
+public final class DemoCommandTest {
+    private static final int CHECKS = 6;
+
+    /** The shipped sites. */
+    @DataProvider
+    public Object[][] sites() {
+        return new Object[][] {{"fraser-fathom"}, {"canelones"}};
+    }
+
+    private static int run(StringWriter out, StringWriter errors, String... arguments) {
+        CommandLine commands = Main.commandLine();
+        commands.setOut(new PrintWriter(out));
+        commands.setErr(new PrintWriter(errors));
+        return commands.execute(arguments);
+    }
+
+    /** Some seconds of load end with exit code 0 and a report in which each check holds. */
+    @Test(dataProvider = "sites")
+    public void everyCheckHolds(String site) {
+        StringWriter out = new StringWriter();
+        int code = run(out, new StringWriter(), "demo", "--site", site, "--seconds", "2", "--plain");
+        assertEquals(code, 0, out.toString());
+        assertEquals(
+                out.toString().lines().filter(line -> line.startsWith("ok ")).count(), CHECKS, out.toString());
+        assertFalse(out.toString().contains("FAIL"), out.toString());
+    }
+
+    /** A site that is not shipped, or too many entry hosts, is refused. */
+    @Test
+    public void wrongUsageIsRefused() {
+        StringWriter errors = new StringWriter();
+        assertTrue(run(new StringWriter(), errors, "demo", "--site", "nowhere") != 0);
+        assertTrue(errors.toString().contains("no site nowhere"), errors.toString());
+        assertEquals(run(new StringWriter(), new StringWriter(), "demo", "--entry-hosts", "99"), 2);
+    }
+}
