--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoFleet.java
@@ -44,7 +44,7 @@
 
 /** The demo's servers: the stand-in store and workers, and entry hosts, all on free loopback ports. */
 final class DemoFleet implements AutoCloseable {
-    private static final int EVENT_LOOPS = 4;
+    private static final int EVENT_LOOPS = 8;
     private static final int CHANGE_LIMIT_BYTES = 1 << 20;
     private static final Duration IN_FORCE_WAIT = Duration.ofSeconds(6);
 
