Leave other hosts' slots alone longer when less entitled

Change: after a busy refusal a host waits 0.3 of the mean service, in place of 0.1, before it tries other hosts' slots again, unless one of its waiting teams is as entitled as any in the fleet.

--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolDivision.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolDivision.java
@@ -65,7 +65,7 @@
         int to = (int) Math.floor(before + own + offset + ROUNDING_ERROR);
         boolean room = fleet.demand() < ROOM_PART * capacity;
         return new Part(
-                new SlotCaps(cut(servers, from, to), room),
+                new SlotCaps(cut(servers, from, to), room, true),
                 ownTeamParts(pool, fleet, teamParts, spare),
                 Math.max(1, own / (teamParts.size() + 1)));
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -88,9 +88,15 @@
         return shareClock.of(team, serviceTimes.mean().toNanos() / NANOS_PER_SECOND);
     }
 
-    /** This host's slots. */
+    /** This host's slots, and whether its waiting teams entitle it to try others soon. */
     public SlotCaps caps() {
-        return part.caps();
+        PoolUsage own = usage.own(pool);
+        for (String team : own.teams()) {
+            if (own.waiting(team) > 0 && shareClock.isEntitled(team)) {
+                return part.caps().withEntitled(true);
+            }
+        }
+        return part.caps().withEntitled(false);
     }
 
     /** Number of this host's slots. */
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/ShareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/ShareClock.java
@@ -29,6 +29,7 @@
     private final Map<String, Long> ownChargedNanos = new HashMap<>();
     private final Map<String, Double> recent = new HashMap<>();
     private long advancedNanos;
+    private double leastWaiting;
 
     ShareClock(Clock clock, PoolUsage fleet, PoolUsage own, IntSupplier entryHosts, ToDoubleFunction<String> weightOf) {
         this.clock = clock;
@@ -58,6 +59,12 @@
         if (least < Double.POSITIVE_INFINITY) {
             lift(least - credit(), blocked);
         }
+        leastWaiting = least;
+    }
+
+    /** Whether a team is within the credit of the most entitled team that waits anywhere in the fleet. */
+    boolean isEntitled(String team) {
+        return times.getOrDefault(team, 0.0) <= leastWaiting + credit();
     }
 
     private double credit() {
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/PoolServers.java
@@ -28,7 +28,8 @@
     private static final Duration MIN_SILENCE = Duration.ofMillis(500);
     private static final double SILENCE_SERVICE_TIMES = 12;
     private static final double MEAN_WEIGHT = 0.05;
-    private static final double BEYOND_PAUSE_SERVICE_PART = 0.1;
+    private static final double BEYOND_PAUSE_PART = 0.1;
+    private static final double LESS_ENTITLED_PAUSE_PART = 0.3;
 
     private final String pool;
     private final String zone;
@@ -43,6 +44,7 @@
     private double meanServiceNanos;
     private int nextInTurn;
     private long beyondFromNanos;
+    private double beyondPausePart = BEYOND_PAUSE_PART;
 
     private PoolServers(
             String pool,
@@ -172,6 +174,7 @@
                 .filter(state -> state.inFlight() < caps.at(state.host().name()))
                 .toList();
         Optional<ServerState> chosen = zoneFirst(own, this::leastLoaded);
+        beyondPausePart = caps.entitled() ? BEYOND_PAUSE_PART : LESS_ENTITLED_PAUSE_PART;
         boolean lost = lostSlots(present, caps, now) > usedBeyond(present, caps);
         if (chosen.isPresent() || !(lost || caps.roomBeyond() || now >= beyondFromNanos)) {
             return chosen;
@@ -263,7 +266,7 @@
 
     private void busy(ServerState state, long now) {
         state.busy(now, meanServiceNanos);
-        double pause = meanServiceNanos * BEYOND_PAUSE_SERVICE_PART * (0.5 + random.nextDouble());
+        double pause = meanServiceNanos * beyondPausePart * (0.5 + random.nextDouble());
         beyondFromNanos = now + (long) pause;
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/placement/SlotCaps.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/placement/SlotCaps.java
@@ -6,9 +6,11 @@
  * Slots of a pool's backend servers that this entry host may fill.
  *
  * @param slotsByServer slots by the server's name
- * @param roomBeyond whether the pool has room beyond the fleet's demand, so that other hosts' slots may be tried
+ * @param roomBeyond whether the pool has room beyond the fleet's demand, so that other hosts' slots may be used
+ * @param entitled whether a team that waits here is as entitled as any in the fleet, so that other hosts' slots may be
+ *     tried soon again after a busy refusal
  */
-public record SlotCaps(Map<String, Integer> slotsByServer, boolean roomBeyond) {
+public record SlotCaps(Map<String, Integer> slotsByServer, boolean roomBeyond, boolean entitled) {
 
     /** Copies the map. */
     public SlotCaps {
@@ -17,7 +19,12 @@
 
     /** Leaves everything to busy refusals of the servers. */
     public static SlotCaps none() {
-        return new SlotCaps(Map.of(), true);
+        return new SlotCaps(Map.of(), true, true);
+    }
+
+    /** The same slots, with another entitlement. */
+    public SlotCaps withEntitled(boolean is) {
+        return is == entitled ? this : new SlotCaps(slotsByServer, roomBeyond, is);
     }
 
     /** Slots at a server. */
--- a/basilswitch-core/src/test/java/org/basilswitch/placement/PoolServersTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/placement/PoolServersTest.java
@@ -169,4 +169,22 @@
         assertTrue(send(servers, new Object()).isPresent());
         assertFalse(send(servers, new Object()).isPresent());
     }
+
+    /** After a busy refusal, other hosts' slots are tried again when a pause has passed that entitlement shortens. */
+    @Test
+    public void otherHostsSlotsAreTriedAfterPause() {
+        PoolServers servers = pool(Placement.standard(), hosts(4, 8), LiveHosts.unknown());
+        drive(servers, Set.of(), Duration.ofSeconds(1));
+        for (boolean entitled : new boolean[] {true, false}) {
+            SlotCaps caps = new SlotCaps(Map.of(), false, entitled);
+            Host beyond = servers.choose(Set.of(), caps).orElseThrow();
+            servers.started(beyond, "beyond");
+            servers.ended(beyond, "beyond", Result.BUSY);
+            assertFalse(servers.choose(Set.of(), caps).isPresent());
+            time.runFor(Duration.ofNanos(1_500_000));
+            assertEquals(servers.choose(Set.of(), caps).isPresent(), entitled);
+            time.runFor(Duration.ofMillis(20));
+            assertTrue(servers.choose(Set.of(), caps).isPresent());
+        }
+    }
 }
