--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Fault.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Fault.java
@@ -31,6 +31,7 @@
         CUT_FROM_STORE,
         CUT_FROM_ALL,
         LOSSY_LINKS,
+        SLOW_LINKS,
         STORE_DOWN,
         STORE_SLOW,
         STORE_LOSES_ANSWERS,
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultInjector.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultInjector.java
@@ -37,6 +37,7 @@
                     site.cutStore(slot, change);
                 });
             case LOSSY_LINKS -> during(fault, site.links()::lossy);
+            case SLOW_LINKS -> during(fault, site.links()::slow);
             case STORE_DOWN -> during(fault, change -> site.storeFaults(change, 0, 0));
             case STORE_SLOW -> during(fault, change -> site.storeFaults(0, change, 0));
             case STORE_LOSES_ANSWERS -> during(fault, change -> site.storeFaults(0, 0, change));
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultSite.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/FaultSite.java
@@ -110,6 +110,10 @@
 
     private void step() {
         promises.step();
+        if (random.nextInt(8) == 0) {
+            String team = TEAMS.get(random.nextInt(TEAMS.size()));
+            operators.changeLimit(team, operators.limit(team));
+        }
         time.schedule(Duration.ofMillis(100), this::step);
     }
 
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Links.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Links.java
@@ -1,5 +1,6 @@
 package org.basilswitch.bench.faults;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -9,11 +10,14 @@
 
 /** Fake links between entry hosts: delays, loss, repetition, disorder and cuts of either direction. */
 final class Links {
+    private static final int SLOW_DELAY_MS = 1_500;
+
     private final FaultSite site;
     private final UniformRandomProvider random;
     private final Map<MemberId, Integer> slots = new HashMap<>();
     private final int[][] cuts;
     private int lossy;
+    private int slow;
     private long messages;
 
     Links(FaultSite site, UniformRandomProvider random, int hosts) {
@@ -34,6 +38,10 @@
         lossy += change;
     }
 
+    void slow(int change) {
+        slow += change;
+    }
+
     long messages() {
         return messages;
     }
@@ -54,9 +62,13 @@
         return lossy > 0 && random.nextInt(4) == 0;
     }
 
+    private Duration delay() {
+        return slow > 0 ? Duration.ofMillis(random.nextInt(SLOW_DELAY_MS)) : site.delay();
+    }
+
     /** An address reaches the one process that runs there; a message for its predecessor is dropped. */
     private void deliver(EntryProcess from, MemberId to, int slot, PeerMessage message) {
-        site.time().schedule(site.delay(), () -> {
+        site.time().schedule(delay(), () -> {
             if (cuts[from.slot()][slot] == 0) {
                 site.process(slot)
                         .filter(process -> process.id().equals(to))
--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/EntryHostsTest.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/EntryHostsTest.java
@@ -160,11 +160,14 @@
         run(site, 10);
         site.operators().changeLimit(TEAM, 100);
         run(site, 5);
+        List<EntryProcess> holders = new ArrayList<>();
         for (EntryProcess process : site.processes()) {
-            process.host().limits().tryAcquire(TEAM);
+            if (process.host().limits().tryAcquire(TEAM)) {
+                holders.add(process);
+            }
         }
         run(site, 3);
-        site.processes().forEach(process -> process.host().limits().release(TEAM));
+        holders.forEach(process -> process.host().limits().release(TEAM));
         run(site, 3);
         EntryProcess one = site.process(0).orElseThrow();
         int acquired = 0;
