--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
@@ -161,8 +161,8 @@
                     "sends to hosts in any state",
                     "LEAVING_SERVER_GETS_NOTHING",
                     "placement/PoolServers.java",
-                    "if (state.host().state() != HostState.ACTIVE) {",
-                    "if (false) {"),
+                    "state.host(host);\n                continue;",
+                    "state.host(host);"),
             new Mutation(
                     "leaves without waiting for its open requests",
                     "SHUTDOWN_CUTS_NOTHING",
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -207,7 +207,9 @@
                     limits.surrender();
                     return when(limits::surrendered, SURRENDER_TIMEOUT);
                 })
-                .thenCompose(surrendered -> membership.leave(LEAVE_TIMEOUT));
+                .thenCompose(surrendered -> membership.leave(LEAVE_TIMEOUT))
+                // Requests that arrived meanwhile still get their refusal.
+                .thenCompose(left -> when(() -> broker.openRequests() == 0, LEAVE_TIMEOUT));
     }
 
     private CompletableFuture<Void> when(BooleanSupplier condition, Duration timeout) {
