Reboot only after long requests in the wave runs, and hold connections open in the cap's test

Change: a run with requests of 6 s, an operator whose view lags, and a test that opens one connection more than the cap and keeps all open; it asserts the same refusal.

--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
@@ -112,6 +112,25 @@
                 operatorInterval);
     }
 
+    /** The same shape with another mean run time of the callers' requests. */
+    public FleetShape withTaskTime(Duration mean) {
+        return new FleetShape(
+                pools,
+                hostsPerPool,
+                spareHosts,
+                hostsPerRack,
+                zones,
+                budgetHosts,
+                rebootTime,
+                mean,
+                returnFailureRatio,
+                members,
+                killInterval,
+                pauseInterval,
+                lostAnswerRatio,
+                operatorInterval);
+    }
+
     /** The same shape with members killed and paused and store answers lost. */
     public FleetShape withFaults(Duration killEvery, Duration pauseEvery, double lostAnswers) {
         return new FleetShape(
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/RacingOperator.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/RacingOperator.java
@@ -15,10 +15,12 @@
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.VirtualTime;
 
-/** An operator who drains hosts at random while waves run, and puts each back into service after some seconds. */
+/** An operator who drains hosts at random while waves run, and puts each back into service after some seconds; its view lags. */
 final class RacingOperator {
     private static final Duration OUT_OF_SERVICE_TIME = Duration.ofSeconds(2);
 
+    private static final Duration VIEW_DELAY = Duration.ofMillis(60);
+
     private final VirtualTime time;
     private final UniformRandomProvider random;
     private final ConfigurationFollower follower;
@@ -28,10 +30,12 @@
     private RacingOperator(
             VirtualTime time, MemoryStore store, StoreKeys keys, UniformRandomProvider random, FleetShape shape) {
         MemoryStoreClient client = MemoryStoreClient.create(store, time, random);
+        MemoryStoreClient lagging = MemoryStoreClient.create(store, time, random);
+        lagging.setOneWayDelay(VIEW_DELAY);
         this.time = time;
         this.random = random;
         this.interval = shape.operatorInterval();
-        this.follower = ConfigurationFollower.create(keys, client, time, Telemetry.none());
+        this.follower = ConfigurationFollower.create(keys, lagging, time, Telemetry.none());
         this.changer = HostChanger.create(keys, client, follower::current);
     }
 
--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
@@ -71,6 +71,16 @@
         }
     }
 
+    /** A host is rebooted only after its last long request has ended. */
+    @Test
+    public void waveWaitsForLongRequests() {
+        for (long seed = 1; seed <= 2; seed++) {
+            WaveReport report = WaveReport.run(FleetShape.ofToday().withTaskTime(Duration.ofSeconds(6)), seed);
+            assertSafe(report, seed);
+            assertEquals(report.done(), report.hosts(), report.toString());
+        }
+    }
+
     /** A rack fails during the wave: the spare pool makes up for it, budgets hold, and the wave ends. */
     @Test
     public void waveHoldsBudgetsWhileARackIsDown() {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
@@ -1,9 +1,11 @@
 package org.basilswitch.standin.worker;
 
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -25,6 +27,9 @@
 /** The stand-in worker over HTTP: slots, refusals that are true, faults, and its own record. */
 public final class WorkerServerTest {
     private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final int CONNECTIONS = 8;
+    private static final byte[] REQUEST_HEAD =
+            "GET /control/counts HTTP/1.1\r\nHost: worker\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final long LONG_MS = 600;
 
     private final HttpClient client =
@@ -38,7 +43,8 @@
     public void start() {
         vertx = Vertx.vertx();
         record = RunRecord.create();
-        WorkerOptions options = WorkerOptions.of("w").withSlots(2, 8).withServiceTime(new ServiceTime.Fixed(1));
+        WorkerOptions options =
+                WorkerOptions.of("w").withSlots(2, CONNECTIONS).withServiceTime(new ServiceTime.Fixed(1));
         worker = WorkerServer.start(vertx, options, record).await();
     }
 
@@ -137,19 +143,22 @@
     /** Connections beyond the cap are closed. */
     @Test
     public void connectionsAreCapped() throws Exception {
-        worker.setFaults(WorkerFaults.none().withHang(true));
-        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
-        for (int i = 0; i < 9; i++) {
-            answers.add(sendAsync(run("x" + i, 1)));
-        }
-        CompletableFuture<Object> firstEnded = CompletableFuture.anyOf(answers.stream()
-                .map(answer -> answer.handle((response, error) -> error != null))
-                .toArray(CompletableFuture[]::new));
-        firstEnded.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
-        while (!record.snapshot().refused().containsKey("connections")) {
-            assertTrue(System.nanoTime() < limitNanos, "no connection was refused");
-            TimeUnit.MILLISECONDS.sleep(5);
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i <= CONNECTIONS; i++) {
+                Socket socket = new Socket("127.0.0.1", worker.port());
+                sockets.add(socket);
+                socket.getOutputStream().write(REQUEST_HEAD);
+            }
+            long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+            while (!record.snapshot().refused().containsKey("connections")) {
+                assertTrue(System.nanoTime() < limitNanos, "no connection was refused");
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
         }
     }
 
