--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
@@ -155,7 +155,7 @@
                     "lets waiting requests wait without end",
                     "ANSWERED_BY_DEADLINE",
                     "dispatch/PoolDispatcher.java",
-                    "request.expiry(parts.scheduler().schedule(left, () -> expire(request)));",
+                    "request.expiry(parts.scheduler().schedule(delay, () -> expire(request)));",
                     ""),
             new Mutation(
                     "sends to hosts in any state",
