--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Operators.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/faults/Operators.java
@@ -131,6 +131,7 @@
                             .thenAccept(result -> {
                                 if (result.inForce()) {
                                     site.promises().inForce(revision);
+                                    noteLeaving(revision);
                                 }
                             }));
         }
--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
@@ -160,9 +160,10 @@
             new Mutation(
                     "sends to hosts in any state",
                     "LEAVING_SERVER_GETS_NOTHING",
-                    "placement/PoolServers.java",
-                    "state.host(host);\n                continue;",
-                    "state.host(host);"),
+                    "dispatch/PoolDispatcher.java",
+                    "servers.update(configuration.hostsOf(pool));",
+                    "servers.update(configuration.hostsOf(pool).stream()"
+                            + ".map(host -> host.withState(org.basilswitch.configuration.HostState.ACTIVE)).toList());"),
             new Mutation(
                     "leaves without waiting for its open requests",
                     "SHUTDOWN_CUTS_NOTHING",
