--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetMember.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetMember.java
@@ -19,9 +19,6 @@
 
 /** One simulated entry host: a configuration view and a controller for each pool. */
 final class FleetMember {
-    /** Time after which a change is in force at every simulated entry host. */
-    static final Duration IN_FORCE_DELAY = Duration.ofMillis(300);
-
     private static final Duration DUTY_STAGGER = Duration.ofMillis(700);
 
     private final PausableTime time;
@@ -53,7 +50,7 @@
                 time,
                 client,
                 workers.seenBy(time),
-                revision -> revisions.olderThan(revision, IN_FORCE_DELAY),
+                revision -> revisions.olderThan(revision, shape.inForceDelay()),
                 follower::current,
                 Telemetry.none());
         follower.start();
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
@@ -206,7 +206,7 @@
 
     private void load() {
         List<Host> now = invariants.hosts();
-        time.schedule(FleetMember.IN_FORCE_DELAY.dividedBy(2), () -> {
+        time.schedule(shape.inForceDelay().multipliedBy(9).dividedBy(10), () -> {
             laggingView.clear();
             now.forEach(host -> laggingView.put(host.name(), host));
         });
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
@@ -18,6 +18,7 @@
  * @param killInterval mean time between kills of a member, each replaced after some seconds; zero for none
  * @param pauseInterval mean time between pauses of a member for longer than its lease; zero for none
  * @param lostAnswerRatio part of store calls whose answers are lost after they took effect
+ * @param inForceDelay time after which a change is in force at every simulated entry host
  * @param operatorInterval time between an operator's tries to drain a host; zero for none
  */
 public record FleetShape(
@@ -34,6 +35,7 @@
         Duration killInterval,
         Duration pauseInterval,
         double lostAnswerRatio,
+        Duration inForceDelay,
         Duration operatorInterval) {
 
     /** The brief's size, without faults. */
@@ -52,6 +54,7 @@
                 Duration.ZERO,
                 Duration.ZERO,
                 0,
+                Duration.ofMillis(300),
                 Duration.ZERO);
     }
 
@@ -71,6 +74,7 @@
                 killInterval,
                 pauseInterval,
                 lostAnswerRatio,
+                inForceDelay,
                 operatorInterval);
     }
 
@@ -90,6 +94,7 @@
                 killInterval,
                 pauseInterval,
                 lostAnswerRatio,
+                inForceDelay,
                 operatorInterval);
     }
 
@@ -109,6 +114,7 @@
                 killInterval,
                 pauseInterval,
                 lostAnswerRatio,
+                inForceDelay,
                 operatorInterval);
     }
 
@@ -128,6 +134,7 @@
                 killInterval,
                 pauseInterval,
                 lostAnswerRatio,
+                inForceDelay,
                 operatorInterval);
     }
 
@@ -147,6 +154,7 @@
                 killEvery,
                 pauseEvery,
                 lostAnswers,
+                inForceDelay,
                 operatorInterval);
     }
 
@@ -166,6 +174,27 @@
                 killInterval,
                 pauseInterval,
                 lostAnswerRatio,
+                inForceDelay,
                 interval);
     }
+
+    /** The same shape with another time until a change is in force. */
+    public FleetShape withInForceDelay(Duration delay) {
+        return new FleetShape(
+                pools,
+                hostsPerPool,
+                spareHosts,
+                hostsPerRack,
+                zones,
+                budgetHosts,
+                rebootTime,
+                taskTime,
+                returnFailureRatio,
+                members,
+                killInterval,
+                pauseInterval,
+                lostAnswerRatio,
+                delay,
+                operatorInterval);
+    }
 }
--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/fleet/WaveRunTest.java
@@ -81,6 +81,16 @@
         }
     }
 
+    /** A host is rebooted only after no entry host can start requests there on an older view. */
+    @Test
+    public void waveWaitsUntilDrainingIsInForce() {
+        for (long seed = 1; seed <= 2; seed++) {
+            WaveReport report = WaveReport.run(FleetShape.ofToday().withInForceDelay(Duration.ofSeconds(3)), seed);
+            assertSafe(report, seed);
+            assertEquals(report.done(), report.hosts(), report.toString());
+        }
+    }
+
     /** A rack fails during the wave: the spare pool makes up for it, budgets hold, and the wave ends. */
     @Test
     public void waveHoldsBudgetsWhileARackIsDown() {
