Log an empty retry budget and drop an event that nothing raised

Cause: two events of the catalogue were never raised. Change: RETRY_BUDGET_EMPTY is logged when the budget refuses a retry; LIMIT_LOWERED is gone. Conclusion: each event has a place in the code now (searched by name).

--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
@@ -242,7 +242,7 @@
         } else if (request.serversThatMayHaveRun().size() >= SET_ASIDE_SERVERS) {
             parts.telemetry().event(EventCode.REQUEST_SET_ASIDE, "request=" + request.id() + " pool=" + pool);
             ends.refuse(request, Refusal.Code.SET_ASIDE);
-        } else if (request.attempts() >= MAX_ATTEMPTS || !budget(request).tryRetry()) {
+        } else if (request.attempts() >= MAX_ATTEMPTS || !takeRetry(request)) {
             ends.refuse(
                     request,
                     Refusal.Code.RETRIES_EXHAUSTED,
@@ -279,6 +279,17 @@
         return Duration.ofNanos((long) (RETRY_PAUSE_NANOS * spread * (1L << request.attempts())));
     }
 
+    private boolean takeRetry(Request request) {
+        boolean taken = budget(request).tryRetry();
+        if (!taken) {
+            parts.telemetry()
+                    .event(
+                            EventCode.RETRY_BUDGET_EMPTY,
+                            "queue=" + request.queue().name());
+        }
+        return taken;
+    }
+
     private RetryBudget budget(Request request) {
         return budgets.computeIfAbsent(request.queue().name(), name -> RetryBudget.create());
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -25,7 +25,6 @@
     SERVING_STOPPED(1108, Severity.WARN, "no majority of the members promises; work is refused as not run"),
     LIMIT_RECLAIMED(1201, Severity.INFO, "units of a departed entry host were reclaimed"),
     LIMIT_STORE_FAILED(1202, Severity.DEBUG, "an allotment could not be changed in the store; trying again"),
-    LIMIT_LOWERED(1203, Severity.INFO, "units above a lowered limit were given back"),
     LIMIT_RESET(1204, Severity.WARN, "this entry host was out of the members record; reading its allotments again"),
     CLAIM_BUCKET_TAKEN(1301, Severity.INFO, "this entry host holds a claim bucket"),
     CLAIM_BUCKET_LOST(1302, Severity.INFO, "another entry host holds a claim bucket"),
