Name leaving reports and timeouts by the field's terms

Cause: OwnWord, waitedInVain and PATIENCE were names of our own. Change: LeavingReports, waitExpired, TIMEOUT and ANSWER_GRACE; nothing else.

--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/load/LoadRequest.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/load/LoadRequest.java
@@ -21,7 +21,7 @@
 /** One caller's request: sent to an entry host, and perhaps sent again to others under the same id. */
 final class LoadRequest {
     private static final String LOOPBACK = "127.0.0.1";
-    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final Duration ANSWER_GRACE = Duration.ofSeconds(3);
     private static final long RETRY_DELAY_MS = 200;
     private static final String OUTCOME = "Basilswitch-Outcome";
 
@@ -106,7 +106,7 @@
         }
 
         private void start() {
-            timer = tools.vertx().setTimer(stream.deadline().plus(PATIENCE).toMillis(), ignored -> timedOut());
+            timer = tools.vertx().setTimer(stream.deadline().plus(ANSWER_GRACE).toMillis(), ignored -> timedOut());
             request.putHeader("Content-Type", "application/json");
             request.putHeader("Idempotency-Key", body.testId());
             request.putHeader(
--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/demo/DemoCommand.java
@@ -31,7 +31,7 @@
         description = "Runs a site on loopback with stand-ins for the platform, and reports on every request.")
 public final class DemoCommand implements Callable<Integer> {
     private static final long READY_POLL_MS = 20;
-    private static final Duration READY_PATIENCE = Duration.ofSeconds(20);
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(1);
     private static final Duration PLAIN_INTERVAL = Duration.ofSeconds(5);
 
@@ -96,7 +96,7 @@
                 demoSite.teams().size(),
                 demoSite.queues().size());
         if (!awaitReady(fleet)) {
-            out.println("FAIL the entry hosts are not ready after " + READY_PATIENCE.toSeconds() + " s");
+            out.println("FAIL the entry hosts are not ready after " + READY_TIMEOUT.toSeconds() + " s");
             return false;
         }
         Duration duration = Duration.ofSeconds(seconds);
@@ -109,7 +109,7 @@
     }
 
     private static boolean awaitReady(DemoFleet fleet) throws InterruptedException {
-        long limitNanos = System.nanoTime() + READY_PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + READY_TIMEOUT.toNanos();
         while (!fleet.allReady()) {
             if (System.nanoTime() > limitNanos) {
                 return false;
--- a/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/admission/PoolShares.java
@@ -127,7 +127,7 @@
     }
 
     /** Notes that a team's request waited for longer than it was worth: the expected waits were too short. */
-    public void waitedInVain(String team) {
+    public void waitExpired(String team) {
         waitFactors.put(team, Math.min(MAX_WAIT_FACTOR, waitFactor(team) * VAIN_WAIT_STEP));
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/PoolDispatcher.java
@@ -107,7 +107,7 @@
         }
         boolean limited = shares.isBlocked(request.team());
         if (!limited) {
-            shares.waitedInVain(request.team());
+            shares.waitExpired(request.team());
         }
         Refusal.Code code = limited ? Refusal.Code.TEAM_LIMIT : Refusal.Code.DEADLINE;
         ends.refuse(request, code, waitingRoom.expectedWait(request));
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/EntryHostServer.java
@@ -12,8 +12,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.daemon.caller.CallerPort;
 import org.basilswitch.daemon.fleet.FleetDuties;
+import org.basilswitch.daemon.livelist.LeavingReports;
 import org.basilswitch.daemon.livelist.LiveHostReader;
-import org.basilswitch.daemon.livelist.OwnWord;
 import org.basilswitch.daemon.peer.FrameCodec;
 import org.basilswitch.daemon.peer.PeerMeters;
 import org.basilswitch.daemon.peer.PeerTransport;
@@ -58,7 +58,7 @@
     private WorkerClients workers;
     private Timeouts timeouts;
     private Optional<LiveHostReader> liveList = Optional.empty();
-    private OwnWord ownWord;
+    private LeavingReports leavingReports;
     private EntryHost host;
     private FleetDuties fleet;
     private CallerPort callers;
@@ -122,7 +122,8 @@
                 options.timing().clockDriftRatio());
         liveList =
                 options.worker().liveList().map(where -> LiveHostReader.start(vertx, context, clock, telemetry, where));
-        ownWord = OwnWord.before(liveList.<LiveHosts>map(list -> list).orElseGet(LiveHosts::unknown), clock);
+        leavingReports =
+                LeavingReports.before(liveList.<LiveHosts>map(list -> list).orElseGet(LiveHosts::unknown), clock);
         host = EntryHost.create(
                 hostOptions,
                 clock,
@@ -130,7 +131,7 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(),
                 store,
                 peers,
-                new EntryHostParts(ownWord, BackgroundWork.none()),
+                new EntryHostParts(leavingReports, BackgroundWork.none()),
                 telemetry);
         peers.start(host::members, host::receive);
         openPorts(new AdministrationRoutes.Parts(vertx, host, store, clock, scheduler, telemetry, options));
@@ -148,7 +149,7 @@
         timeouts = Timeouts.create(context);
         workers = WorkerClients.create(vertx, options.worker());
         WorkerExchange.Tools tools = new WorkerExchange.Tools(
-                timeouts, clock, options.worker(), workers, host.authority(), ownWord, telemetry);
+                timeouts, clock, options.worker(), workers, host.authority(), leavingReports, telemetry);
         callers = CallerPort.create(vertx, options.caller(), host, tools, meters);
         administration = AdministrationPort.create(vertx, meters, this::isReady, parts.routes(), routeParts);
     }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/OwnWord.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/livelist/LeavingReports.java
@@ -8,24 +8,24 @@
 import org.basilswitch.time.Clock;
 
 /**
- * What hosts say of themselves when they refuse a request, which goes before the lagging list: a host that has said
+ * Hosts that refused a request because they are leaving, which takes precedence over the lagging list: a host that has said
  * that it is leaving counts as leaving for some time, and longer when it says so again.
  */
-public final class OwnWord implements LiveHosts {
+public final class LeavingReports implements LiveHosts {
     private static final Duration VALID_TIME = Duration.ofSeconds(10);
 
     private final LiveHosts list;
     private final Clock clock;
     private final Map<String, Long> saidNanosByHost = new HashMap<>();
 
-    private OwnWord(LiveHosts list, Clock clock) {
+    private LeavingReports(LiveHosts list, Clock clock) {
         this.list = list;
         this.clock = clock;
     }
 
     /** Goes before a list. */
-    public static OwnWord before(LiveHosts list, Clock clock) {
-        return new OwnWord(list, clock);
+    public static LeavingReports before(LiveHosts list, Clock clock) {
+        return new LeavingReports(list, clock);
     }
 
     /** Notes that a host refused a request because it is leaving. */
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/worker/WorkerExchange.java
@@ -12,7 +12,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import org.basilswitch.daemon.WorkerOptions;
-import org.basilswitch.daemon.livelist.OwnWord;
+import org.basilswitch.daemon.livelist.LeavingReports;
 import org.basilswitch.dispatch.Attempt;
 import org.basilswitch.dispatch.Attempt.Failure;
 import org.basilswitch.event.CounterCode;
@@ -28,7 +28,7 @@
 
     private final Clock clock;
     private final WorkerOptions options;
-    private final OwnWord ownWord;
+    private final LeavingReports leavingReports;
     private final Telemetry telemetry;
     private final ServingAuthority authority;
     private final Attempt attempt;
@@ -44,7 +44,7 @@
     private WorkerExchange(Tools tools, Attempt attempt, String queue, RequestBody body, AnswerSink sink) {
         this.clock = tools.clock();
         this.options = tools.options();
-        this.ownWord = tools.ownWord();
+        this.leavingReports = tools.leavingReports();
         this.telemetry = tools.telemetry();
         this.authority = tools.authority();
         this.attempt = attempt;
@@ -60,7 +60,7 @@
             WorkerOptions options,
             WorkerClients clients,
             ServingAuthority authority,
-            OwnWord ownWord,
+            LeavingReports leavingReports,
             Telemetry telemetry) {}
 
     /** Starts an attempt; its end is reported to the attempt first and then to the sink. */
@@ -165,7 +165,7 @@
 
     private void noteLeaving(HttpClientResponse answer) {
         if (WorkerHeaders.LEAVING.equals(answer.getHeader(WorkerHeaders.WORKER))) {
-            ownWord.leaving(attempt.server().name());
+            leavingReports.leaving(attempt.server().name());
         }
     }
 
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/SiteFixture.java
@@ -36,7 +36,7 @@
     static final String QUEUE = "quotes";
     static final long QUEUE_LIMIT_BYTES = 4L * 1024 * 1024;
 
-    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final long POLL_MS = 10;
 
     final Vertx vertx = Vertx.vertx();
@@ -75,7 +75,7 @@
     }
 
     private static HttpClient.Builder client() {
-        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE);
+        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT);
     }
 
     static DaemonOptions options() {
@@ -104,7 +104,7 @@
     }
 
     HttpRequest.Builder post(HttpRequest.BodyPublisher body) {
-        return HttpRequest.newBuilder(requests(QUEUE)).timeout(PATIENCE).POST(body);
+        return HttpRequest.newBuilder(requests(QUEUE)).timeout(TIMEOUT).POST(body);
     }
 
     HttpResponse<String> send(HttpRequest request) {
@@ -117,7 +117,7 @@
 
     HttpResponse<String> administration(String path) {
         return send(HttpRequest.newBuilder(URI.create(scheme + "://127.0.0.1:" + server.administrationPort() + path))
-                .timeout(PATIENCE)
+                .timeout(TIMEOUT)
                 .build());
     }
 
@@ -139,7 +139,7 @@
     /** Sends raw text to the callers' port and returns what comes back until the connection closes. */
     String raw(String text) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", server.callerPort())) {
-            socket.setSoTimeout((int) PATIENCE.toMillis());
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().flush();
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -147,10 +147,10 @@
     }
 
     static void await(BooleanSupplier condition) {
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > limitNanos) {
-                throw new AssertionError("condition not reached within " + PATIENCE);
+                throw new AssertionError("condition not reached within " + TIMEOUT);
             }
             try {
                 TimeUnit.MILLISECONDS.sleep(POLL_MS);
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/admin/AdministrationFixture.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/admin/AdministrationFixture.java
@@ -37,7 +37,7 @@
     static final String VIEWER = "viewer-secret";
     static final int BODY_LIMIT_BYTES = 4_096;
 
-    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     final Vertx vertx = Vertx.vertx();
     private final HttpClient client = HttpClient.newHttpClient();
@@ -85,7 +85,7 @@
     }
 
     private void awaitReady() {
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
         while (send(request("/readyz", "")).status() != 200) {
             if (System.nanoTime() > limitNanos) {
                 throw new AssertionError("not ready");
@@ -105,7 +105,7 @@
                 .replace("%3D", "=")
                 .replace("%26", "&");
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.administrationPort() + encoded))
-                .timeout(PATIENCE)
+                .timeout(TIMEOUT)
                 .header("Authorization", "Bearer " + key);
     }
 
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LiveHostReaderTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/livelist/LiveHostReaderTest.java
@@ -28,7 +28,7 @@
     private static final Duration LAG = Duration.ofSeconds(1);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
     private static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
-    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final long STEP_MS = 20;
 
     private final AtomicLong skippedNanos = new AtomicLong();
@@ -36,7 +36,7 @@
     private Context context;
     private HostListServer server;
     private LiveHostReader reader;
-    private OwnWord ownWord;
+    private LeavingReports leavingReports;
 
     /** Starts a list of two hosts and a reader. */
     @BeforeMethod
@@ -51,7 +51,7 @@
                 new SkippingClock(skippedNanos),
                 Telemetry.none(),
                 new LiveListOptions(HostAndPort.create("127.0.0.1", server.port()), POLL_INTERVAL));
-        ownWord = OwnWord.before(reader, new SkippingClock(skippedNanos));
+        leavingReports = LeavingReports.before(reader, new SkippingClock(skippedNanos));
     }
 
     /** Stops both. */
@@ -63,15 +63,15 @@
 
     private Presence presence(String host) throws Exception {
         CompletableFuture<Presence> answer = new CompletableFuture<>();
-        context.runOnContext(ignored -> answer.complete(ownWord.presence(host)));
-        return answer.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        context.runOnContext(ignored -> answer.complete(leavingReports.presence(host)));
+        return answer.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
 
     private Duration timeUntil(String host, Presence expected) throws Exception {
         long startNanos = System.nanoTime();
         while (presence(host) != expected) {
             Duration waited = Duration.ofNanos(System.nanoTime() - startNanos);
-            assertTrue(waited.compareTo(PATIENCE) < 0, host + " is " + presence(host) + ", not " + expected);
+            assertTrue(waited.compareTo(TIMEOUT) < 0, host + " is " + presence(host) + ", not " + expected);
             TimeUnit.MILLISECONDS.sleep(STEP_MS);
         }
         return Duration.ofNanos(System.nanoTime() - startNanos);
@@ -91,11 +91,11 @@
         timeUntil("a", Presence.LIVE);
     }
 
-    /** A host's own word counts at once and for some seconds, whatever the list says. */
+    /** A host's own report counts at once and for some seconds, whatever the list says. */
     @Test
-    public void ownWordGoesBeforeTheList() throws Exception {
+    public void leavingReportsGoesBeforeTheList() throws Exception {
         timeUntil("a", Presence.LIVE);
-        context.runOnContext(ignored -> ownWord.leaving("a"));
+        context.runOnContext(ignored -> leavingReports.leaving("a"));
         assertEquals(presence("a"), Presence.LEAVING);
         skippedNanos.addAndGet(Duration.ofSeconds(11).toNanos());
         assertEquals(presence("a"), Presence.LIVE);
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/peer/PeerTransportTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/peer/PeerTransportTest.java
@@ -25,7 +25,7 @@
 
 /** Messages between transports over loopback. */
 public final class PeerTransportTest {
-    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final int MESSAGES = 2000;
 
     private Vertx vertx;
@@ -58,7 +58,7 @@
                     vertx, "test", id, ThriftFrameCodec.create(), Telemetry.none(), PeerMeters.create(registry));
             Promise<Void> listening = Promise.promise();
             context.runOnContext(turn -> {
-                TlsReloader tls = TlsReloader.create(vertx, Telemetry.none(), PATIENCE);
+                TlsReloader tls = TlsReloader.create(vertx, Telemetry.none(), TIMEOUT);
                 ListenOptions listen = new ListenOptions("127.0.0.1", port, java.util.Optional.empty());
                 transport.start(() -> members, (from, message) -> received.add(message));
                 transport.listen(listen, tls).onComplete(listening);
@@ -82,7 +82,7 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
         while (!condition.getAsBoolean()) {
             assertTrue(System.nanoTime() < limitNanos, "condition not reached");
             Thread.onSpinWait();
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/WorkerServerTest.java
@@ -26,7 +26,7 @@
 
 /** The stand-in worker over HTTP: slots, refusals that are true, faults, and its own record. */
 public final class WorkerServerTest {
-    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int CONNECTIONS = 8;
     private static final byte[] REQUEST_HEAD =
             "GET /control/counts HTTP/1.1\r\nHost: worker\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -56,7 +56,7 @@
 
     private HttpRequest.Builder run(String id, double serviceMs) {
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + worker.port() + "/v1/run"))
-                .timeout(PATIENCE)
+                .timeout(TIMEOUT)
                 .header("Basilswitch-Request-Id", id)
                 .header("Basilswitch-Attempt", "1")
                 .header("Basilswitch-Team", "depot")
@@ -70,7 +70,7 @@
     }
 
     private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
-        return sendAsync(request).get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        return sendAsync(request).get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
 
     private HttpResponse<String> control(String path, String body) throws Exception {
@@ -79,7 +79,7 @@
     }
 
     private void awaitStarted(long count) throws Exception {
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
         while (record.teams().values().stream()
                         .mapToLong(RunRecord.TeamCount::started)
                         .sum()
@@ -90,7 +90,7 @@
     }
 
     private void awaitRunning(int count) throws Exception {
-        long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+        long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
         while (worker.running().await() != count) {
             assertTrue(System.nanoTime() < limitNanos, "never ran " + count);
             TimeUnit.MILLISECONDS.sleep(5);
@@ -150,7 +150,7 @@
                 sockets.add(socket);
                 socket.getOutputStream().write(REQUEST_HEAD);
             }
-            long limitNanos = System.nanoTime() + PATIENCE.toNanos();
+            long limitNanos = System.nanoTime() + TIMEOUT.toNanos();
             while (!record.snapshot().refused().containsKey("connections")) {
                 assertTrue(System.nanoTime() < limitNanos, "no connection was refused");
                 TimeUnit.MILLISECONDS.sleep(5);
