--- /dev/null
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetBench.java
@@ -0,0 +1,114 @@
+package org.basilswitch.bench.fleet;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+
+import org.basilswitch.fleet.LendingPolicy;
+
+/** Prints the fleet's figures beside their baselines and targets. */
+public final class FleetBench {
+    private static final double WAVE_RATIO_TARGET = 1.15;
+    private static final double WAVE_RATIO_TARGET_WITH_FAILURES = 1.5;
+
+    private FleetBench() {}
+
+    /** Prints roll-out times over seeds; returns whether all targets were met. */
+    public static boolean waves(PrintStream out, int seeds) {
+        out.printf(
+                "%-28s %6s %6s %10s %10s %7s %7s %s%n",
+                "wave",
+                "seeds",
+                "hosts",
+                "worst",
+                "bound",
+                "ratio",
+                "target",
+                "lost answers, second reboots, violations, not ended");
+        boolean met = waveRow(out, "no failures", FleetShape.ofToday(), seeds, WAVE_RATIO_TARGET);
+        met &= waveRow(
+                out,
+                "5% do not return",
+                FleetShape.ofToday().withReturnFailures(0.05),
+                seeds,
+                WAVE_RATIO_TARGET_WITH_FAILURES);
+        FleetShape faults = FleetShape.ofToday().withFaults(Duration.ofSeconds(20), Duration.ofSeconds(25), 0.05);
+        met &= waveRow(out, "controllers killed, paused", faults, seeds, Double.MAX_VALUE);
+        met &= waveRow(out, "8 pools of 40 hosts", FleetShape.ofToday().withSize(8, 40, 4), 1, WAVE_RATIO_TARGET);
+        return met;
+    }
+
+    private static boolean waveRow(PrintStream out, String name, FleetShape shape, int seeds, double target) {
+        WaveReport worst = null;
+        int lost = 0;
+        int second = 0;
+        int violations = 0;
+        int open = 0;
+        for (long seed = 1; seed <= seeds; seed++) {
+            WaveReport report = WaveReport.run(shape, seed);
+            worst = worst == null || report.ratio() > worst.ratio() ? report : worst;
+            lost += report.lostAnswers();
+            second += report.mostRebootsOfOneHost() > 1 ? 1 : 0;
+            violations += report.violation().isPresent() ? 1 : 0;
+            open += report.phase() == org.basilswitch.configuration.MaintenanceWave.Phase.COMPLETED ? 0 : 1;
+        }
+        String bound = target == Double.MAX_VALUE ? "none" : String.format("%.2f", target);
+        out.printf(
+                "%-28s %6d %6d %9ds %9ds %7.3f %7s %d, %d, %d, %d%n",
+                name,
+                seeds,
+                worst.hosts(),
+                worst.duration().toSeconds(),
+                worst.lowerBound().toSeconds(),
+                worst.ratio(),
+                bound,
+                lost,
+                second,
+                violations,
+                open);
+        return worst.ratio() <= target && lost + second + violations + open == 0;
+    }
+
+    /** Prints the buffer's cost under each policy. */
+    public static void buffers(PrintStream out, Duration duration, long seed) {
+        out.printf(
+                "%-44s %6s %10s %6s %12s %12s %s%n",
+                "buffer over " + duration.toHours() + " h",
+                "hosts",
+                "idle h",
+                "moves",
+                "refused",
+                "short host h",
+                "violation");
+        FleetShape today = FleetShape.ofToday();
+        FleetShape padded = today.withSize(today.pools(), today.hostsPerPool() + today.hostsPerRack(), 2);
+        bufferRow(
+                out,
+                "fixed: one rack more in each pool",
+                padded.withoutTasks(0),
+                new LendingPolicy.Fixed(),
+                duration,
+                seed);
+        LendingPolicy threshold = new LendingPolicy.Threshold(0.9, 0.5);
+        for (int spare : List.of(4, 8)) {
+            FleetShape shape = today.withoutTasks(spare);
+            bufferRow(out, "no lending, spare pool of " + spare, shape, new LendingPolicy.Fixed(), duration, seed);
+            bufferRow(out, "threshold rule, spare pool of " + spare, shape, threshold, duration, seed);
+            bufferRow(out, "smoothed, spare pool of " + spare, shape, LendingPolicy.standard(), duration, seed);
+        }
+    }
+
+    private static void bufferRow(
+            PrintStream out, String name, FleetShape shape, LendingPolicy policy, Duration duration, long seed) {
+        BufferReport report = BufferReport.run(shape, policy, duration, seed);
+        out.printf(
+                "%-44s %6d %10.1f %6d %11.2f%% %12.1f %s%n",
+                name,
+                report.hosts(),
+                report.idleHostHours(),
+                report.moves(),
+                100 * report.refusedSlotHours() / report.demandSlotHours(),
+                report.shortHostHours(),
+                report.violation().isEmpty() ? "none" : report.violation());
+    }
+}
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetRun.java
@@ -66,7 +66,9 @@
         for (int i = 0; i < shape.members(); i++) {
             run.addMember(i);
         }
-        run.time.schedule(LOAD_TICK, run::load);
+        if (!shape.taskTime().isZero()) {
+            run.time.schedule(LOAD_TICK, run::load);
+        }
         run.scheduleFault(shape.killInterval(), run::killOne);
         run.scheduleFault(shape.pauseInterval(), run::pauseOne);
         return run;
@@ -143,6 +145,21 @@
                 .forEach(host -> workers.fail(host.name(), outage));
     }
 
+    /** Takes one host's power for a time. */
+    public void failHost(String host, Duration outage) {
+        workers.fail(host, outage);
+    }
+
+    /** The hosts' records in the store now. */
+    public List<Host> hosts() {
+        return invariants.hosts();
+    }
+
+    /** Names of the pools, the spare pool last. */
+    public List<String> pools() {
+        return List.copyOf(pools);
+    }
+
     /** Advances virtual time. */
     public void runFor(Duration duration) {
         time.runFor(duration);
--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/fleet/FleetShape.java
@@ -88,6 +88,24 @@
                 lostAnswerRatio);
     }
 
+    /** The same shape without callers' requests and with another number of spare hosts. */
+    public FleetShape withoutTasks(int spare) {
+        return new FleetShape(
+                pools,
+                hostsPerPool,
+                spare,
+                hostsPerRack,
+                zones,
+                budgetHosts,
+                rebootTime,
+                Duration.ZERO,
+                returnFailureRatio,
+                members,
+                killInterval,
+                pauseInterval,
+                lostAnswerRatio);
+    }
+
     /** The same shape with members killed and paused and store answers lost. */
     public FleetShape withFaults(Duration killEvery, Duration pauseEvery, double lostAnswers) {
         return new FleetShape(
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/DutyRank.java
@@ -0,0 +1,33 @@
+package org.basilswitch.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import net.openhft.hashing.LongHashFunction;
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+
+/**
+ * Orders the members for a duty by rendezvous hashing (Thaler and Ravishankar, 1998), so that duties spread evenly and
+ * few of them move when a member comes or goes.
+ */
+final class DutyRank {
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private DutyRank() {}
+
+    /** Number of members that come before this one; the size of the list when it is not a member. */
+    static int of(String duty, List<Member> members, MemberId self) {
+        if (members.stream().noneMatch(member -> member.id().equals(self))) {
+            return members.size();
+        }
+        long own = weight(duty, self);
+        return (int) members.stream()
+                .filter(member -> weight(duty, member.id()) > own)
+                .count();
+    }
+
+    private static long weight(String duty, MemberId member) {
+        return HASH.hashBytes((duty + "\0" + member.value()).getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/FleetControllers.java
@@ -0,0 +1,101 @@
+package org.basilswitch.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.basilswitch.membership.Member;
+import org.basilswitch.peer.MemberId;
+
+/**
+ * The pools that this entry host may control: for each pool, the two members that come first by rendezvous hashing
+ * compete for the duty, so that few duties are polled in the store.
+ */
+public final class FleetControllers implements AutoCloseable {
+    private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(1);
+    private static final int CANDIDATES = 2;
+
+    private final FleetContext context;
+    private final MemberId self;
+    private final Supplier<List<Member>> members;
+    private final PoolDemand demand;
+    private final Map<String, PoolController> controllers = new HashMap<>();
+    private boolean closed;
+
+    private FleetControllers(FleetContext context, MemberId self, Supplier<List<Member>> members, PoolDemand demand) {
+        this.context = context;
+        this.self = self;
+        this.members = members;
+        this.demand = demand;
+    }
+
+    /**
+     * Creates the controllers of one entry host.
+     *
+     * @param context what they work with
+     * @param self this entry host
+     * @param members the members record as this host sees it
+     * @param demand demand of the pools across the fleet
+     */
+    public static FleetControllers create(
+            FleetContext context, MemberId self, Supplier<List<Member>> members, PoolDemand demand) {
+        return new FleetControllers(context, self, members, demand);
+    }
+
+    /** Starts competing for duties. */
+    public void start() {
+        review();
+    }
+
+    private void review() {
+        if (closed) {
+            return;
+        }
+        List<Member> now = members.get();
+        for (String pool : context.configuration().get().pools().keySet()) {
+            int rank = DutyRank.of(pool, now, self);
+            if (rank < CANDIDATES && !controllers.containsKey(pool)) {
+                open(pool, rank);
+            } else if (rank >= CANDIDATES) {
+                close(pool);
+            }
+        }
+        for (String pool : new ArrayList<>(controllers.keySet())) {
+            if (!context.configuration().get().pools().containsKey(pool)) {
+                close(pool);
+            }
+        }
+        context.scheduler().schedule(REVIEW_INTERVAL, this::review);
+    }
+
+    private void open(String pool, int rank) {
+        PoolController controller = PoolController.create(context, pool, self, demand);
+        controllers.put(pool, controller);
+        controller.start(context.options().dutyLease().multipliedBy(rank));
+    }
+
+    private void close(String pool) {
+        PoolController controller = controllers.remove(pool);
+        if (controller != null) {
+            controller.close();
+        }
+    }
+
+    /** Pools that this entry host controls now. */
+    public List<String> held() {
+        return controllers.entrySet().stream()
+                .filter(entry -> entry.getValue().held())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        List.copyOf(controllers.keySet()).forEach(this::close);
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/FleetOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/FleetOptions.java
@@ -14,9 +14,7 @@
  * @param clockSkew largest difference of two hosts' wall clocks
  * @param missingLists consecutive live-host lists without a host after which it is probed as down
  * @param healthyProbes consecutive healthy probes after which a returning host becomes active
- * @param demandWindow time over which demand is smoothed
- * @param targetUtilisation part of a pool's slots that its smoothed demand should fill, from 0 to 1
- * @param moveHold least time between two moves of one pool
+ * @param lending how the spare pool follows demand
  * @param waveHeadroomHosts hosts beyond its availability budget that a pool should have while a wave runs in it
  */
 public record FleetOptions(
@@ -29,9 +27,7 @@
         Duration clockSkew,
         int missingLists,
         int healthyProbes,
-        Duration demandWindow,
-        double targetUtilisation,
-        Duration moveHold,
+        LendingPolicy lending,
         int waveHeadroomHosts) {
 
     /** The product's defaults. */
@@ -46,9 +42,23 @@
                 Duration.ofMillis(500),
                 3,
                 2,
-                Duration.ofSeconds(60),
-                0.7,
-                Duration.ofSeconds(30),
+                LendingPolicy.standard(),
                 2);
     }
+
+    /** The same options with another lending policy. */
+    public FleetOptions withLending(LendingPolicy policy) {
+        return new FleetOptions(
+                tickInterval,
+                listInterval,
+                dutyLease,
+                rebootRetryInterval,
+                returnTimeout,
+                faultyReturnRatio,
+                clockSkew,
+                missingLists,
+                healthyProbes,
+                policy,
+                waveHeadroomHosts);
+    }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLender.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLender.java
@@ -18,17 +18,14 @@
  * Moves hosts between the spare pool and the others: the spare pool's controller lends, another pool's controller gives
  * back. Each takes hosts out of its own pool only, within that pool's availability budget.
  *
- * <p>Hysteresis: demand is smoothed, a pool gives back only when it has two hosts more than it needs, and two moves of
- * one pool are a hold time apart.
+ * <p>When a pool borrows or gives back is its {@link HostNeed}'s to say, by the lending policy.
  */
 final class HostLender {
-    private static final int GIVE_BACK_SURPLUS_HOSTS = 2;
-
     private final FleetContext context;
     private final HostStepper stepper;
     private final String pool;
     private final PoolDemand demand;
-    private final Map<String, DemandEstimate> estimates = new HashMap<>();
+    private final Map<String, HostNeed> needs = new HashMap<>();
     private final Map<String, Long> heldUntilNanos = new HashMap<>();
 
     HostLender(FleetContext context, HostStepper stepper, String pool, PoolDemand demand) {
@@ -47,7 +44,7 @@
         }
         if (own.spare()) {
             mostShort(view).ifPresent(borrower -> move(view, borrower, borrower));
-        } else if (surplus(view, own) >= GIVE_BACK_SURPLUS_HOSTS) {
+        } else if (givesBack(view, own)) {
             move(view, spare.get(), pool);
         }
     }
@@ -75,7 +72,9 @@
     private int shortage(SiteConfiguration view, Pool other) {
         PoolCensus census = PoolCensus.of(view, other.name());
         int incoming = incoming(view, other.name());
-        int need = Math.max(demandHosts(view, other).orElse(0), other.minAvailableHosts());
+        int need = sampled(other)
+                .map(found -> found.borrowBelow(slotsPerHost(view, other), other.minAvailableHosts()))
+                .orElse(other.minAvailableHosts());
         int forDemand = need - serving(census) - incoming;
         if (!waveRuns(view, other)) {
             return forDemand;
@@ -85,34 +84,33 @@
         return Math.max(forDemand, wanted - usable - incoming);
     }
 
-    /** Hosts that a pool has beyond its need; zero while its demand is unknown or a wave runs in it. */
-    private int surplus(SiteConfiguration view, Pool own) {
-        OptionalInt demandHosts = demandHosts(view, own);
-        if (demandHosts.isEmpty() || waveRuns(view, own)) {
-            return 0;
+    /** Whether a pool has hosts beyond its need; not while its demand is unknown or a wave runs in it. */
+    private boolean givesBack(SiteConfiguration view, Pool own) {
+        Optional<HostNeed> need = sampled(own);
+        if (need.isEmpty() || waveRuns(view, own)) {
+            return false;
         }
-        int need = Math.max(demandHosts.getAsInt(), own.minAvailableHosts());
-        return serving(PoolCensus.of(view, own.name())) - need;
+        int from = need.get().giveBackFrom(slotsPerHost(view, own), own.minAvailableHosts());
+        return PoolCensus.of(view, own.name()).active() >= from;
     }
 
     private static int serving(PoolCensus census) {
         return census.active() + census.in(HostState.RETURNING) + census.in(HostState.REBOOTING);
     }
 
-    private OptionalInt demandHosts(SiteConfiguration view, Pool other) {
+    private Optional<HostNeed> sampled(Pool other) {
         OptionalInt slots = demand.slots(other.name());
         if (slots.isEmpty()) {
-            return OptionalInt.empty();
+            return Optional.empty();
         }
-        double smoothed = estimates
-                .computeIfAbsent(
-                        other.name(),
-                        name -> new DemandEstimate(context.options().demandWindow()))
-                .add(slots.getAsInt(), context.clock().monotonicNanos());
-        int slotsPerHost =
-                view.hostsOf(other.name()).stream().mapToInt(Host::slots).max().orElse(1);
-        double utilised = slotsPerHost * context.options().targetUtilisation();
-        return OptionalInt.of((int) Math.ceil(smoothed / utilised));
+        HostNeed need = needs.computeIfAbsent(
+                other.name(), name -> new HostNeed(context.options().lending()));
+        need.sample(slots.getAsInt(), context.clock().monotonicNanos());
+        return Optional.of(need);
+    }
+
+    private static int slotsPerHost(SiteConfiguration view, Pool other) {
+        return view.hostsOf(other.name()).stream().mapToInt(Host::slots).max().orElse(1);
     }
 
     private static boolean waveRuns(SiteConfiguration view, Pool other) {
@@ -141,17 +139,19 @@
         if (onHold(holdKey)) {
             return;
         }
+        long holdNanos = Optional.ofNullable(needs.get(holdKey))
+                .map(need -> need.hold().toNanos())
+                .orElse(0L);
         PoolCensus census = PoolCensus.of(view, pool);
         Optional<Host> candidate = view.hostsOf(pool).stream()
                 .filter(host -> host.state() == HostState.ACTIVE && !stepper.isBusy(host))
                 .min(Comparator.comparingInt((Host host) -> -census.outInRack(host.rack()))
                         .thenComparing(Comparator.comparing(Host::name).reversed()));
-        if (candidate.isEmpty()) {
+        int least = view.pools().get(pool).minAvailableHosts();
+        if (candidate.isEmpty() || census.active() <= least) {
             return;
         }
-        heldUntilNanos.put(
-                holdKey,
-                context.clock().monotonicNanos() + context.options().moveHold().toNanos());
+        heldUntilNanos.put(holdKey, context.clock().monotonicNanos() + holdNanos);
         HostProgress progress = HostProgress.draining(
                 HostProgress.Purpose.MOVE, target, context.clock().millis());
         stepper.drain(candidate.get(), progress, UnaryOperator.identity());
