--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/BenchCommand.java
@@ -9,6 +9,9 @@
         description = "Measures; each subcommand prints its figures beside targets and baselines of the same run.",
         subcommands = {
             ProxyCommand.class,
+            BufferCommand.class,
             FaultsCommand.class,
+            SlopesCommand.class,
+            WaveCommand.class,
         })
 public final class BenchCommand {}
--- /dev/null
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/WaveCommand.java
@@ -0,0 +1,22 @@
+package org.basilswitch.cli.bench;
+
+import java.util.concurrent.Callable;
+
+import org.basilswitch.bench.fleet.FleetBench;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** {@code basilswitch bench wave}: roll-out times of maintenance waves against their lower bounds. */
+@Command(
+        name = "wave",
+        mixinStandardHelpOptions = true,
+        description = "Runs maintenance waves on virtual time and prints roll-out times beside the lower bounds.")
+final class WaveCommand implements Callable<Integer> {
+    @Option(names = "--seeds", description = "Number of seeds (default: ${DEFAULT-VALUE}).")
+    private int seeds = 20;
+
+    @Override
+    public Integer call() {
+        return FleetBench.waves(System.out, seeds) ? 0 : 1;
+    }
+}
