Carry out maintenance waves; start from a class data archive

Change: waves by emptying hosts within mayMiss and the wave's bound, progress stored; a training run writes the archive.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -12,12 +12,14 @@
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.schedule.Advice;
+import org.basilswitch.schedule.HostControl;
 import org.basilswitch.schedule.JobScheduler;
 import org.basilswitch.schedule.LiveServers;
 import org.basilswitch.schedule.SchedulerContext;
 import org.basilswitch.schedule.SchedulerOptions;
 import org.basilswitch.schedule.ServerList;
 import org.basilswitch.schedule.ServerOrders;
+import org.basilswitch.schedule.WaveRecords;
 import org.basilswitch.store.PlatformStore;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.Clock;
@@ -57,6 +59,8 @@
             ServerList serverList,
             ServerOrders orders,
             Advice advice,
+            HostControl hosts,
+            WaveRecords waves,
             SchedulerLink link,
             Telemetry telemetry,
             SchedulerOptions options,
@@ -104,6 +108,8 @@
                     parts.advice(),
                     () -> site.view().orElseThrow(),
                     servers,
+                    parts.hosts(),
+                    parts.waves(),
                     parts.telemetry(),
                     parts.options());
             scheduler = Optional.of(JobScheduler.takeOver(
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -14,6 +14,7 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.JobTeam;
+import org.basilswitch.job.StepSpec;
 import org.basilswitch.schedule.JobScheduler;
 import org.basilswitch.schedule.SiteView;
 import org.basilswitch.time.Clock;
@@ -166,7 +167,8 @@
         telemetry.count(CounterCode.JOBS_ACCEPTED, submission.queue());
         telemetry.event(
                 EventCode.JOB_ACCEPTED,
-                "job=" + submission.id() + " queue=" + submission.queue() + " team=" + submission.team());
+                "job=" + submission.id() + " queue=" + submission.queue() + " team=" + submission.team() + " steps="
+                        + submission.steps().stream().map(StepSpec::summary).toList());
         directory.addAccepted(submission);
         otherHolder().ifPresent(holder -> parts.link().accepted(holder, submission));
         return CompletableFuture.completedFuture(new JobAnswer.Accepted());
--- a/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
@@ -72,4 +72,18 @@
     public Optional<String> rackOfData() {
         return Optional.ofNullable(dataRack);
     }
+
+    /** A short description for logs. */
+    public String summary() {
+        return count + "x" + resources.cpuMillis() + "m/" + resources.memoryMb() + "MB~" + estimateMs + "ms"
+                + (after.isEmpty() ? "" : " after=" + after)
+                + (checkpointing ? " checkpointing" : "")
+                + (gang ? " gang" : "")
+                + (maxPerServer > 0 ? " perServer=" + maxPerServer : "")
+                + (speculative ? " speculative" : "")
+                + (longRunning ? " longRunning unavailable=" + maxUnavailable : "")
+                + (tailTargetMs > 0 ? " tail=" + tailTargetMs + "ms" : "")
+                + (usesSpareCapacity ? " spare" : "")
+                + (image == null ? "" : " image=" + image);
+    }
 }
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Evacuation.java
@@ -0,0 +1,89 @@
+package org.basilswitch.schedule;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.basilswitch.job.JobSite;
+
+/** Empties backend servers without making more of a long-running step unavailable than it allows. */
+final class Evacuation {
+    private final SchedulerContext context;
+    private final RunBook book;
+    private final RunKeeper keeper;
+    private final Hosts hosts;
+
+    Evacuation(SchedulerContext context, RunBook book, RunKeeper keeper, Hosts hosts) {
+        this.context = context;
+        this.book = book;
+        this.keeper = keeper;
+        this.hosts = hosts;
+    }
+
+    private JobSite site() {
+        return context.site().get().site();
+    }
+
+    /** Whether a host is in the pool whose hosts are switched off. */
+    boolean isResting(HostControl.HostView host) {
+        return site().standbyPool().filter(pool -> pool.name().equals(host.pool())).isPresent();
+    }
+
+    /** The state of a host's backend server. */
+    Optional<ServerState> serverOf(String host) {
+        Optional<String> id = hosts.find(host).flatMap(HostControl.HostView::serverId);
+        return id.flatMap(serverId -> book.servers().stream()
+                .filter(state -> state.view().isPresent()
+                        && !state.over()
+                        && state.lifetime().serverId().equals(serverId))
+                .findFirst());
+    }
+
+    /** Work that has to end or move before a host is empty; lower is sooner empty. */
+    double workOn(HostControl.HostView host) {
+        if (isResting(host)) {
+            return -1;
+        }
+        return serverOf(host.name())
+                .map(state -> state.runs().stream()
+                        .mapToDouble(run -> run.item().spec().longRunning() ? 3 : 1)
+                        .sum())
+                .orElse(0.0);
+    }
+
+    /** Moves long-running work off a host; returns whether nothing is left there. */
+    boolean empty(String host) {
+        Optional<HostControl.HostView> view = hosts.find(host);
+        if (view.isEmpty() || view.get().state() != HostControl.HostState.UP) {
+            return false;
+        }
+        if (isResting(view.get()) || view.get().serverId().isEmpty()) {
+            return true;
+        }
+        Optional<ServerState> state = serverOf(host);
+        if (state.isEmpty()) {
+            return false;
+        }
+        List<Run> runs = state.get().runs();
+        for (Run run : runs) {
+            if (run.item().spec().longRunning() && !run.stopping() && mayInterrupt(run)) {
+                keeper.stop(run);
+            }
+        }
+        return runs.isEmpty();
+    }
+
+    /** Whether few enough of the other work items of a step are away, by any cause. */
+    static boolean mayInterrupt(Run run) {
+        int bound = run.item().spec().maxUnavailable();
+        int away = 0;
+        for (WorkItem other : run.item().job().stepOf(run.id())) {
+            boolean atWork = other.run()
+                    .filter(r -> r.phase() == Run.Phase.RUNNING && !r.stopping() && r.percent() == 100)
+                    .isPresent();
+            if (other != run.item() && !atWork) {
+                away++;
+            }
+        }
+        return away < Math.max(1, bound);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -0,0 +1,173 @@
+package org.basilswitch.schedule;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.basilswitch.event.EventCode;
+
+/**
+ * The hosts and the orders for them: which are being emptied, and which orders are under way.
+ *
+ * <p>An order is sent only well within the duty's lease, and a new holder waits before its first one, so that two
+ * holders never give orders for one host by turns.
+ */
+final class Hosts {
+    private static final Duration LIST_INTERVAL = Duration.ofMillis(400);
+    /** An order's way, including a slow answer, has to end within the duty's lease. */
+    private static final Duration ORDER_MARGIN = Duration.ofMillis(700);
+
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
+
+    private final SchedulerContext context;
+    private final long fence;
+    private final Supplier<Boolean> mayOrder;
+    private final long firstOrderNanos;
+    private Map<String, HostControl.HostView> hosts = Map.of();
+    private Map<String, String> hostOfServer = Map.of();
+    private long listAskedNanos = Long.MIN_VALUE;
+    private boolean listing;
+    private boolean closed;
+    private final Set<String> emptying = new HashSet<>();
+    private final Map<String, OpenOrder> orders = new HashMap<>();
+
+    /** An order that was sent; the host counts as away until a later list shows it up. */
+    private static final class OpenOrder {
+        private final long sentNanos;
+        private boolean answered;
+        private long answeredNanos;
+
+        private OpenOrder(long sentNanos) {
+            this.sentNanos = sentNanos;
+        }
+    }
+
+    Hosts(SchedulerContext context, long fence, java.util.function.Predicate<Duration> heldFor) {
+        this.context = context;
+        this.fence = fence;
+        this.mayOrder = () -> heldFor.test(ORDER_MARGIN);
+        this.firstOrderNanos =
+                context.clock().monotonicNanos() + context.options().hostOrderPause().toNanos();
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Reads the list of hosts again when it is due. */
+    void refresh() {
+        long nowNanos = context.clock().monotonicNanos();
+        if (listing || closed || listAskedNanos != Long.MIN_VALUE && nowNanos - listAskedNanos < LIST_INTERVAL.toNanos()) {
+            return;
+        }
+        listing = true;
+        listAskedNanos = nowNanos;
+        context.hosts().list().thenAccept(result -> {
+            listing = false;
+            result.ifPresent(list -> onList(nowNanos, list));
+        });
+    }
+
+    private void onList(long askedNanos, List<HostControl.HostView> list) {
+        Map<String, HostControl.HostView> next = new LinkedHashMap<>();
+        Map<String, String> byServer = new HashMap<>();
+        for (HostControl.HostView host : list) {
+            next.put(host.name(), host);
+            host.serverId().ifPresent(id -> byServer.put(id, host.name()));
+        }
+        hosts = next;
+        hostOfServer = byServer;
+        orders.entrySet().removeIf(entry -> {
+            HostControl.HostView host = next.get(entry.getKey());
+            OpenOrder order = entry.getValue();
+            boolean listedLater = order.answered && askedNanos > order.answeredNanos;
+            return host == null || listedLater && host.state() == HostControl.HostState.UP;
+        });
+        emptying.removeIf(name -> !next.containsKey(name));
+    }
+
+    boolean known() {
+        return !hosts.isEmpty();
+    }
+
+    Collection<HostControl.HostView> all() {
+        return hosts.values();
+    }
+
+    Optional<HostControl.HostView> find(String name) {
+        return Optional.ofNullable(hosts.get(name));
+    }
+
+    /** The host of a backend server. */
+    Optional<String> hostOf(String serverId) {
+        return Optional.ofNullable(hostOfServer.get(serverId));
+    }
+
+    /** Whether no new work is to be placed on a server, since its host is being emptied or away. */
+    boolean closedToWork(String serverId) {
+        String host = hostOfServer.get(serverId);
+        return host != null && (emptying.contains(host) || orders.containsKey(host));
+    }
+
+    void empty(String host) {
+        emptying.add(host);
+    }
+
+    void reopen(String host) {
+        emptying.remove(host);
+    }
+
+    boolean isEmptying(String host) {
+        return emptying.contains(host);
+    }
+
+    /** Whether an order for a host is under way, or its effect not over. */
+    boolean isOrdered(String host) {
+        return orders.containsKey(host);
+    }
+
+    boolean mayOrder() {
+        return !closed && mayOrder.get() && context.clock().monotonicNanos() >= firstOrderNanos;
+    }
+
+    /** Sends an order for a host whose backend server runs nothing. */
+    CompletionStage<HostControl.HostOrderResult> order(
+            String host, Supplier<CompletionStage<HostControl.HostOrderResult>> call, String what) {
+        OpenOrder order = new OpenOrder(context.clock().monotonicNanos());
+        orders.put(host, order);
+        return call.get().thenApply(result -> {
+            order.answered = true;
+            order.answeredNanos = context.clock().monotonicNanos();
+            context.telemetry()
+                    .event(
+                            result == HostControl.HostOrderResult.DONE
+                                    ? EventCode.HOST_ORDERED
+                                    : EventCode.HOST_ORDER_FAILED,
+                            "host=" + host + " " + what + " result=" + result + " tookMs="
+                                    + (order.answeredNanos - order.sentNanos) / 1_000_000);
+            switch (result) {
+                case DONE -> emptying.remove(host);
+                case NO_ANSWER -> { }
+                default ->
+                    context.timers().schedule(RETRY_PAUSE, () -> {
+                        if (orders.get(host) == order) {
+                            orders.remove(host);
+                        }
+                    });
+            }
+            return result;
+        });
+    }
+
+    long fence() {
+        return fence;
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -56,6 +56,8 @@
     private final RunBook book = new RunBook();
     private final RunKeeper keeper;
     private final ProgressWriter writer;
+    private final Hosts hosts;
+    private final WaveKeeper waves;
     private boolean loaded;
     private boolean roundDue;
     private boolean closed;
@@ -67,6 +69,9 @@
         this.heldFor = heldFor;
         this.onLost = onLost;
         this.keeper = new RunKeeper(context, fence, book, this);
+        this.hosts = new Hosts(context, fence, heldFor);
+        Evacuation evacuation = new Evacuation(context, book, keeper, hosts);
+        this.waves = new WaveKeeper(context, hosts, evacuation);
         this.writer = new ProgressWriter(
                 context.store(), context.keys(), context.timers(), context.telemetry(), fence, this);
     }
@@ -150,6 +155,10 @@
             return;
         }
         keeper.sweep();
+        waves.step();
+        if (waves.active()) {
+            hosts.refresh();
+        }
         changed();
         context.timers().schedule(SWEEP_INTERVAL, this::sweep);
     }
@@ -295,7 +304,8 @@
         return server.view().filter(view -> !view.draining()).isPresent()
                 && !server.over()
                 && server.answeredWithin(ANSWER_AGE, nowNanos)
-                && !server.avoided(nowNanos);
+                && !server.avoided(nowNanos)
+                && !hosts.closedToWork(server.lifetime().serverId());
     }
 
     private Comparator<ActiveJob> order(SiteView view) {
@@ -335,6 +345,7 @@
         if (!closed) {
             closed = true;
             keeper.close();
+            hosts.close();
             writer.close();
             context.servers().stop();
             context.telemetry().event(EventCode.SCHEDULER_STOPPED, "fence=" + fence);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
@@ -19,6 +19,8 @@
  * @param advice advice service
  * @param site newest configuration
  * @param servers newest list of live servers
+ * @param hosts interface for the hosts
+ * @param waves maintenance waves
  * @param telemetry events and counts
  * @param options timeouts and bounds
  */
@@ -31,5 +33,7 @@
         Advice advice,
         Supplier<SiteView> site,
         LiveServers servers,
+        HostControl hosts,
+        WaveRecords waves,
         Telemetry telemetry,
         SchedulerOptions options) {}
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -0,0 +1,243 @@
+package org.basilswitch.schedule;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.store.CommitResult;
+import org.basilswitch.store.Transaction;
+
+/**
+ * Carries out maintenance waves: empties hosts, has them maintained, at most as many at once as the wave allows, and
+ * reports the wave.
+ */
+final class WaveKeeper {
+    private static final Duration READ_INTERVAL = Duration.ofMillis(700);
+    /** Hosts of one pool that are emptied at once, as a part of its hosts that are up. */
+    private static final double EMPTYING_PART = 0.3;
+
+    private final SchedulerContext context;
+    private final Hosts hosts;
+    private final Evacuation evacuation;
+    private final Map<Long, Wave> waves = new HashMap<>();
+    private long readNanos = Long.MIN_VALUE;
+    private boolean reading;
+
+    /** One wave as far as this holder has carried it. */
+    private static final class Wave {
+        private WaveRecords.WaveRequest request;
+        private final long seenNanos;
+        private final Set<String> done = new HashSet<>();
+        private final Set<String> emptying = new HashSet<>();
+        private final Set<String> down = new HashSet<>();
+        private boolean progressRead;
+        private boolean writing;
+        private boolean dirty;
+        private boolean completed;
+
+        private Wave(WaveRecords.WaveRequest request, long seenNanos) {
+            this.request = request;
+            this.seenNanos = seenNanos;
+            this.completed = request.completed();
+            this.dirty = !request.reported();
+        }
+    }
+
+    /** Hosts of a wave that have been maintained; the record in the store. */
+    record WaveProgress(List<String> done) {}
+
+    WaveKeeper(SchedulerContext context, Hosts hosts, Evacuation evacuation) {
+        this.context = context;
+        this.hosts = hosts;
+        this.evacuation = evacuation;
+    }
+
+    /** Whether a wave is to be carried out. */
+    boolean active() {
+        return waves.values().stream().anyMatch(wave -> !wave.completed);
+    }
+
+    /** Whether a host still has its maintenance before it. */
+    boolean awaits(String host) {
+        return waves.values().stream()
+                .anyMatch(wave -> !wave.completed && wave.request.hosts().contains(host) && !wave.done.contains(host));
+    }
+
+    /** Takes the next steps of all waves. */
+    void step() {
+        readWaves();
+        for (Wave wave : waves.values()) {
+            if (!wave.completed && wave.progressRead && hosts.known()) {
+                step(wave);
+            }
+            if (wave.dirty && !wave.writing && wave.progressRead) {
+                write(wave);
+            }
+        }
+    }
+
+    private void readWaves() {
+        long nowNanos = context.clock().monotonicNanos();
+        if (reading || readNanos != Long.MIN_VALUE && nowNanos - readNanos < READ_INTERVAL.toNanos()) {
+            return;
+        }
+        reading = true;
+        readNanos = nowNanos;
+        context.waves().read().thenAccept(result -> {
+            reading = false;
+            result.peek(list -> list.forEach(request -> onRequest(request, nowNanos)));
+        });
+    }
+
+    private void onRequest(WaveRecords.WaveRequest request, long nowNanos) {
+        Wave known = waves.get(request.number());
+        if (known != null) {
+            known.request = request;
+            return;
+        }
+        Wave wave = new Wave(request, nowNanos);
+        waves.put(request.number(), wave);
+        if (!wave.completed) {
+            context.telemetry()
+                    .event(
+                            EventCode.WAVE_STARTED,
+                            "wave=" + request.number() + " hosts=" + request.hosts().size() + " mostDown="
+                                    + request.mostDown() + " durationS="
+                                    + request.duration().toSeconds());
+            readProgress(wave);
+        }
+    }
+
+    private void readProgress(Wave wave) {
+        context.store().get(context.keys().waveProgress(wave.request.number())).thenAccept(result -> {
+            if (result.isLeft()) {
+                context.timers().schedule(READ_INTERVAL, () -> readProgress(wave));
+                return;
+            }
+            result.get()
+                    .flatMap(entry -> RecordCodec.decode(entry.value(), WaveProgress.class))
+                    .ifPresent(progress -> wave.done.addAll(progress.done()));
+            wave.progressRead = true;
+        });
+    }
+
+    private void step(Wave wave) {
+        wave.down.removeIf(host -> !hosts.isOrdered(host));
+        Set<String> left = new HashSet<>();
+        for (String host : wave.request.hosts()) {
+            if (!wave.done.contains(host) && hosts.find(host).isPresent()) {
+                left.add(host);
+            }
+        }
+        if (left.isEmpty() && wave.down.isEmpty()) {
+            wave.completed = true;
+            wave.dirty = true;
+            return;
+        }
+        wave.emptying.retainAll(left);
+        for (String host : new ArrayList<>(wave.emptying)) {
+            if (!hosts.isOrdered(host) && evacuation.empty(host)) {
+                maintain(wave, host);
+            }
+        }
+        int room = wave.request.mostDown() - wave.down.size() - wave.emptying.size();
+        candidates(wave, left).stream().limit(Math.max(0, room)).forEach(host -> {
+            wave.emptying.add(host.name());
+            hosts.empty(host.name());
+        });
+    }
+
+    private List<HostControl.HostView> candidates(Wave wave, Set<String> left) {
+        Map<String, Integer> up = new HashMap<>();
+        Map<String, Integer> away = new HashMap<>();
+        for (HostControl.HostView host : hosts.all()) {
+            boolean away1 = host.state() != HostControl.HostState.UP || hosts.isEmptying(host.name()) || hosts.isOrdered(host.name());
+            up.merge(host.pool(), 1, Integer::sum);
+            away.merge(host.pool(), away1 ? 1 : 0, Integer::sum);
+        }
+        List<HostControl.HostView> found = new ArrayList<>();
+        List<HostControl.HostView> byWork = new ArrayList<>();
+        left.forEach(name -> hosts.find(name).ifPresent(byWork::add));
+        byWork.sort(Comparator.comparingDouble(evacuation::workOn));
+        for (HostControl.HostView host : byWork) {
+            boolean free = host.state() == HostControl.HostState.UP
+                    && !hosts.isEmptying(host.name())
+                    && !hosts.isOrdered(host.name());
+            boolean resting = evacuation.isResting(host);
+            int most = (int) Math.max(1, Math.round(EMPTYING_PART * up.get(host.pool())));
+            if (free && (resting || away.get(host.pool()) < most)) {
+                away.merge(host.pool(), 1, Integer::sum);
+                found.add(host);
+            }
+        }
+        return found;
+    }
+
+    private void maintain(Wave wave, String host) {
+        if (!hosts.mayOrder() || wave.down.size() >= wave.request.mostDown()) {
+            return;
+        }
+        wave.down.add(host);
+        hosts.order(
+                        host,
+                        () -> context.hosts().maintain(host, wave.request.number(), hosts.fence()),
+                        "wave=" + wave.request.number())
+                .thenAccept(result -> {
+                    switch (result) {
+                        case DONE -> markDone(wave, host);
+                        case NOT_IN_WAVE, INVALID -> {
+                            hosts.reopen(host);
+                            wave.done.add(host);
+                        }
+                        case NO_ANSWER ->
+                            // The same order is sent again: it has no second effect.
+                            context.timers().schedule(READ_INTERVAL, () -> {
+                                wave.down.remove(host);
+                                maintain(wave, host);
+                            });
+                        case FENCED, BUSY, TOO_MANY -> wave.down.remove(host);
+                    }
+                });
+    }
+
+    private void markDone(Wave wave, String host) {
+        wave.done.add(host);
+        wave.emptying.remove(host);
+        wave.dirty = true;
+    }
+
+    private void write(Wave wave) {
+        wave.writing = true;
+        wave.dirty = false;
+        boolean completed = wave.completed;
+        Transaction.Builder builder = Transaction.builder()
+                .compare(context.keys().schedulerDuty(), hosts.fence())
+                .put(
+                        context.keys().waveProgress(wave.request.number()),
+                        RecordCodec.encode(new WaveProgress(List.copyOf(wave.done))));
+        context.store()
+                .commit(context.waves()
+                        .writeState(builder, wave.request, completed)
+                        .build())
+                .thenAccept(result -> {
+                    wave.writing = false;
+                    boolean written = result.isRight() && result.get() instanceof CommitResult.Committed;
+                    if (!written) {
+                        wave.dirty = true;
+                    } else if (completed) {
+                        long tookMs = (context.clock().monotonicNanos() - wave.seenNanos) / 1_000_000;
+                        context.telemetry()
+                                .event(
+                                        EventCode.WAVE_COMPLETED,
+                                        "wave=" + wave.request.number() + " tookMs=" + tookMs);
+                    }
+                });
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/StoreKeys.java
@@ -137,4 +137,9 @@
     public String jobProgress(String id) {
         return jobsProgress() + id;
     }
+
+    /** Key of a maintenance wave's progress. */
+    public String waveProgress(long wave) {
+        return "/basilswitch/" + site + "/waves/" + wave;
+    }
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the program of an entry host under target/: its libraries, a runtime with the modules they need, and a class
-# data archive that shortens the start.
+# data archive that shortens the start and is shared by the processes' memory.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . ./src/scripts/find-jdk.sh
@@ -12,3 +12,19 @@
 "$JAVA_HOME/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
   --add-modules java.base,java.logging,java.xml,java.management,java.naming,java.desktop,java.sql,jdk.unsupported
 target/runtime/bin/java -Xshare:dump >/dev/null
+{
+  printf '%s\n' -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto \
+    -XX:SharedArchiveFile=target/basilswitch.jsa $QUIET_OPTIONS
+  printf -- '-cp %s\n' "$(printf '%s\n' target/lib/*.jar | sort | paste -sd:)"
+} > target/java.options
+# The archive holds the classes that a training run on loopback loads.
+BASILSWITCH_SETTINGS=deploy/training.conf
+export BASILSWITCH_SETTINGS
+grep -v SharedArchiveFile target/java.options > target/training.options
+target/runtime/bin/java -XX:ArchiveClassesAtExit=target/basilswitch.jsa @target/training.options \
+  org.basilswitch.platform.PlatformMain > target/training.log 2>&1 &
+training=$!
+sleep 2
+kill -TERM "$training"
+wait "$training" || true
+[ -s target/basilswitch.jsa ] || { echo "build: the class data archive was not written, see target/training.log" >&2; exit 1; }
