Keep jobs that are accepted while a new scheduler reads the store

Ruled out: a lost commit, a lapsed lease. Change: they are kept and added after the load. The archive's base is dumped with the options of the run, which had disabled a part of it.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -58,6 +58,8 @@
     private final ProgressWriter writer;
     private final Hosts hosts;
     private final WaveKeeper waves;
+    private final List<JobSubmission> acceptedWhileLoading = new ArrayList<>();
+    private final List<String> cancelledWhileLoading = new ArrayList<>();
     private boolean loaded;
     private boolean roundDue;
     private boolean closed;
@@ -143,6 +145,8 @@
             }
         });
         loaded = true;
+        acceptedWhileLoading.forEach(this::accepted);
+        cancelledWhileLoading.forEach(this::cancelled);
         context.telemetry()
                 .event(EventCode.SCHEDULER_STARTED, "fence=" + fence + " jobs=" + jobs.size() + " ended=" + ended.size());
         context.servers().start(() -> keeper.onServers(context.servers().servers()));
@@ -170,7 +174,11 @@
 
     /** Adds a job that has been accepted. */
     public void accepted(JobSubmission submission) {
-        if (!loaded || closed || ended.containsKey(submission.id()) || jobs.containsKey(submission.id())) {
+        if (!loaded && !closed) {
+            acceptedWhileLoading.add(submission);
+            return;
+        }
+        if (closed || ended.containsKey(submission.id()) || jobs.containsKey(submission.id())) {
             return;
         }
         jobs.put(submission.id(), new ActiveJob(submission));
@@ -179,6 +187,9 @@
 
     /** Stops a job whose cancellation is stored. */
     public void cancelled(String id) {
+        if (!loaded) {
+            cancelledWhileLoading.add(id);
+        }
         job(id).ifPresent(this::onCancelled);
     }
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,16 +11,16 @@
 cp platform/target/basilswitch-platform-*.jar target/lib/
 "$JAVA_HOME/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
   --add-modules java.base,java.logging,java.xml,java.management,java.naming,java.desktop,java.sql,jdk.unsupported
-target/runtime/bin/java -Xshare:dump >/dev/null
 {
   printf '%s\n' -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:SharedArchiveFile=target/basilswitch.jsa $QUIET_OPTIONS
   printf -- '-cp %s\n' "$(printf '%s\n' target/lib/*.jar | sort | paste -sd:)"
 } > target/java.options
+grep -v SharedArchiveFile target/java.options > target/training.options
+target/runtime/bin/java @target/training.options -Xshare:dump >/dev/null
 # The archive holds the classes that a training run on loopback loads.
 BASILSWITCH_SETTINGS=deploy/training.conf
 export BASILSWITCH_SETTINGS
-grep -v SharedArchiveFile target/java.options > target/training.options
 target/runtime/bin/java -XX:ArchiveClassesAtExit=target/basilswitch.jsa @target/training.options \
   org.basilswitch.platform.PlatformMain > target/training.log 2>&1 &
 training=$!
