--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -90,7 +90,7 @@
         }
         reading = true;
         readNanos = nowNanos;
-        context.waves().read().thenAccept(result -> {
+        context.waves().readWaves().thenAccept(result -> {
             reading = false;
             result.peek(list -> list.forEach(request -> onRequest(request, nowNanos)));
         });
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveRecords.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveRecords.java
@@ -12,7 +12,7 @@
 public interface WaveRecords {
 
     /** Reads all waves. */
-    CompletionStage<Either<StoreError, List<WaveRequest>>> read();
+    CompletionStage<Either<StoreError, List<WaveRequest>>> readWaves();
 
     /** Adds the write of a wave's state to a transaction. */
     Transaction.Builder writeState(Transaction.Builder transaction, WaveRequest wave, boolean completed);
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -0,0 +1,207 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.BackendServer;
+import org.basilswitch.schedule.ServerOrders;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
+
+/** One lifetime of a backend server: its runs, their lease, its ends and the highest fencing number it has seen. */
+public final class ServerModel {
+    private static final Duration STOP_TIME = Duration.ofMillis(50);
+
+    private final BackendServer entry;
+    private final FleetModel fleet;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final long bornNanos;
+    private final Map<ItemId, Running> running = new LinkedHashMap<>();
+    private final Map<ItemId, Integer> highestEnded = new HashMap<>();
+    private final List<ServerOrders.EndRow> ends = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private long highestFence;
+    private long nextEnd = 1;
+    private long leaseEndMs;
+    private boolean dead;
+
+    private static final class Running {
+        private final int run;
+        private final StepSpec spec;
+        private boolean stopping;
+
+        private Running(int run, StepSpec spec) {
+            this.run = run;
+            this.spec = spec;
+        }
+    }
+
+    ServerModel(BackendServer entry, FleetModel fleet, Clock clock, Scheduler scheduler) {
+        this.entry = entry;
+        this.fleet = fleet;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.bornNanos = clock.monotonicNanos();
+    }
+
+    /** Its entry in the list of live servers. */
+    public BackendServer entry() {
+        return entry;
+    }
+
+    long clockMs() {
+        return Duration.ofNanos(clock.monotonicNanos() - bornNanos).toMillis();
+    }
+
+    /** Number of runs at work. */
+    public int runs() {
+        return running.size();
+    }
+
+    /** Ends everything at once, as a crash does. */
+    void crash() {
+        dead = true;
+        new ArrayList<>(running.keySet()).forEach(item -> {
+            fleet.rules().gone(item, running.get(item).run, entry.id());
+            running.remove(item);
+        });
+        wakeAll();
+    }
+
+    private Resources used() {
+        return running.values().stream().map(r -> r.spec.reserved()).reduce(Resources.NONE, Resources::plus);
+    }
+
+    ServerOrders.OrderResult start(long fence, ServerOrders.StartOrder order) {
+        Optional<ServerOrders.OrderResult> refused = refusal(fence);
+        if (refused.isPresent()) {
+            return refused.get();
+        }
+        Running known = running.get(order.item());
+        if (known != null && known.run == order.run()) {
+            return new ServerOrders.Done();
+        }
+        if (order.run() <= highestEnded.getOrDefault(order.item(), 0)) {
+            return new ServerOrders.Rejected(ServerOrders.Reason.OLD_RUN);
+        }
+        if (order.leaseEndMs() <= clockMs()) {
+            return new ServerOrders.Rejected(ServerOrders.Reason.LEASE_PASSED);
+        }
+        Optional<StepSpec> spec = fleet.step(order.item());
+        if (spec.isEmpty()) {
+            fleet.rules().unasked(order.item());
+            return new ServerOrders.Rejected(ServerOrders.Reason.INVALID);
+        }
+        extend(order.leaseEndMs());
+        if (!used().plus(spec.get().reserved()).fitsInto(entry.capacity())) {
+            return new ServerOrders.Rejected(ServerOrders.Reason.NO_ROOM);
+        }
+        running.put(order.item(), new Running(order.run(), spec.get()));
+        fleet.rules().started(order.item(), order.run(), entry);
+        if (!spec.get().longRunning()) {
+            Duration work = fleet.workTime(order.item(), entry);
+            scheduler.schedule(work, () -> {
+                boolean failed = fleet.fails(order.item(), order.run(), entry);
+                end(order.item(), order.run(), failed ? ServerOrders.EndKind.FAILED : ServerOrders.EndKind.DONE);
+            });
+        }
+        return new ServerOrders.Done();
+    }
+
+    ServerOrders.OrderResult stop(long fence, ItemId item, int run) {
+        Optional<ServerOrders.OrderResult> refused = refusal(fence);
+        if (refused.isPresent()) {
+            return refused.get();
+        }
+        highestEnded.merge(item, run, Math::max);
+        Running known = running.get(item);
+        if (known != null && known.run == run && !known.stopping) {
+            known.stopping = true;
+            scheduler.schedule(STOP_TIME, () -> end(item, run, ServerOrders.EndKind.STOPPED));
+        }
+        return new ServerOrders.Done();
+    }
+
+    private Optional<ServerOrders.OrderResult> refusal(long fence) {
+        if (fence < highestFence) {
+            return Optional.of(new ServerOrders.Rejected(ServerOrders.Reason.FENCED));
+        }
+        highestFence = fence;
+        return Optional.empty();
+    }
+
+    private void extend(long untilMs) {
+        if (untilMs > leaseEndMs) {
+            leaseEndMs = untilMs;
+            long left = leaseEndMs - clockMs();
+            scheduler.schedule(Duration.ofMillis(left + 1), this::lapse);
+        }
+    }
+
+    private void lapse() {
+        if (clockMs() >= leaseEndMs) {
+            new ArrayList<>(running.entrySet())
+                    .forEach(entryOf -> end(entryOf.getKey(), entryOf.getValue().run, ServerOrders.EndKind.LAPSED));
+        }
+    }
+
+    private void end(ItemId item, int run, ServerOrders.EndKind kind) {
+        Running known = running.get(item);
+        if (dead || known == null || known.run != run) {
+            return;
+        }
+        running.remove(item);
+        highestEnded.merge(item, run, Math::max);
+        ends.add(new ServerOrders.EndRow(nextEnd++, item, run, kind, ""));
+        fleet.rules().ended(item, run, entry, kind);
+        wakeAll();
+    }
+
+    private void wakeAll() {
+        List<Runnable> woken = new ArrayList<>(waiting);
+        waiting.clear();
+        woken.forEach(Runnable::run);
+    }
+
+    /** Handles a hold and passes its answer on, at the latest after the wait that the order allows. */
+    void hold(long fence, ServerOrders.HoldOrder order, java.util.function.Consumer<ServerOrders.HoldResult> answer) {
+        if (fence < highestFence) {
+            answer.accept(new ServerOrders.HoldRejected(ServerOrders.Reason.FENCED));
+            return;
+        }
+        highestFence = fence;
+        order.leaseEndMs().ifPresent(this::extend);
+        ends.removeIf(end -> end.number() <= order.acknowledgedEnd());
+        if (!ends.isEmpty() || order.longestWait().isZero()) {
+            answer.accept(report());
+            return;
+        }
+        boolean[] answered = {false};
+        Runnable once = () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                answer.accept(report());
+            }
+        };
+        waiting.add(once);
+        scheduler.schedule(order.longestWait(), () -> {
+            waiting.remove(once);
+            once.run();
+        });
+    }
+
+    private ServerOrders.HoldResult report() {
+        List<ServerOrders.RunningRow> rows = new ArrayList<>();
+        running.forEach((item, r) -> rows.add(new ServerOrders.RunningRow(item, r.run, "", 100, 0)));
+        return new ServerOrders.Report(entry.bornMs(), clockMs(), rows, List.copyOf(ends));
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -0,0 +1,225 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.Telemetry;
+import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.JobCall;
+import org.basilswitch.intake.JobNode;
+import org.basilswitch.intake.SchedulerLink;
+import org.basilswitch.job.JobPool;
+import org.basilswitch.job.JobQueue;
+import org.basilswitch.job.JobSite;
+import org.basilswitch.job.JobState;
+import org.basilswitch.job.JobSubmission;
+import org.basilswitch.job.JobTeam;
+import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.SchedulerOptions;
+import org.basilswitch.store.MemoryStore;
+import org.basilswitch.store.MemoryStoreClient;
+import org.basilswitch.store.StoreKeys;
+import org.basilswitch.store.Transaction;
+import org.basilswitch.time.VirtualTime;
+
+/** Entry hosts, a store and backend servers in one process, on a virtual clock. */
+final class JobFleet {
+    static final String KEY = "key-of-team";
+    static final String POOL = "pool";
+    static final Resources ROOM = new Resources(64_000, 262_144, 0);
+
+    final VirtualTime time = VirtualTime.create();
+    final MemoryStore store = MemoryStore.create(time, time);
+    final FleetModel fleet = FleetModel.create(time, time);
+    final List<JobNode> nodes = new ArrayList<>();
+    final List<MemoryStoreClient> clients = new ArrayList<>();
+    final List<String> events = new ArrayList<>();
+    private final Map<String, JobNode> byAddress = new HashMap<>();
+    private final Set<JobNode> killed = new HashSet<>();
+    private JobSite site;
+
+    JobFleet() {
+        configure(new Resources(0, 0, 0), 3);
+    }
+
+    /** Stores a configuration with one queue, one team and two pools. */
+    void configure(Resources teamLimit, int maxAttempts) {
+        long version = site == null ? 1 : site.version() + 1;
+        site = JobSite.of(
+                version,
+                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, maxAttempts, 1.6, false, false)),
+                List.of(new JobTeam("team", Set.of(KEY), 1, teamLimit)),
+                List.of(new JobPool(POOL, true, false), new JobPool("standby", true, true)),
+                16384,
+                262144);
+        store.commit(Transaction.builder().put("config", RecordCodec.encode(site)).build());
+    }
+
+    void addServers(int count) {
+        for (int i = 0; i < count; i++) {
+            fleet.addServer("s" + i, POOL, ROOM, "rack-" + i / 4);
+        }
+    }
+
+    JobNode addNode() {
+        String address = "node:" + nodes.size();
+        MemoryStoreClient client = MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(nodes.size()));
+        JobNode node = JobNode.start(new JobNode.Parts(
+                address,
+                time,
+                time,
+                client,
+                new StoreKeys("test"),
+                "config",
+                bytes -> RecordCodec.decode(bytes, JobSite.class),
+                fleet,
+                fleet.orders(),
+                (step, servers) -> CompletableFuture.completedFuture(Optional.empty()),
+                fleet,
+                fleet,
+                new Link(),
+                new Recorder(),
+                SchedulerOptions.within(Duration.ofSeconds(10), Duration.ofSeconds(3)),
+                Duration.ofSeconds(4)));
+        nodes.add(node);
+        clients.add(client);
+        byAddress.put(address, node);
+        return node;
+    }
+
+    /** Ends an entry host without a word, as SIGKILL does. */
+    void kill(JobNode node) {
+        int index = nodes.indexOf(node);
+        clients.get(index).setReachable(false);
+        killed.add(node);
+    }
+
+    JobNode holder() {
+        return nodes.stream()
+                .filter(node -> !killed.contains(node) && node.scheduler().isPresent())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    void run(long ms) {
+        time.runFor(Duration.ofMillis(ms));
+    }
+
+    static StepSpec step(int count, long cpuMillis, long ms, Integer... after) {
+        return new StepSpec(
+                count,
+                new Resources(cpuMillis, 1000, 0),
+                ms,
+                List.of(after),
+                false,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                false,
+                null,
+                0,
+                false,
+                0);
+    }
+
+    static StepSpec longRunning(int count, long cpuMillis, int maxUnavailable) {
+        return new StepSpec(
+                count,
+                new Resources(cpuMillis, 1000, 0),
+                0,
+                List.of(),
+                false,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                true,
+                null,
+                0,
+                false,
+                maxUnavailable);
+    }
+
+    CompletionStage<JobAnswer> submit(JobNode node, String id, StepSpec... steps) {
+        fleet.register(new JobSubmission(id, "queue", "team", "spec", List.of(steps), null, 0));
+        return node.service().answer(call(id, new JobCall.Submit("spec", List.of(steps), Optional.empty())));
+    }
+
+    CompletionStage<JobAnswer> query(JobNode node, String id) {
+        return node.service().answer(call(id, new JobCall.Query()));
+    }
+
+    CompletionStage<JobAnswer> cancel(JobNode node, String id) {
+        return node.service().answer(call(id, new JobCall.Cancel()));
+    }
+
+    static JobCall call(String id, JobCall.Action action) {
+        return new JobCall("host", "/q/" + id, Optional.of(KEY), Duration.ofSeconds(3), action);
+    }
+
+    /** The answer of a call, after some time. */
+    JobAnswer after(long ms, CompletionStage<JobAnswer> answer) {
+        run(ms);
+        return answer.toCompletableFuture().getNow(null);
+    }
+
+    static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    private final class Link implements SchedulerLink {
+        @Override
+        public CompletionStage<Optional<JobState>> state(String holder, String id) {
+            JobNode node = byAddress.get(holder);
+            return CompletableFuture.completedFuture(killed.contains(node) ? Optional.empty() : node.peerState(id));
+        }
+
+        @Override
+        public CompletionStage<Optional<Long>> pending(String holder, String queue) {
+            JobNode node = byAddress.get(holder);
+            return CompletableFuture.completedFuture(node.scheduler().map(s -> s.pending(queue)));
+        }
+
+        @Override
+        public void accepted(String holder, JobSubmission submission) {
+            if (!killed.contains(byAddress.get(holder))) {
+                byAddress.get(holder).peerAccepted(submission);
+            }
+        }
+
+        @Override
+        public void cancelled(String holder, String id) {
+            if (!killed.contains(byAddress.get(holder))) {
+                byAddress.get(holder).peerCancelled(id);
+            }
+        }
+    }
+
+    private final class Recorder implements Telemetry {
+        @Override
+        public void event(EventCode code, String detail) {
+            events.add(time.monotonicNanos() / 1_000_000 + " " + code + " " + detail);
+        }
+
+        @Override
+        public void count(CounterCode counter, String tag) {}
+    }
+}
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -0,0 +1,243 @@
+package org.basilswitch.standin.jobs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.JobNode;
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobState;
+import org.basilswitch.job.Resources;
+import org.basilswitch.schedule.WaveRecords;
+import org.testng.annotations.Test;
+
+public final class JobSchedulerTest {
+
+    private static JobFleet fleet(int nodes, int servers) {
+        JobFleet fleet = new JobFleet();
+        fleet.addServers(servers);
+        for (int i = 0; i < nodes; i++) {
+            fleet.addNode();
+        }
+        fleet.run(2000);
+        return fleet;
+    }
+
+    private static void assertRulesKept(JobFleet fleet) {
+        assertEquals(fleet.fleet.rules().violations(), List.of(), String.join("\n", fleet.events));
+    }
+
+    private static JobState state(JobFleet fleet, JobNode node, String id) {
+        JobAnswer answer = fleet.after(500, fleet.query(node, id));
+        return ((JobAnswer.State) answer).state();
+    }
+
+    @Test
+    public void runsTheStepsOfAJobInOrder() {
+        JobFleet fleet = fleet(3, 4);
+        String id = JobFleet.id(1);
+        JobAnswer answer = fleet.after(
+                200, fleet.submit(fleet.nodes.get(1), id, JobFleet.step(6, 3500, 800), JobFleet.step(4, 2000, 500, 0)));
+        assertEquals(answer, new JobAnswer.Accepted());
+        assertEquals(state(fleet, fleet.nodes.get(2), id), JobState.RUNNING);
+        fleet.run(1500);
+        assertEquals(state(fleet, fleet.nodes.get(2), id), JobState.COMPLETED);
+        assertEquals(fleet.fleet.rules().starts(), 10);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aJobHandedInTwiceIsOneJob() {
+        JobFleet fleet = fleet(2, 2);
+        String id = JobFleet.id(1);
+        fleet.after(100, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(2, 1000, 300)));
+        JobAnswer again = fleet.after(100, fleet.submit(fleet.nodes.get(1), id, JobFleet.step(2, 1000, 300)));
+        assertEquals(again, new JobAnswer.Accepted());
+        fleet.run(3000);
+        assertEquals(fleet.fleet.rules().starts(), 2);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aHolderThatIsKilledIsReplacedAndItsWorkIsKept() {
+        JobFleet fleet = fleet(3, 4);
+        String id = JobFleet.id(1);
+        JobNode holder = fleet.holder();
+        fleet.after(300, fleet.submit(holder, id, JobFleet.step(6, 3500, 6000), JobFleet.step(2, 2000, 100, 0)));
+        fleet.kill(holder);
+        fleet.run(3500);
+        assertTrue(fleet.holder() != holder);
+        fleet.run(6000);
+        assertEquals(state(fleet, fleet.holder(), id), JobState.COMPLETED);
+        assertEquals(fleet.fleet.rules().starts(), 8, "no run was lost");
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aJobAcceptedWhileTheNextSchedulerLoadsIsRun() {
+        JobFleet fleet = fleet(3, 4);
+        JobNode holder = fleet.holder();
+        JobNode other = fleet.nodes.stream().filter(node -> node != holder).findFirst().orElseThrow();
+        fleet.clients.forEach(client -> client.setOneWayDelay(Duration.ofMillis(60)));
+        fleet.kill(holder);
+        for (int i = 1; i <= 40; i++) {
+            fleet.after(100, fleet.submit(other, JobFleet.id(i), JobFleet.step(1, 1000, 100)));
+        }
+        fleet.run(8000);
+        for (int i = 1; i <= 40; i++) {
+            assertEquals(state(fleet, other, JobFleet.id(i)), JobState.COMPLETED, "job " + i);
+        }
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void workOnAServerThatIsCutOffIsStartedElsewhereOnlyAfterItsLease() {
+        JobFleet fleet = fleet(2, 2);
+        String id = JobFleet.id(1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(8, 8000, 3000)));
+        fleet.fleet.setSilent("s0", true);
+        fleet.run(12_000);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
+        fleet.fleet.setSilent("s0", false);
+        fleet.run(3000);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aStartCarriedOutLateIsBarredBeforeTheWorkIsStartedElsewhere() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.fleet.loseNextStart("s0");
+        fleet.fleet.loseNextStart("s1");
+        String id = JobFleet.id(1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 8000, 4000)));
+        fleet.run(15_000);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aCancelledJobIsStoppedAndNeverStartedAgain() {
+        JobFleet fleet = fleet(3, 2);
+        String id = JobFleet.id(1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 8000, 4000), JobFleet.step(4, 8000, 10, 0)));
+        JobAnswer answer = fleet.after(50, fleet.cancel(fleet.nodes.get(2), id));
+        assertEquals(answer, new JobAnswer.Cancelled());
+        fleet.fleet.rules().jobCancelled(id);
+        fleet.run(1000);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.CANCELLED);
+        assertEquals(fleet.fleet.server("s0").runs() + fleet.fleet.server("s1").runs(), 0);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aJobFailsAfterTheAttemptsOfItsQueue() {
+        JobFleet fleet = fleet(2, 3);
+        String id = JobFleet.id(1);
+        fleet.fleet.setFailing((item, run, server) -> item.index() == 1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(3, 1000, 200)));
+        fleet.run(4000);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.FAILED);
+        assertEquals(fleet.fleet.rules().failures(new ItemId(id, 0, 0, 1)), 3);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aTeamNeverRunsMoreThanItsLimit() {
+        JobFleet fleet = fleet(2, 4);
+        fleet.configure(new Resources(10_000, 0, 0), 3);
+        fleet.run(1000);
+        fleet.after(100, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(10, 4000, 500)));
+        for (int i = 0; i < 60; i++) {
+            fleet.run(50);
+            int runs = 0;
+            for (int s = 0; s < 4; s++) {
+                runs += fleet.fleet.server("s" + s).runs();
+            }
+            assertTrue(runs <= 2, runs + " runs of 4 cores under a limit of 10 cores");
+        }
+        fleet.run(1000);
+        assertEquals(state(fleet, fleet.nodes.get(1), JobFleet.id(1)), JobState.COMPLETED);
+    }
+
+    @Test
+    public void anEntryHostCutOffFromTheStoreGivesTheDutyAway() {
+        JobFleet fleet = fleet(3, 4);
+        JobNode holder = fleet.holder();
+        fleet.after(300, fleet.submit(holder, JobFleet.id(1), JobFleet.step(12, 3500, 2000)));
+        fleet.clients.get(fleet.nodes.indexOf(holder)).setReachable(false);
+        fleet.run(4000);
+        JobNode other = fleet.nodes.stream()
+                .filter(node -> node != holder && node.scheduler().isPresent())
+                .findFirst()
+                .orElseThrow();
+        fleet.after(100, fleet.submit(other, JobFleet.id(2), JobFleet.step(12, 3500, 500)));
+        fleet.run(2000);
+        fleet.clients.get(fleet.nodes.indexOf(holder)).setReachable(true);
+        fleet.run(4000);
+        assertEquals(state(fleet, holder, JobFleet.id(1)), JobState.COMPLETED);
+        assertEquals(state(fleet, holder, JobFleet.id(2)), JobState.COMPLETED);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void lostAnswersOfTheStoreCostNoWorkAndRunNothingTwice() {
+        JobFleet fleet = fleet(3, 4);
+        fleet.clients.forEach(client -> client.setLostAnswerRatio(0.3));
+        for (int i = 1; i <= 20; i++) {
+            fleet.run(200);
+            fleet.submit(fleet.nodes.get(i % 3), JobFleet.id(i), JobFleet.step(4, 3500, 300), JobFleet.step(2, 3500, 300, 0));
+        }
+        fleet.run(5000);
+        fleet.clients.forEach(client -> client.setLostAnswerRatio(0));
+        fleet.run(15_000);
+        for (int i = 1; i <= 20; i++) {
+            JobAnswer answer = fleet.after(500, fleet.query(fleet.nodes.get(0), JobFleet.id(i)));
+            assertEquals(answer, new JobAnswer.State(JobState.COMPLETED), "job " + i);
+        }
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void aServerThatStartsAgainUnderItsIdentifierRunsNothingOfBefore() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(8, 8000, 2000)));
+        fleet.fleet.restart("s0");
+        fleet.run(6000);
+        assertEquals(state(fleet, fleet.nodes.get(1), JobFleet.id(1)), JobState.COMPLETED);
+        assertRulesKept(fleet);
+    }
+
+    @Test
+    public void noWorkIsStartedOnADrainingServer() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.fleet.drain("s0");
+        fleet.run(1000);
+        fleet.after(400, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(4, 8000, 1000)));
+        assertEquals(fleet.fleet.server("s0").runs(), 0);
+        assertEquals(fleet.fleet.server("s1").runs(), 4);
+    }
+
+    @Test
+    public void aWaveMaintainsEveryHostWithinItsBoundAndKeepsLongRunningWork() {
+        JobFleet fleet = fleet(2, 8);
+        fleet.after(500, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.longRunning(5, 6000, 1)));
+        List<String> hosts = List.of("host-s0", "host-s1", "host-s2", "host-s3", "host-s4", "host-s5");
+        fleet.fleet.addWave(new WaveRecords.WaveRequest(1, hosts, Duration.ofSeconds(26), 2, false, false));
+        int fewest = 5;
+        for (int i = 0; i < 400; i++) {
+            fleet.run(50);
+            int atWork = 0;
+            for (int k = 0; k < 5; k++) {
+                atWork += fleet.fleet.rules().isAtWork(new ItemId(JobFleet.id(1), 0, 0, k)) ? 1 : 0;
+            }
+            fewest = Math.min(fewest, atWork);
+        }
+        assertEquals(fleet.fleet.maintained().size(), 6, String.join("\n", fleet.events));
+        assertTrue(fleet.fleet.mostDown() <= 2, "down at once: " + fleet.fleet.mostDown());
+        assertTrue(fewest >= 4, "long-running work items at work: " + fewest);
+        assertRulesKept(fleet);
+    }
+}
