--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -66,7 +66,7 @@
     WAVE_STARTED(1919, Severity.INFO, "maintenance wave started"),
     HOST_ORDER_FAILED(1920, Severity.WARN, "order for a host was not carried out"),
     HOST_ORDERED(1921, Severity.INFO, "host ordered to move or to be maintained"),
-    CALL_ANSWERED(1922, Severity.DEBUG, "call answered"),
+    PACE_FAILED(1922, Severity.INFO, "pace of a work item could not be set; trying again"),
     CALL_REFUSED(1923, Severity.INFO, "call refused"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceBook.java
@@ -0,0 +1,76 @@
+package org.basilswitch.schedule;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Tickets of the advice service for the steps that need them. */
+final class AdviceBook {
+    /** The service answers one call of a host after the other. */
+    private static final int MOST_CALLS = 3;
+    /** The service takes time for each server it is asked about. */
+    private static final int MOST_SERVERS = 30;
+    /** Part of a ticket's validity that the record and the start take. */
+    private static final Duration START_TIME = Duration.ofMillis(600);
+
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
+
+    private final SchedulerContext context;
+    private final Runnable changed;
+    private final Map<String, Tickets> byStep = new HashMap<>();
+    private final Set<String> asking = new HashSet<>();
+    private final Map<String, Long> pausedUntilNanos = new HashMap<>();
+
+    private record Tickets(Map<String, String> byServer, long untilNanos) {}
+
+    AdviceBook(SchedulerContext context, Runnable changed) {
+        this.context = context;
+        this.changed = changed;
+    }
+
+    /** The ticket for a step on a server, if there is one that is valid for long enough. */
+    Optional<String> ticket(String step, String serverId) {
+        Tickets tickets = byStep.get(step);
+        boolean valid = tickets != null && context.clock().monotonicNanos() < tickets.untilNanos();
+        return valid ? Optional.ofNullable(tickets.byServer().get(serverId)) : Optional.empty();
+    }
+
+    /** Asks for a step's tickets unless they are there or on their way. */
+    void request(String step, List<ServerState> servers) {
+        long nowNanos = context.clock().monotonicNanos();
+        Tickets tickets = byStep.get(step);
+        boolean valid = tickets != null && nowNanos < tickets.untilNanos();
+        boolean paused = pausedUntilNanos.getOrDefault(step, Long.MIN_VALUE) > nowNanos;
+        if (valid || paused || asking.contains(step) || asking.size() >= MOST_CALLS || servers.isEmpty()) {
+            return;
+        }
+        List<String> ids = servers.stream()
+                .sorted(Comparator.comparingLong(server -> -server.free().cpuMillis()))
+                .limit(MOST_SERVERS)
+                .map(server -> server.lifetime().serverId())
+                .toList();
+        asking.add(step);
+        context.advice().ask(step, ids).thenAccept(answer -> {
+            asking.remove(step);
+            long answeredNanos = context.clock().monotonicNanos();
+            if (answer.isPresent()) {
+                long validNanos = answer.get().validity().minus(START_TIME).toNanos();
+                byStep.put(step, new Tickets(answer.get().tickets(), nowNanos + validNanos));
+            } else {
+                pausedUntilNanos.put(step, answeredNanos + RETRY_PAUSE.toNanos());
+            }
+            changed.run();
+        });
+    }
+
+    /** Forgets the tickets of a job. */
+    void forget(String job) {
+        byStep.keySet().removeIf(step -> step.startsWith(job + "."));
+        pausedUntilNanos.keySet().removeIf(step -> step.startsWith(job + "."));
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
@@ -11,6 +11,8 @@
 final class HoldLoop {
     /** A server with runs answers at the latest after this time, so that a lease is renewed several times. */
     private static final Duration LONGEST_WAIT = Duration.ofMillis(900);
+    /** Where work that fills may disturb work that serves, a report comes as often as response times are measured. */
+    private static final Duration SHARED_WAIT = Duration.ofMillis(500);
     /** Ends that come within this time are fetched by one call. */
     private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(40);
 
@@ -82,7 +84,8 @@
         again = false;
         server = state.view().orElse(server);
         long sentNanos = clock.monotonicNanos();
-        Duration wait = state.runs().isEmpty() || !state.answeredWithin(lease, sentNanos) ? Duration.ZERO : LONGEST_WAIT;
+        Duration wait = state.runs().isEmpty() || !state.answeredWithin(lease, sentNanos) ? Duration.ZERO
+                : PaceController.isShared(state) ? SHARED_WAIT : LONGEST_WAIT;
         // After a lost answer the lease is not extended, so that it is known to end while the server stays silent.
         // A holder whose duty has lapsed does not extend it either: the next one waits for it to end.
         Optional<Long> leaseEnd = lost || !mayExtend.getAsBoolean() ? Optional.empty() : state.leaseEnd(lease, sentNanos);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -57,6 +57,7 @@
     private final PoolBalancer balancer;
     private final DurationModel durations = DurationModel.create();
     private final JobOrder order;
+    private final AdviceBook advice;
     private final List<JobSubmission> acceptedWhileLoading = new ArrayList<>();
     private final List<String> cancelledWhileLoading = new ArrayList<>();
     private boolean loaded;
@@ -70,6 +71,7 @@
         this.heldFor = heldFor;
         this.onLost = onLost;
         this.keeper = new RunKeeper(context, fence, book, this);
+        this.advice = new AdviceBook(context, this::changed);
         this.order = new JobOrder(context, durations);
         this.hosts = new Hosts(context, fence, heldFor);
         Evacuation evacuation = new Evacuation(context, book, keeper, hosts);
@@ -228,6 +230,11 @@
         durations.add(item.job().submission().queue(), item.spec().estimateMs(), tookMs);
     }
 
+    @Override
+    public Optional<String> ticket(Run run) {
+        return advice.ticket(run.id().stepName(), run.lifetime().serverId());
+    }
+
     @Override
     public boolean holdsDuty() {
         return !closed && heldFor.test(Duration.ZERO);
@@ -277,6 +284,7 @@
     public void onWritten(ActiveJob job) {
         if (job.ended()) {
             jobs.remove(job.id());
+            advice.forget(job.id());
             ended.put(job.id(), job.state());
             context.telemetry().count(CounterCode.JOBS_ENDED, job.state().name());
             context.telemetry().event(EventCode.JOB_ENDED, "job=" + job.id() + " state=" + job.state());
@@ -295,7 +303,7 @@
         if (mayOrder() && context.servers().confirmedWithin(SERVER_LIST_AGE)) {
             long nowNanos = context.clock().monotonicNanos();
             List<ActiveJob> inOrder = order.of(jobs.values(), cores(nowNanos));
-            new PlacementRound(view.site(), book, server -> usable(server, nowNanos), this::begin).place(inOrder);
+            new PlacementRound(view.site(), book, advice, server -> usable(server, nowNanos), this::begin).place(inOrder);
         }
         for (ActiveJob job : jobs.values()) {
             boolean settled = job.state().isFinal() && job.items().stream().allMatch(item -> item.run().isEmpty());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -20,15 +20,19 @@
 final class PlacementRound {
     private final JobSite site;
     private final RunBook book;
-    private final Predicate<ServerState> usable;
+    private final AdviceBook advice;
     private final BiConsumer<WorkItem, ServerState> start;
     private final Map<String, List<ServerState>> byPool = new HashMap<>();
 
     PlacementRound(
-            JobSite site, RunBook book, Predicate<ServerState> usable, BiConsumer<WorkItem, ServerState> start) {
+            JobSite site,
+            RunBook book,
+            AdviceBook advice,
+            Predicate<ServerState> usable,
+            BiConsumer<WorkItem, ServerState> start) {
+        this.advice = advice;
         this.site = site;
         this.book = book;
-        this.usable = usable;
         this.start = start;
         for (ServerState state : book.servers()) {
             if (state.view().isPresent() && usable.test(state)) {
@@ -44,11 +48,26 @@
             JobQueue queue = site.queues().get(job.submission().queue());
             if (queue != null && job.isOpen()) {
                 List<ServerState> servers = byPool.getOrDefault(queue.pool(), List.of());
-                job.forEachReadyStep(step -> place(job, step, servers));
+                job.forEachReadyStep(step -> place(job, step, advised(queue, step, servers)));
             }
         }
     }
 
+    /** The servers that may run a step; where the queue needs advice, those that there is a ticket for. */
+    private List<ServerState> advised(JobQueue queue, List<WorkItem> step, List<ServerState> servers) {
+        if (!queue.adviceRequired() || step.stream().noneMatch(WorkItem::waiting)) {
+            return servers;
+        }
+        String name = step.get(0).id().stepName();
+        List<ServerState> able = servers.stream()
+                .filter(server -> allowed(step.get(0), server))
+                .toList();
+        advice.request(name, able);
+        return able.stream()
+                .filter(server -> advice.ticket(name, server.lifetime().serverId()).isPresent())
+                .toList();
+    }
+
     private void place(ActiveJob job, List<WorkItem> step, List<ServerState> servers) {
         StepSpec spec = step.get(0).spec();
         if (spec.gang()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -27,11 +27,15 @@
     /** Failed runs in a row, on any work items, after which a server is avoided for some time. */
     private static final int FAILURES_TO_AVOID = 2;
 
+    /** Pace of a run after an order without an answer; any new pace differs from it. */
+    private static final int UNKNOWN_PACE = 99;
+
     private final SchedulerContext context;
     private final long fence;
     private final RunBook book;
     private final Owner owner;
     private final Map<BackendServer.Lifetime, HoldLoop> loops = new HashMap<>();
+    private final PaceController pace = new PaceController();
     private boolean closed;
 
     /** The scheduler that the runs belong to. */
@@ -45,6 +49,9 @@
         /** A run has ended well after some time, ms. */
         void ranToEnd(WorkItem item, double tookMs);
 
+        /** The advice service's ticket for a run, where its queue needs one. */
+        Optional<String> ticket(Run run);
+
         /** Whether the duty is held now. */
         boolean holdsDuty();
 
@@ -154,7 +161,7 @@
                 run.item().job().submission().spec(),
                 leaseEnd.get(),
                 run.item().checkpoint(),
-                Optional.empty());
+                owner.ticket(run));
         context.orders().start(state.view().get(), fence, order).thenAccept(result -> onStarted(run, state, result));
     }
 
@@ -315,9 +322,25 @@
                 lose(run, "not at the server");
             }
         }
+        pace(state);
         owner.changed();
     }
 
+    private void pace(ServerState state) {
+        for (PaceController.Change change : pace.changes(state, context.clock().monotonicNanos())) {
+            Run run = change.run();
+            run.setPacePercent(change.percent());
+            state.view().ifPresent(server -> context.orders()
+                    .pace(server, fence, run.id(), run.number(), change.percent())
+                    .thenAccept(result -> {
+                        if (!(result instanceof ServerOrders.Done)) {
+                            context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
+                            run.setPacePercent(UNKNOWN_PACE);
+                        }
+                    }));
+        }
+    }
+
     private void onRunning(ServerState state, ServerOrders.RunningRow row) {
         Optional<Run> known = state.run(row.item(), row.run());
         if (known.isEmpty()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
@@ -18,6 +18,6 @@
     /** Options within the longest lease that the platform grants. */
     public static SchedulerOptions within(Duration longestLease, Duration hostOrderPause) {
         Duration lease = PREFERRED_LEASE.compareTo(longestLease) < 0 ? PREFERRED_LEASE : longestLease;
-        return new SchedulerOptions(lease, DUTY_LEASE, hostOrderPause);
+        return new SchedulerOptions(lease, DUTY_LEASE, hostOrderPause.minus(DUTY_LEASE));
     }
 }
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/OfferedLoadTest.java
@@ -0,0 +1,40 @@
+package org.basilswitch.schedule;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+
+import org.testng.annotations.Test;
+
+public final class OfferedLoadTest {
+    private static final long MS = 1_000_000;
+
+    @Test
+    public void steadyWorkKeepsAsManyProcessorsBusyAsItAsksFor() {
+        OfferedLoad load = new OfferedLoad();
+        for (int ms = 0; ms < 3000; ms += 10) {
+            load.add("pool", 100, ms * MS);
+        }
+        assertEquals(load.projectedCores("pool", Duration.ofSeconds(2), 3000 * MS), 10, 0.5);
+    }
+
+    /** Load pattern: a peak rises within two seconds, as long as a host takes to move. */
+    @Test
+    public void risingWorkIsProjectedAhead() {
+        OfferedLoad load = new OfferedLoad();
+        for (int ms = 0; ms < 2000; ms += 10) {
+            load.add("pool", ms / 10.0, ms * MS);
+        }
+        double now = 15;
+        assertTrue(load.projectedCores("pool", Duration.ofSeconds(2), 2000 * MS) > 1.6 * now);
+    }
+
+    @Test
+    public void endedWorkIsForgotten() {
+        OfferedLoad load = new OfferedLoad();
+        load.add("pool", 1000, 0);
+        assertEquals(load.projectedCores("pool", Duration.ofSeconds(2), 5000 * MS), 0.0);
+        assertEquals(load.projectedCores("other", Duration.ofSeconds(2), 0), 0.0);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/OnTimeOrderTest.java
@@ -0,0 +1,90 @@
+package org.basilswitch.schedule;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.Test;
+
+public final class OnTimeOrderTest {
+
+    private static OnTimeOrder.Entry<String> job(String name, double latestStartMs, double work, double worth) {
+        return new OnTimeOrder.Entry<>(name, latestStartMs, work, worth, false);
+    }
+
+    @Test
+    public void withRoomForAllTheEarliestDeadlineComesFirst() {
+        List<String> order = OnTimeOrder.of(List.of(job("b", 2000, 100, 1), job("a", 1000, 100, 1)), 0, 1);
+        assertEquals(order, List.of("a", "b"));
+    }
+
+    @Test
+    public void overloadDropsTheJobThatEarnsLeastForItsWork() {
+        List<String> order = OnTimeOrder.of(
+                List.of(job("large", 100, 10_000, 1), job("s1", 500, 300, 1), job("s2", 800, 300, 1)), 0, 1);
+        assertEquals(order, List.of("s1", "s2", "large"));
+    }
+
+    @Test
+    public void jobsThatAreLateAlreadyComeBehindThoseThatCanBeOnTime() {
+        List<String> order = OnTimeOrder.of(List.of(job("late", -1, 10, 5), job("soon", 50, 10, 1)), 0, 1);
+        assertEquals(order, List.of("soon", "late"));
+    }
+
+    @Test
+    public void workBeyondItsTeamsShareComesLast() {
+        OnTimeOrder.Entry<String> beyond = new OnTimeOrder.Entry<>("beyond", 10, 1, 9, true);
+        List<String> order = OnTimeOrder.of(List.of(beyond, job("late", -5, 10, 1), job("due", 100, 10, 1)), 0, 1);
+        assertEquals(order, List.of("due", "late", "beyond"));
+    }
+
+    /** Load pattern: one pool gets 1.5 times the work it can do for many seconds. */
+    @Test
+    public void sustainedOverloadKeepsMostOfWhatTheCapacityAllowsOnTime() {
+        double moore = onTimePart(true);
+        double earliestDeadlineFirst = onTimePart(false);
+        assertTrue(moore > 0.55, "on time " + moore);
+        assertTrue(moore > 2 * earliestDeadlineFirst, moore + " against " + earliestDeadlineFirst);
+    }
+
+    private record Pending(double arrivalMs, double latestStartMs, double work) {}
+
+    private static double onTimePart(boolean moore) {
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(7);
+        List<Pending> waiting = new ArrayList<>();
+        int handedIn = 0;
+        int onTime = 0;
+        double cores = 10;
+        double freeAtMs = 0;
+        for (double nowMs = 0; nowMs < 20_000; nowMs += 10) {
+            if (random.nextDouble() < 0.15) {
+                handedIn++;
+                waiting.add(new Pending(nowMs, nowMs + 1500, 200 + 1600 * random.nextDouble()));
+            }
+            while (freeAtMs <= nowMs && !waiting.isEmpty()) {
+                Pending next = next(waiting, nowMs, cores, moore);
+                waiting.remove(next);
+                freeAtMs = Math.max(freeAtMs, nowMs) + next.work / cores;
+                onTime += nowMs <= next.latestStartMs ? 1 : 0;
+            }
+        }
+        return onTime / (double) handedIn;
+    }
+
+    private static Pending next(List<Pending> waiting, double nowMs, double cores, boolean moore) {
+        if (!moore) {
+            return waiting.stream()
+                    .min(Comparator.comparingDouble(Pending::latestStartMs))
+                    .orElseThrow();
+        }
+        List<OnTimeOrder.Entry<Pending>> entries = waiting.stream()
+                .map(p -> new OnTimeOrder.Entry<>(p, p.latestStartMs, p.work, 1, false))
+                .toList();
+        return OnTimeOrder.of(entries, nowMs, cores).get(0);
+    }
+}
--- /dev/null
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/TeamRatesTest.java
@@ -0,0 +1,24 @@
+package org.basilswitch.schedule;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+public final class TeamRatesTest {
+
+    /** Load pattern: one team sends many times its usual. */
+    @Test
+    public void oneLargeTeamIsBeyondItsRateAndOthersAreNot() {
+        TeamRates rates = new TeamRates();
+        int beyond = 0;
+        for (int i = 0; i < 400; i++) {
+            long nanos = i * 10_000_000L;
+            beyond += rates.isBeyond("large", 10, nanos) ? 1 : 0;
+            if (i % 20 == 0) {
+                assertEquals(rates.isBeyond("small", 10, nanos), false);
+            }
+        }
+        assertTrue(beyond > 300 && beyond < 360, "beyond its 10 a second: " + beyond + " of 400");
+    }
+}
