--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -54,7 +54,8 @@
     JOB_ENDED(1907, Severity.INFO, "job has its final state"),
     RUN_ORDERED(1908, Severity.DEBUG, "work item ordered to start"),
     RUN_REJECTED(1909, Severity.INFO, "backend server did not start a work item"),
-    RUN_DOUBTFUL(1910, Severity.WARN, "start of a work item has no answer; it is barred before it is started elsewhere"),
+    RUN_DOUBTFUL(
+            1910, Severity.WARN, "start of a work item has no answer; it is barred before it is started elsewhere"),
     RUN_LOST(1911, Severity.INFO, "run of a work item is over without an end"),
     RUN_FAILED(1912, Severity.INFO, "run of a work item failed"),
     RUN_UNKNOWN(1913, Severity.WARN, "backend server runs a work item that is not wanted; stopping it"),
@@ -62,7 +63,10 @@
     JOB_RECORD_INVALID(1915, Severity.ERROR, "job record can't be decoded; the job is not run"),
     JOBS_READ_FAILED(1916, Severity.WARN, "jobs can't be read from the store; trying again"),
     SITE_LOADED(1917, Severity.INFO, "configuration of queues and teams loaded"),
-    SITE_UNREADABLE(1918, Severity.WARN, "configuration of queues and teams can't be read; calls that need it are refused once it is old"),
+    SITE_UNREADABLE(
+            1918,
+            Severity.WARN,
+            "configuration of queues and teams can't be read; calls that need it are refused once it is old"),
     WAVE_STARTED(1919, Severity.INFO, "maintenance wave started"),
     HOST_ORDER_FAILED(1920, Severity.WARN, "order for a host was not carried out"),
     HOST_ORDERED(1921, Severity.INFO, "host ordered to move or to be maintained"),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -80,10 +80,8 @@
                 parts.store(),
                 parts.telemetry(),
                 parts.options().dutyLease());
-        JobIntake intake =
-                JobIntake.create(parts.store(), parts.keys(), parts.siteKey(), clock, parts.timers());
-        this.directory =
-                JobDirectory.open(parts.store(), parts.keys(), parts.timers(), parts.telemetry(), this);
+        JobIntake intake = JobIntake.create(parts.store(), parts.keys(), parts.siteKey(), clock, parts.timers());
+        this.directory = JobDirectory.open(parts.store(), parts.keys(), parts.timers(), parts.telemetry(), this);
         this.service = new JobService(this, parts, clock, site, intake, directory);
     }
 
@@ -112,11 +110,7 @@
                     parts.waves(),
                     parts.telemetry(),
                     parts.options());
-            scheduler = Optional.of(JobScheduler.takeOver(
-                    context,
-                    duty.fence(),
-                    duty::heldFor,
-                    duty::release));
+            scheduler = Optional.of(JobScheduler.takeOver(context, duty.fence(), duty::heldFor, duty::release));
         }
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -220,9 +220,8 @@
         return intake.find(id, left(untilNanos))
                 .thenApply(result -> result.fold(
                         error -> new JobAnswer.Refused(error.detail(), RETRY_AFTER),
-                        entry -> entry.isPresent()
-                                ? new JobAnswer.State(JobState.QUEUED)
-                                : new JobAnswer.UnknownJob()));
+                        entry ->
+                                entry.isPresent() ? new JobAnswer.State(JobState.QUEUED) : new JobAnswer.UnknownJob()));
     }
 
     private CompletionStage<JobAnswer> pending(JobQueue queue) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -121,7 +121,8 @@
     }
 
     boolean allDone() {
-        return occurrences.size() == submission.occurrences() && items().stream().allMatch(WorkItem::done);
+        return occurrences.size() == submission.occurrences()
+                && items().stream().allMatch(WorkItem::done);
     }
 
     /**
@@ -158,7 +159,8 @@
     /** Number of work items of a step that have not been started or have to be started again. */
     long waitingIn(int step) {
         return occurrences.values().stream()
-                .mapToLong(steps -> steps.get(step).stream().filter(WorkItem::waiting).count())
+                .mapToLong(steps ->
+                        steps.get(step).stream().filter(WorkItem::waiting).count())
                 .sum();
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Evacuation.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Evacuation.java
@@ -25,7 +25,9 @@
 
     /** Whether a host is in the pool whose hosts are switched off. */
     boolean isResting(HostControl.HostView host) {
-        return site().standbyPool().filter(pool -> pool.name().equals(host.pool())).isPresent();
+        return site().standbyPool()
+                .filter(pool -> pool.name().equals(host.pool()))
+                .isPresent();
     }
 
     /** The state of a host's backend server. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
@@ -84,12 +84,15 @@
         again = false;
         server = state.view().orElse(server);
         long sentNanos = clock.monotonicNanos();
-        Duration wait = state.runs().isEmpty() || !state.answeredWithin(lease, sentNanos) ? Duration.ZERO
+        Duration wait = state.runs().isEmpty() || !state.answeredWithin(lease, sentNanos)
+                ? Duration.ZERO
                 : PaceController.isShared(state) ? SHARED_WAIT : LONGEST_WAIT;
         // After a lost answer the lease is not extended, so that it is known to end while the server stays silent.
         // A holder whose duty has lapsed does not extend it either: the next one waits for it to end.
-        Optional<Long> leaseEnd = lost || !mayExtend.getAsBoolean() ? Optional.empty() : state.leaseEnd(lease, sentNanos);
-        ServerOrders.HoldOrder order = new ServerOrders.HoldOrder(leaseEnd, state.storedEnd(), lost ? Duration.ZERO : wait);
+        Optional<Long> leaseEnd =
+                lost || !mayExtend.getAsBoolean() ? Optional.empty() : state.leaseEnd(lease, sentNanos);
+        ServerOrders.HoldOrder order =
+                new ServerOrders.HoldOrder(leaseEnd, state.storedEnd(), lost ? Duration.ZERO : wait);
         orders.hold(server, fence, order).thenAccept(result -> onResult(sentNanos, order, result));
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -57,8 +57,8 @@
         this.context = context;
         this.fence = fence;
         this.mayOrder = () -> heldFor.test(ORDER_MARGIN);
-        this.firstOrderNanos =
-                context.clock().monotonicNanos() + context.options().hostOrderPause().toNanos();
+        this.firstOrderNanos = context.clock().monotonicNanos()
+                + context.options().hostOrderPause().toNanos();
     }
 
     void close() {
@@ -68,7 +68,9 @@
     /** Reads the list of hosts again when it is due. */
     void refresh() {
         long nowNanos = context.clock().monotonicNanos();
-        if (listing || closed || listAskedNanos != Long.MIN_VALUE && nowNanos - listAskedNanos < LIST_INTERVAL.toNanos()) {
+        if (listing
+                || closed
+                || listAskedNanos != Long.MIN_VALUE && nowNanos - listAskedNanos < LIST_INTERVAL.toNanos()) {
             return;
         }
         listing = true;
@@ -89,7 +91,9 @@
         next.forEach((name, host) -> {
             HostControl.HostView before = hosts.get(name);
             boolean cameUp = host.state() == HostControl.HostState.UP
-                    && (before == null || before.state() != HostControl.HostState.UP || !before.pool().equals(host.pool()));
+                    && (before == null
+                            || before.state() != HostControl.HostState.UP
+                            || !before.pool().equals(host.pool()));
             if (cameUp) {
                 upSinceNanos.put(name, context.clock().monotonicNanos());
             }
@@ -185,7 +189,7 @@
                                     + (order.answeredNanos - order.sentNanos) / 1_000_000);
             switch (result) {
                 case DONE -> emptying.remove(host);
-                case NO_ANSWER -> { }
+                case NO_ANSWER -> {}
                 default ->
                     context.timers().schedule(RETRY_PAUSE, () -> {
                         if (orders.get(host) == order) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
@@ -43,7 +43,8 @@
     /** Notes a job that was handed in. */
     void accepted(ActiveJob job) {
         JobTeam team = site().teams().get(job.submission().team());
-        boolean beyond = team != null && rates.isBeyond(team.name(), team.weight(), context.clock().monotonicNanos());
+        boolean beyond = team != null
+                && rates.isBeyond(team.name(), team.weight(), context.clock().monotonicNanos());
         if (beyond) {
             job.setBeyondShare();
         }
@@ -65,7 +66,9 @@
 
     /** Processor time of one work item, core-milliseconds. */
     private double itemWork(ActiveJob job, StepSpec spec) {
-        return spec.reserved().cpuMillis() / 1000.0 * durations.expectedMs(job.submission().queue(), spec.estimateMs());
+        return spec.reserved().cpuMillis()
+                / 1000.0
+                * durations.expectedMs(job.submission().queue(), spec.estimateMs());
     }
 
     /** Jobs in the order in which they get servers. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -43,6 +43,7 @@
     private static final Duration ANSWER_AGE = Duration.ofMillis(1900);
     /** Time on the duty's lease that a start may take on its way. */
     private static final Duration ORDER_MARGIN = Duration.ofMillis(250);
+
     private final SchedulerContext context;
     private final long fence;
     private final Predicate<Duration> heldFor;
@@ -64,8 +65,7 @@
     private boolean roundDue;
     private boolean closed;
 
-    private JobScheduler(
-            SchedulerContext context, long fence, Predicate<Duration> heldFor, Consumer<String> onLost) {
+    private JobScheduler(SchedulerContext context, long fence, Predicate<Duration> heldFor, Consumer<String> onLost) {
         this.context = context;
         this.fence = fence;
         this.heldFor = heldFor;
@@ -77,8 +77,8 @@
         Evacuation evacuation = new Evacuation(context, book, keeper, hosts);
         this.waves = new WaveKeeper(context, hosts, evacuation);
         this.balancer = new PoolBalancer(context, hosts, evacuation, durations);
-        this.writer = new ProgressWriter(
-                context.store(), context.keys(), context.timers(), context.telemetry(), fence, this);
+        this.writer =
+                new ProgressWriter(context.store(), context.keys(), context.timers(), context.telemetry(), fence, this);
     }
 
     /**
@@ -100,7 +100,8 @@
         if (closed) {
             return;
         }
-        CompletionStage<Either<StoreError, PlatformStore.Range>> range = context.store().range(prefix);
+        CompletionStage<Either<StoreError, PlatformStore.Range>> range =
+                context.store().range(prefix);
         range.thenAccept(result -> {
             if (result.isLeft()) {
                 context.telemetry()
@@ -132,8 +133,8 @@
         if (closed) {
             return;
         }
-        long lapseNanos = context.clock().monotonicNanos()
-                + context.options().lease().toNanos() * 21 / 20;
+        long lapseNanos =
+                context.clock().monotonicNanos() + context.options().lease().toNanos() * 21 / 20;
         read.ended(context.keys().jobsEnded()).forEach(ended::putIfAbsent);
         read.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
             if (!ended.containsKey(submission.id()) && !jobs.containsKey(submission.id())) {
@@ -151,7 +152,9 @@
         acceptedWhileLoading.forEach(this::accepted);
         cancelledWhileLoading.forEach(this::cancelled);
         context.telemetry()
-                .event(EventCode.SCHEDULER_STARTED, "fence=" + fence + " jobs=" + jobs.size() + " ended=" + ended.size());
+                .event(
+                        EventCode.SCHEDULER_STARTED,
+                        "fence=" + fence + " jobs=" + jobs.size() + " ended=" + ended.size());
         context.servers().start(() -> keeper.onServers(context.servers().servers()));
         sweep();
         changed();
@@ -221,7 +224,8 @@
         if (item.spec().longRunning()) {
             return 0;
         }
-        JobQueue queue = context.site().get().site().queues().get(item.job().submission().queue());
+        JobQueue queue =
+                context.site().get().site().queues().get(item.job().submission().queue());
         return queue == null ? 1 : queue.maxAttempts();
     }
 
@@ -242,7 +246,8 @@
 
     @Override
     public boolean mayOrder() {
-        long siteAgeNanos = context.clock().monotonicNanos() - context.site().get().confirmedNanos();
+        long siteAgeNanos =
+                context.clock().monotonicNanos() - context.site().get().confirmedNanos();
         return !closed
                 && heldFor.test(ORDER_MARGIN)
                 && siteAgeNanos <= SITE_AGE.toNanos()
@@ -303,10 +308,12 @@
         if (mayOrder() && context.servers().confirmedWithin(SERVER_LIST_AGE)) {
             long nowNanos = context.clock().monotonicNanos();
             List<ActiveJob> inOrder = order.of(jobs.values(), cores(nowNanos));
-            new PlacementRound(view.site(), book, advice, server -> usable(server, nowNanos), this::begin).place(inOrder);
+            new PlacementRound(view.site(), book, advice, server -> usable(server, nowNanos), this::begin)
+                    .place(inOrder);
         }
         for (ActiveJob job : jobs.values()) {
-            boolean settled = job.state().isFinal() && job.items().stream().allMatch(item -> item.run().isEmpty());
+            boolean settled = job.state().isFinal()
+                    && job.items().stream().allMatch(item -> item.run().isEmpty());
             if (settled && !job.writing()) {
                 job.markDirty();
             } else if (!job.isOpen()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
@@ -115,7 +115,8 @@
         result.get().forEach(server -> next.put(server.lifetime(), server));
         if (nowNanos < returnUntilNanos) {
             servers.forEach((lifetime, server) -> {
-                boolean replaced = next.keySet().stream().anyMatch(l -> l.serverId().equals(lifetime.serverId()));
+                boolean replaced =
+                        next.keySet().stream().anyMatch(l -> l.serverId().equals(lifetime.serverId()));
                 if (!replaced) {
                     next.put(lifetime, server);
                 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/OnTimeOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/OnTimeOrder.java
@@ -62,8 +62,8 @@
 
     private static <J> Set<Entry<J>> drop(List<Entry<J>> byStart, double nowMs, double cores) {
         Set<Entry<J>> dropped = new HashSet<>();
-        PriorityQueue<Entry<J>> kept = new PriorityQueue<>(
-                Comparator.comparingDouble(entry -> entry.worth() / Math.max(1, entry.work())));
+        PriorityQueue<Entry<J>> kept =
+                new PriorityQueue<>(Comparator.comparingDouble(entry -> entry.worth() / Math.max(1, entry.work())));
         double before = 0;
         for (Entry<J> entry : byStart) {
             kept.add(entry);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceController.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceController.java
@@ -46,7 +46,8 @@
     /** Changes that a server's newest report asks for. */
     List<Change> changes(ServerState server, long nowNanos) {
         List<Run> fillers = server.runs().stream()
-                .filter(run -> run.item().spec().usesSpareCapacity() && run.phase() == Run.Phase.RUNNING && !run.stopping())
+                .filter(run ->
+                        run.item().spec().usesSpareCapacity() && run.phase() == Run.Phase.RUNNING && !run.stopping())
                 .toList();
         if (fillers.isEmpty()) {
             return List.of();
@@ -55,7 +56,10 @@
         if (nowNanos - last < INTERVAL.toNanos()) {
             return List.of();
         }
-        double worst = server.runs().stream().mapToDouble(PaceController::pressure).max().orElse(0);
+        double worst = server.runs().stream()
+                .mapToDouble(PaceController::pressure)
+                .max()
+                .orElse(0);
         List<Change> changes = fillers.stream()
                 .map(run -> new Change(run, next(run.pacePercent(), worst)))
                 .filter(change -> change.percent() != change.run().pacePercent())
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -59,12 +59,12 @@
             return servers;
         }
         String name = step.get(0).id().stepName();
-        List<ServerState> able = servers.stream()
-                .filter(server -> allowed(step.get(0), server))
-                .toList();
+        List<ServerState> able =
+                servers.stream().filter(server -> allowed(step.get(0), server)).toList();
         advice.request(name, able);
         return able.stream()
-                .filter(server -> advice.ticket(name, server.lifetime().serverId()).isPresent())
+                .filter(server ->
+                        advice.ticket(name, server.lifetime().serverId()).isPresent())
                 .toList();
     }
 
@@ -95,9 +95,8 @@
             Optional<ServerState> server = servers.stream()
                     .filter(s -> s.view().isPresent() && allowed(item, s))
                     .filter(s -> spec.maxPerServer() == 0 || taken.getOrDefault(s, 0) < spec.maxPerServer())
-                    .filter(s -> spec.reserved()
-                            .times(taken.getOrDefault(s, 0) + 1)
-                            .fitsInto(s.free()))
+                    .filter(s ->
+                            spec.reserved().times(taken.getOrDefault(s, 0) + 1).fitsInto(s.free()))
                     .max(Comparator.comparingInt(s -> taken.getOrDefault(s, 0)));
             if (server.isEmpty()) {
                 return;
@@ -160,7 +159,8 @@
         if (spec.rackOfData().map(rack -> !view.labels().contains(rack)).orElse(false)) {
             cost += 100;
         }
-        double freeShare = server.free().cpuMillis() / (double) Math.max(1, view.capacity().cpuMillis());
+        double freeShare =
+                server.free().cpuMillis() / (double) Math.max(1, view.capacity().cpuMillis());
         if (spec.longRunning()) {
             cost += 10 * onRack(step, view) + neighbours(spec, server) * 5 + (1 - freeShare);
         } else {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -45,8 +45,7 @@
     private final Map<String, Long> idleSinceNanos = new HashMap<>();
     private final Map<String, RecentMaximum> needs = new HashMap<>();
 
-    PoolBalancer(
-            SchedulerContext context, Hosts hosts, Evacuation evacuation, DurationModel durations) {
+    PoolBalancer(SchedulerContext context, Hosts hosts, Evacuation evacuation, DurationModel durations) {
         this.context = context;
         this.hosts = hosts;
         this.evacuation = evacuation;
@@ -64,7 +63,9 @@
     /** Notes a job that was handed in. */
     void accepted(JobSubmission submission) {
         if (!submission.isLongRunning()) {
-            poolOf(submission).ifPresent(pool -> load.add(pool, work(submission), context.clock().monotonicNanos()));
+            poolOf(submission)
+                    .ifPresent(pool ->
+                            load.add(pool, work(submission), context.clock().monotonicNanos()));
         }
     }
 
@@ -114,11 +115,12 @@
             if (!job.isOpen()) {
                 continue;
             }
-            poolOf(job.submission()).ifPresent(pool -> job.forEachReadyStep(step -> {
-                StepSpec spec = step.get(0).spec();
-                long items = step.stream().filter(WorkItem::waiting).count();
-                waiting.merge(pool, (double) items * spec.reserved().cpuMillis(), Double::sum);
-            }));
+            poolOf(job.submission())
+                    .ifPresent(pool -> job.forEachReadyStep(step -> {
+                        StepSpec spec = step.get(0).spec();
+                        long items = step.stream().filter(WorkItem::waiting).count();
+                        waiting.merge(pool, (double) items * spec.reserved().cpuMillis(), Double::sum);
+                    }));
         }
         return waiting;
     }
@@ -167,13 +169,13 @@
         }
         return evacuation
                 .serverOf(host.name())
-                .map(state -> !state.answeredWithin(ANSWER_AGE, nowNanos)
-                        && !hosts.upWithin(host.name(), ARRIVAL_TIME))
+                .map(state -> !state.answeredWithin(ANSWER_AGE, nowNanos) && !hosts.upWithin(host.name(), ARRIVAL_TIME))
                 .orElseGet(() -> !hosts.upWithin(host.name(), ARRIVAL_TIME));
     }
 
     private HostPlan.IdleHost member(HostControl.HostView host, Optional<ServerState> server, long nowNanos) {
-        boolean idle = movable(host) && server.isPresent() && server.get().runs().isEmpty();
+        boolean idle =
+                movable(host) && server.isPresent() && server.get().runs().isEmpty();
         if (!idle) {
             idleSinceNanos.remove(host.name());
         }
@@ -184,6 +186,10 @@
     private void order(HostPlan.Move move, JobPool standby) {
         String pool = move.pool().orElse(standby.name());
         idleSinceNanos.remove(move.host());
-        hosts.order(move.host(), Optional.of(pool), () -> context.hosts().move(move.host(), pool, hosts.fence()), "pool=" + pool);
+        hosts.order(
+                move.host(),
+                Optional.of(pool),
+                () -> context.hosts().move(move.host(), pool, hosts.fence()),
+                "pool=" + pool);
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -92,9 +92,10 @@
         job.setWriting(true);
         List<Runnable> actions = job.takeActions();
         JobState state = job.state();
-        boolean last =
-                state.isFinal() && job.items().stream().allMatch(item -> item.run().isEmpty());
-        return new Write(job, job.record(fence), job.cancelled(), last ? Optional.of(state) : Optional.empty(), actions);
+        boolean last = state.isFinal()
+                && job.items().stream().allMatch(item -> item.run().isEmpty());
+        return new Write(
+                job, job.record(fence), job.cancelled(), last ? Optional.of(state) : Optional.empty(), actions);
     }
 
     private void send(List<Write> group) {
@@ -130,9 +131,7 @@
             scheduler.schedule(
                     retryDelay,
                     () -> commit(
-                            group,
-                            transaction,
-                            next.compareTo(LONGEST_RETRY_DELAY) > 0 ? LONGEST_RETRY_DELAY : next));
+                            group, transaction, next.compareTo(LONGEST_RETRY_DELAY) > 0 ? LONGEST_RETRY_DELAY : next));
             return;
         }
         switch (result.get()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -273,7 +273,9 @@
         }
         state.setOver();
         context.telemetry()
-                .event(EventCode.SERVER_LIFETIME_ENDED, "server=" + state.lifetime().serverId() + " " + reason);
+                .event(
+                        EventCode.SERVER_LIFETIME_ENDED,
+                        "server=" + state.lifetime().serverId() + " " + reason);
         state.runs().forEach(run -> lose(run, reason));
         if (state.view().isEmpty()) {
             remove(state);
@@ -317,7 +319,8 @@
             onRunning(state, row);
         }
         for (Run run : state.runs()) {
-            boolean covered = run.phase() == Run.Phase.INHERITED || run.settledNanos() > 0 && sentNanos > run.settledNanos();
+            boolean covered =
+                    run.phase() == Run.Phase.INHERITED || run.settledNanos() > 0 && sentNanos > run.settledNanos();
             if (covered && !listed.contains(new ServerState.RunKey(run.id(), run.number()))) {
                 lose(run, "not at the server");
             }
@@ -330,14 +333,16 @@
         for (PaceController.Change change : pace.changes(state, context.clock().monotonicNanos())) {
             Run run = change.run();
             run.setPacePercent(change.percent());
-            state.view().ifPresent(server -> context.orders()
-                    .pace(server, fence, run.id(), run.number(), change.percent())
-                    .thenAccept(result -> {
-                        if (!(result instanceof ServerOrders.Done)) {
-                            context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
-                            run.setPacePercent(UNKNOWN_PACE);
-                        }
-                    }));
+            state.view()
+                    .ifPresent(server -> context.orders()
+                            .pace(server, fence, run.id(), run.number(), change.percent())
+                            .thenAccept(result -> {
+                                if (!(result instanceof ServerOrders.Done)) {
+                                    context.telemetry()
+                                            .event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
+                                    run.setPacePercent(UNKNOWN_PACE);
+                                }
+                            }));
         }
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerOrders.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerOrders.java
@@ -35,8 +35,7 @@
      * @param checkpoint where to resume; empty to begin anew
      * @param ticket permission of the advice service, where the queue needs one
      */
-    record StartOrder(
-            ItemId item, int run, String spec, long leaseEndMs, String checkpoint, Optional<String> ticket) {}
+    record StartOrder(ItemId item, int run, String spec, long leaseEndMs, String checkpoint, Optional<String> ticket) {}
 
     /**
      * An extension of the lease.
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -109,7 +109,8 @@
             context.telemetry()
                     .event(
                             EventCode.WAVE_STARTED,
-                            "wave=" + request.number() + " hosts=" + request.hosts().size() + " mostDown="
+                            "wave=" + request.number() + " hosts="
+                                    + request.hosts().size() + " mostDown="
                                     + request.mostDown() + " durationS="
                                     + request.duration().toSeconds());
             readProgress(wave);
@@ -159,7 +160,9 @@
         Map<String, Integer> up = new HashMap<>();
         Map<String, Integer> away = new HashMap<>();
         for (HostControl.HostView host : hosts.all()) {
-            boolean away1 = host.state() != HostControl.HostState.UP || hosts.isEmptying(host.name()) || hosts.isOrdered(host.name());
+            boolean away1 = host.state() != HostControl.HostState.UP
+                    || hosts.isEmptying(host.name())
+                    || hosts.isOrdered(host.name());
             up.merge(host.pool(), 1, Integer::sum);
             away.merge(host.pool(), away1 ? 1 : 0, Integer::sum);
         }
@@ -236,9 +239,7 @@
                     } else if (completed) {
                         long tookMs = (context.clock().monotonicNanos() - wave.seenNanos) / 1_000_000;
                         context.telemetry()
-                                .event(
-                                        EventCode.WAVE_COMPLETED,
-                                        "wave=" + wave.request.number() + " tookMs=" + tookMs);
+                                .event(EventCode.WAVE_COMPLETED, "wave=" + wave.request.number() + " tookMs=" + tookMs);
                     }
                 });
     }
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/DurationModelTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/DurationModelTest.java
@@ -1,12 +1,12 @@
 package org.basilswitch.schedule;
 
-import static org.testng.Assert.assertEquals;
-
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.Test;
 
-public final class DurationModelTest {
+import static org.testng.Assert.assertEquals;
+
+final class DurationModelTest {
 
     @Test
     public void trustsTheEstimateBeforeAnythingWasSeen() {
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/HostPlanTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/HostPlanTest.java
@@ -1,14 +1,14 @@
 package org.basilswitch.schedule;
 
-import static org.testng.Assert.assertEquals;
-
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.testng.annotations.Test;
 
-public final class HostPlanTest {
+import static org.testng.Assert.assertEquals;
+
+final class HostPlanTest {
 
     private static HostPlan.PoolNeed pool(String name, int needed, int keep, int busy, int idle) {
         List<HostPlan.IdleHost> hosts = IntStream.range(0, busy + idle)
@@ -35,9 +35,7 @@
         List<HostPlan.Move> moves = HostPlan.of(List.of(pool("calm", 1, 3, 1, 4)), List.of());
         assertEquals(
                 moves,
-                List.of(
-                        new HostPlan.Move("calm1", Optional.empty()),
-                        new HostPlan.Move("calm2", Optional.empty())));
+                List.of(new HostPlan.Move("calm1", Optional.empty()), new HostPlan.Move("calm2", Optional.empty())));
     }
 
     @Test
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/OfferedLoadTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/OfferedLoadTest.java
@@ -1,13 +1,13 @@
 package org.basilswitch.schedule;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 import java.time.Duration;
 
 import org.testng.annotations.Test;
 
-public final class OfferedLoadTest {
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+final class OfferedLoadTest {
     private static final long MS = 1_000_000;
 
     @Test
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/OnTimeOrderTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/OnTimeOrderTest.java
@@ -1,8 +1,5 @@
 package org.basilswitch.schedule;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -11,7 +8,10 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.Test;
 
-public final class OnTimeOrderTest {
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+final class OnTimeOrderTest {
 
     private static OnTimeOrder.Entry<String> job(String name, double latestStartMs, double work, double worth) {
         return new OnTimeOrder.Entry<>(name, latestStartMs, work, worth, false);
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/TeamRatesTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/TeamRatesTest.java
@@ -1,11 +1,11 @@
 package org.basilswitch.schedule;
 
+import org.testng.annotations.Test;
+
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import org.testng.annotations.Test;
-
-public final class TeamRatesTest {
+final class TeamRatesTest {
 
     /** Load pattern: one team sends many times its usual. */
     @Test
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerClient.java
@@ -32,16 +32,15 @@
     /** Creates a client. */
     public static SchedulerPeerClient create(Vertx vertx) {
         HttpClientOptions options = new HttpClientOptions().setTcpNoDelay(true).setConnectTimeout(TIMEOUT_MS);
-        return new SchedulerPeerClient(
-                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS)));
+        return new SchedulerPeerClient(vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS)));
     }
 
     @Override
     public CompletionStage<Optional<JobState>> state(String holder, String id) {
         return call(HttpMethod.GET, holder, SchedulerPeerPort.STATES + id, Buffer.buffer())
-                .thenApply(body -> body.flatMap(
-                                buffer -> RecordCodec.decode(buffer.getBytes(), PeerDocument.State.class))
-                        .flatMap(document -> Optional.ofNullable(document.state())));
+                .thenApply(
+                        body -> body.flatMap(buffer -> RecordCodec.decode(buffer.getBytes(), PeerDocument.State.class))
+                                .flatMap(document -> Optional.ofNullable(document.state())));
     }
 
     @Override
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerPort.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerPort.java
@@ -38,13 +38,18 @@
             request.body().onSuccess(body -> {
                 Optional<JobSubmission> submission = RecordCodec.decode(body.getBytes(), JobSubmission.class);
                 submission.ifPresent(node::peerAccepted);
-                request.response().setStatusCode(submission.isPresent() ? 204 : 400).end();
+                request.response()
+                        .setStatusCode(submission.isPresent() ? 204 : 400)
+                        .end();
             });
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.peerCancelled(path.substring(CANCELLED.length()));
             request.response().setStatusCode(204).end();
         } else if (path.startsWith(STATES)) {
-            answer(request, new PeerDocument.State(node.peerState(path.substring(STATES.length())).orElse(null)));
+            answer(
+                    request,
+                    new PeerDocument.State(
+                            node.peerState(path.substring(STATES.length())).orElse(null)));
         } else if (path.startsWith(PENDING)) {
             String queue = path.substring(PENDING.length());
             answer(
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -70,14 +70,16 @@
 
     /** Adds a host with a backend server. */
     public void addServer(String id, String pool, Resources capacity, String rack) {
-        hosts.put("host-" + id, new HostView("host-" + id, pool, HostState.UP, List.of("a", rack), capacity, Optional.of(id)));
+        hosts.put(
+                "host-" + id,
+                new HostView("host-" + id, pool, HostState.UP, List.of("a", rack), capacity, Optional.of(id)));
         start(id, pool, capacity, rack);
     }
 
     private void start(String id, String pool, Resources capacity, String rack) {
         long bornMs = clock.millis();
-        BackendServer entry = new BackendServer(
-                id, bornMs, pool, "127.0.0.1:1", "zone", false, 0, capacity, List.of("a", rack));
+        BackendServer entry =
+                new BackendServer(id, bornMs, pool, "127.0.0.1:1", "zone", false, 0, capacity, List.of("a", rack));
         servers.put(id, new ServerModel(entry, this, clock, scheduler));
     }
 
@@ -214,7 +216,8 @@
         @Override
         public CompletionStage<OrderResult> start(BackendServer server, long fence, StartOrder order) {
             if (lostStarts.remove(server.id())) {
-                scheduler.schedule(Duration.ofSeconds(2), () -> find(server).ifPresent(model -> model.start(fence, order)));
+                scheduler.schedule(
+                        Duration.ofSeconds(2), () -> find(server).ifPresent(model -> model.start(fence, order)));
                 return timeout();
             }
             return call(server, model -> model.start(fence, order));
@@ -226,8 +229,7 @@
         }
 
         @Override
-        public CompletionStage<OrderResult> pace(
-                BackendServer server, long fence, ItemId item, int run, int percent) {
+        public CompletionStage<OrderResult> pace(BackendServer server, long fence, ItemId item, int run, int percent) {
             return call(server, model -> new Done());
         }
 
@@ -238,10 +240,12 @@
             }
             CompletableFuture<OrderResult> future = new CompletableFuture<>();
             scheduler.schedule(ORDER_TIMEOUT, () -> future.complete(new NoAnswer("timeout")));
-            scheduler.schedule(DELAY, () -> find(server).ifPresent(model -> {
-                OrderResult result = action.apply(model);
-                scheduler.schedule(DELAY, () -> future.complete(result));
-            }));
+            scheduler.schedule(
+                    DELAY,
+                    () -> find(server).ifPresent(model -> {
+                        OrderResult result = action.apply(model);
+                        scheduler.schedule(DELAY, () -> future.complete(result));
+                    }));
             return future;
         }
 
@@ -258,17 +262,18 @@
         @Override
         public CompletionStage<HoldResult> hold(BackendServer server, long fence, HoldOrder order) {
             CompletableFuture<HoldResult> future = new CompletableFuture<>();
-            scheduler.schedule(
-                    order.longestWait().plus(ORDER_TIMEOUT), () -> future.complete(new HoldLost("timeout")));
+            scheduler.schedule(order.longestWait().plus(ORDER_TIMEOUT), () -> future.complete(new HoldLost("timeout")));
             if (!silent.contains(server.id())) {
                 scheduler.schedule(
-                        DELAY, () -> find(server).ifPresent(model -> model.hold(fence, order, result -> {
-                            scheduler.schedule(DELAY, () -> {
-                                if (!silent.contains(server.id())) {
-                                    future.complete(result);
-                                }
-                            });
-                        })));
+                        DELAY,
+                        () -> find(server)
+                                .ifPresent(model -> model.hold(fence, order, result -> {
+                                    scheduler.schedule(DELAY, () -> {
+                                        if (!silent.contains(server.id())) {
+                                            future.complete(result);
+                                        }
+                                    });
+                                })));
             }
             return future;
         }
@@ -295,7 +300,8 @@
             return later(HostOrderResult.DONE);
         }
         maintained.add(host);
-        CompletionStage<HostOrderResult> result = takeAway(hosts.get(host), hosts.get(host).pool(), HostState.MAINTENANCE);
+        CompletionStage<HostOrderResult> result =
+                takeAway(hosts.get(host), hosts.get(host).pool(), HostState.MAINTENANCE);
         int down = (int) hosts.values().stream()
                 .filter(h -> h.state() == HostState.MAINTENANCE)
                 .count();
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetRules.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetRules.java
@@ -40,7 +40,9 @@
             violations.add("run after the job's cancellation: " + item + "#" + run);
         }
         for (int earlier : spec.after()) {
-            int count = fleet.step(new ItemId(item.job(), item.occurrence(), earlier, 0)).orElseThrow().count();
+            int count = fleet.step(new ItemId(item.job(), item.occurrence(), earlier, 0))
+                    .orElseThrow()
+                    .count();
             for (int i = 0; i < count; i++) {
                 if (!done.contains(new ItemId(item.job(), item.occurrence(), earlier, i))) {
                     violations.add("run before step " + earlier + " is done: " + item);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -13,8 +13,8 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.RecordCodec;
-import org.basilswitch.event.EventCode;
 import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
@@ -65,7 +65,8 @@
                 List.of(new JobPool(POOL, true, false), new JobPool("standby", true, true)),
                 16384,
                 262144);
-        store.commit(Transaction.builder().put("config", RecordCodec.encode(site)).build());
+        store.commit(
+                Transaction.builder().put("config", RecordCodec.encode(site)).build());
     }
 
     void addServers(int count) {
@@ -76,7 +77,8 @@
 
     JobNode addNode() {
         String address = "node:" + nodes.size();
-        MemoryStoreClient client = MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(nodes.size()));
+        MemoryStoreClient client =
+                MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(nodes.size()));
         JobNode node = JobNode.start(new JobNode.Parts(
                 address,
                 time,
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -1,8 +1,5 @@
 package org.basilswitch.standin.jobs;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 import java.time.Duration;
 import java.util.List;
 
@@ -14,7 +11,10 @@
 import org.basilswitch.schedule.WaveRecords;
 import org.testng.annotations.Test;
 
-public final class JobSchedulerTest {
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+final class JobSchedulerTest {
 
     private static JobFleet fleet(int nodes, int servers) {
         JobFleet fleet = new JobFleet();
@@ -80,7 +80,8 @@
     public void aJobAcceptedWhileTheNextSchedulerLoadsIsRun() {
         JobFleet fleet = fleet(3, 4);
         JobNode holder = fleet.holder();
-        JobNode other = fleet.nodes.stream().filter(node -> node != holder).findFirst().orElseThrow();
+        JobNode other =
+                fleet.nodes.stream().filter(node -> node != holder).findFirst().orElseThrow();
         fleet.clients.forEach(client -> client.setOneWayDelay(Duration.ofMillis(60)));
         fleet.kill(holder);
         for (int i = 1; i <= 40; i++) {
@@ -122,7 +123,8 @@
     public void aCancelledJobIsStoppedAndNeverStartedAgain() {
         JobFleet fleet = fleet(3, 2);
         String id = JobFleet.id(1);
-        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 8000, 4000), JobFleet.step(4, 8000, 10, 0)));
+        fleet.after(
+                300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 8000, 4000), JobFleet.step(4, 8000, 10, 0)));
         JobAnswer answer = fleet.after(50, fleet.cancel(fleet.nodes.get(2), id));
         assertEquals(answer, new JobAnswer.Cancelled());
         fleet.fleet.rules().jobCancelled(id);
@@ -185,7 +187,11 @@
         fleet.clients.forEach(client -> client.setLostAnswerRatio(0.3));
         for (int i = 1; i <= 20; i++) {
             fleet.run(200);
-            fleet.submit(fleet.nodes.get(i % 3), JobFleet.id(i), JobFleet.step(4, 3500, 300), JobFleet.step(2, 3500, 300, 0));
+            fleet.submit(
+                    fleet.nodes.get(i % 3),
+                    JobFleet.id(i),
+                    JobFleet.step(4, 3500, 300),
+                    JobFleet.step(2, 3500, 300, 0));
         }
         fleet.run(5000);
         fleet.clients.forEach(client -> client.setLostAnswerRatio(0));
