--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -47,6 +47,7 @@
      * @param address address under which other entry hosts reach this one; the value of the duty's record
      * @param siteKey key of the configuration's record
      * @param siteDecoder decoder of that record
+     * @param dutyDelay time by which this host lets others go first when the scheduler duty is vacant; small hosts wait
      */
     public record Parts(
             String address,
@@ -64,7 +65,8 @@
             SchedulerLink link,
             Telemetry telemetry,
             SchedulerOptions options,
-            Duration keyAge) {}
+            Duration keyAge,
+            Duration dutyDelay) {}
 
     private JobNode(Parts parts) {
         this.parts = parts;
@@ -89,7 +91,7 @@
     public static JobNode start(Parts parts) {
         JobNode node = new JobNode(parts);
         node.duty.onChange(node::onDutyChange);
-        node.duty.start(Duration.ZERO);
+        node.duty.start(parts.dutyDelay());
         return node;
     }
 
@@ -127,7 +129,7 @@
     @Override
     public void onDutyHolder(Optional<String> holder) {
         if (holder.isEmpty() && !leaving) {
-            duty.onVacant();
+            parts.timers().schedule(parts.dutyDelay(), duty::onVacant);
         }
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -30,8 +30,8 @@
     private static final Duration ANSWER_AGE = Duration.ofMillis(1900);
     /** Waiting work runs one part after the other within its time, so that not all of it needs room at once. */
     private static final double WAITING_PART = 0.7;
-    /** Most hosts that one pool is given. */
-    private static final int MOST_HOSTS = 24;
+    /** Most hosts that one pool is given, as a part of all. */
+    private static final double MOST_HOSTS_PART = 0.6;
     /** Idle hosts that a pool keeps, for the first second of a peak. */
     private static final int SPARE_HOSTS = 1;
     /** Hosts that a pool keeps for its base load, on two racks where it can. */
@@ -146,7 +146,7 @@
         if (hostCpu > 0) {
             needed = Math.max(needed, (int) Math.ceil(Math.max(asked, coming) / (hostCpu * USABLE_PART)));
         }
-        needed = Math.min(needed, MOST_HOSTS);
+        needed = Math.min(needed, (int) Math.ceil(MOST_HOSTS_PART * hosts.all().size()));
         RecentMaximum recent = needs.computeIfAbsent(pool, name -> new RecentMaximum(HOLD_TIME));
         recent.add(needed, nowNanos);
         int keep = Math.max((int) recent.maximum(nowNanos), LEAST_HOSTS) + SPARE_HOSTS;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -95,7 +95,8 @@
                 new Link(),
                 new Recorder(),
                 SchedulerOptions.within(Duration.ofSeconds(10), Duration.ofSeconds(3)),
-                Duration.ofSeconds(4)));
+                Duration.ofSeconds(4),
+                Duration.ZERO));
         nodes.add(node);
         clients.add(client);
         byAddress.put(address, node);
