Count every host of a wave that is down, also by orders of an earlier holder or without an answer

Two more ways were found in the code: an order without an answer was taken off the count before it was sent again, and a new holder did not count hosts that are down by the earlier one. Change: places are freed by two later lists; orders without an answer and busy hosts stay counted until a list shows them up; listed maintenance counts.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -25,6 +25,9 @@
     /** An order's way, including a slow answer, has to end within the duty's lease. */
     private static final Duration ORDER_MARGIN = Duration.ofMillis(700);
 
+    /** Lists that show a maintained host up before another one may go down: its server joins just after the host. */
+    private static final int LISTS_AFTER_MAINTENANCE = 2;
+
     private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
 
     private final SchedulerContext context;
@@ -45,6 +48,7 @@
         private final long sentNanos;
         private final Optional<String> pool;
         private boolean answered;
+        private int listsUp;
         private long answeredNanos;
 
         private OpenOrder(long sentNanos, Optional<String> pool) {
@@ -104,7 +108,10 @@
             HostControl.HostView host = next.get(entry.getKey());
             OpenOrder order = entry.getValue();
             boolean listedLater = order.answered && askedNanos > order.answeredNanos;
-            return host == null || listedLater && host.state() == HostControl.HostState.UP;
+            if (host != null && listedLater && host.state() == HostControl.HostState.UP) {
+                order.listsUp++;
+            }
+            return host == null || order.listsUp >= (order.pool.isPresent() ? 1 : LISTS_AFTER_MAINTENANCE);
         });
         emptying.removeIf(name -> !next.containsKey(name));
     }
@@ -189,7 +196,7 @@
                                     + (order.answeredNanos - order.sentNanos) / 1_000_000);
             switch (result) {
                 case DONE -> emptying.remove(host);
-                case NO_ANSWER -> {}
+                case NO_ANSWER, BUSY -> {}
                 default ->
                     context.timers().schedule(RETRY_PAUSE, () -> {
                         if (orders.get(host) == order) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -155,6 +155,7 @@
         }
         run.setPhase(Run.Phase.ORDERED);
         run.setStartedNanos(nowNanos);
+        context.telemetry().event(EventCode.RUN_ORDERED, "run=" + run + " leaseEndMs=" + leaseEnd.get());
         ServerOrders.StartOrder order = new ServerOrders.StartOrder(
                 run.id(),
                 run.number(),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -149,13 +149,24 @@
                 maintain(wave, host);
             }
         }
-        int room = wave.request.mostDown() - wave.down.size() - wave.emptying.size();
+        int room = wave.request.mostDown() - down(wave) - wave.emptying.size();
         candidates(wave, left).stream().limit(Math.max(0, room)).forEach(host -> {
             wave.emptying.add(host.name());
             hosts.empty(host.name());
         });
     }
 
+    /** Hosts of a wave that are down for maintenance, also by orders of an earlier holder. */
+    private int down(Wave wave) {
+        Set<String> down = new HashSet<>(wave.down);
+        for (String host : wave.request.hosts()) {
+            hosts.find(host)
+                    .filter(view -> view.state() == HostControl.HostState.MAINTENANCE)
+                    .ifPresent(view -> down.add(host));
+        }
+        return down.size();
+    }
+
     private List<HostControl.HostView> candidates(Wave wave, Set<String> left) {
         Map<String, Integer> up = new HashMap<>();
         Map<String, Integer> away = new HashMap<>();
@@ -185,7 +196,7 @@
     }
 
     private void maintain(Wave wave, String host) {
-        if (!hosts.mayOrder() || wave.down.size() >= wave.request.mostDown()) {
+        if (!hosts.mayOrder() || down(wave) >= wave.request.mostDown()) {
             return;
         }
         wave.down.add(host);
@@ -201,13 +212,9 @@
                             hosts.reopen(host);
                             wave.done.add(host);
                         }
-                        case NO_ANSWER ->
-                            // The same order is sent again: it has no second effect.
-                            context.timers().schedule(READ_INTERVAL, () -> {
-                                wave.down.remove(host);
-                                maintain(wave, host);
-                            });
-                        case FENCED, BUSY, TOO_MANY -> wave.down.remove(host);
+                        // The list of hosts shows what came of it; the same order has no second effect.
+                        case NO_ANSWER, BUSY -> {}
+                        case FENCED, TOO_MANY -> wave.down.remove(host);
                     }
                 });
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -272,6 +272,8 @@
         }
 
         @Override
-        public void count(CounterCode counter, String tag) {}
+        public void count(CounterCode counter, String tag) {
+            events.add(time.monotonicNanos() / 1_000_000 + " count " + counter + " " + tag);
+        }
     }
 }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
@@ -97,12 +97,13 @@
     @Test
     public void anAnswerThatIsLostIsNeverARefusal() {
         JobFleet fleet = fleet();
-        fleet.clients.get(0).setLostAnswerRatio(1);
+        int other = 1 - fleet.nodes.indexOf(fleet.holder());
+        fleet.clients.get(other).setLostAnswerRatio(1);
         JobAnswer answer =
-                fleet.after(3000, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(1, 1000, 100)));
+                fleet.after(3000, fleet.submit(fleet.nodes.get(other), JobFleet.id(1), JobFleet.step(1, 1000, 100)));
         assertTrue(answer instanceof JobAnswer.Undecided, "" + answer);
-        JobAnswer state = fleet.after(500, fleet.query(fleet.nodes.get(1), JobFleet.id(1)));
-        assertEquals(state, new JobAnswer.State(JobState.COMPLETED));
+        JobAnswer state = fleet.after(500, fleet.query(fleet.holder(), JobFleet.id(1)));
+        assertEquals(state, new JobAnswer.State(JobState.COMPLETED), String.join("\n", fleet.events));
     }
 
     @Test
