--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -108,7 +108,7 @@
             HostControl.HostView host = next.get(entry.getKey());
             OpenOrder order = entry.getValue();
             boolean listedLater = order.answered && askedNanos > order.answeredNanos;
-            if (host != null && listedLater && host.state() == HostControl.HostState.UP) {
+            if (host != null && listedLater && isBack(host)) {
                 order.listsUp++;
             }
             return host == null || order.listsUp >= (order.pool.isPresent() ? 1 : LISTS_AFTER_MAINTENANCE);
@@ -116,6 +116,18 @@
         emptying.removeIf(name -> !next.containsKey(name));
     }
 
+    /** Whether a host is up, and its server has joined unless its pool is switched off. */
+    private boolean isBack(HostControl.HostView host) {
+        boolean resting = context.site()
+                .get()
+                .site()
+                .standbyPool()
+                .filter(pool -> pool.name().equals(host.pool()))
+                .isPresent();
+        return host.state() == HostControl.HostState.UP
+                && (resting || host.serverId().isPresent());
+    }
+
     boolean known() {
         return !hosts.isEmpty();
     }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -32,6 +32,8 @@
     private static final Duration DELAY = Duration.ofMillis(1);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(700);
     private static final Duration AWAY_TIME = Duration.ofMillis(1500);
+    /** A host is listed up this long before its server joins. */
+    private static final Duration JOIN_TIME = Duration.ofMillis(600);
 
     private final Clock clock;
     private final Scheduler scheduler;
@@ -47,6 +49,7 @@
     private BiFunction<ItemId, BackendServer, Duration> workTimes;
     private Failing failing = (item, run, server) -> false;
     private int mostDown;
+    private int downForWave;
     private int moves;
 
     /** Decides which runs fail. */
@@ -302,10 +305,9 @@
         maintained.add(host);
         CompletionStage<HostOrderResult> result =
                 takeAway(hosts.get(host), hosts.get(host).pool(), HostState.MAINTENANCE);
-        int down = (int) hosts.values().stream()
-                .filter(h -> h.state() == HostState.MAINTENANCE)
-                .count();
-        mostDown = Math.max(mostDown, down);
+        downForWave++;
+        scheduler.schedule(AWAY_TIME.plus(JOIN_TIME), () -> downForWave--);
+        mostDown = Math.max(mostDown, downForWave);
         return result;
     }
 
@@ -321,23 +323,21 @@
         hosts.put(name, new HostView(name, pool, state, view.labels(), view.capacity(), Optional.empty()));
         scheduler.schedule(AWAY_TIME, () -> {
             String id = name + "-" + clock.millis();
-            boolean resting = pool.equals("standby");
-            hosts.put(
-                    name,
-                    new HostView(
-                            name,
-                            pool,
-                            HostState.UP,
-                            view.labels(),
-                            view.capacity(),
-                            resting ? Optional.empty() : Optional.of(id)));
-            if (!resting) {
-                start(id, pool, view.capacity(), view.labels().get(1));
+            hosts.put(name, listed(view, pool, Optional.empty()));
+            if (!pool.equals("standby")) {
+                scheduler.schedule(JOIN_TIME, () -> {
+                    hosts.put(name, listed(view, pool, Optional.of(id)));
+                    start(id, pool, view.capacity(), view.labels().get(1));
+                });
             }
         });
         return later(HostOrderResult.DONE);
     }
 
+    private static HostView listed(HostView before, String pool, Optional<String> serverId) {
+        return new HostView(before.name(), pool, HostState.UP, before.labels(), before.capacity(), serverId);
+    }
+
     @Override
     public CompletionStage<Either<StoreError, List<WaveRequest>>> readWaves() {
         return later(Either.right(List.copyOf(waves)));
