--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -24,7 +24,11 @@
 target/runtime/bin/java -XX:ArchiveClassesAtExit=target/basilswitch.jsa @target/training.options \
   org.basilswitch.platform.PlatformMain > target/training.log 2>&1 &
 training=$!
-sleep 2
+for _ in $(seq 300); do
+  ! grep -q ENTRY_HOST_STARTED target/training.log || break
+  sleep 0.1
+done
+sleep 1
 kill -TERM "$training"
 wait "$training" || true
 [ -s target/basilswitch.jsa ] || { echo "build: the class data archive was not written, see target/training.log" >&2; exit 1; }
