--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -17,6 +17,9 @@
 final class ActiveJob {
     private final JobSubmission submission;
     private final Map<Integer, List<List<WorkItem>>> occurrences = new TreeMap<>();
+    private long firstOrderMs;
+    private int orders;
+    private int lostRuns;
     private boolean beyondShare;
     private boolean cancelled;
     private boolean failed;
@@ -186,6 +189,27 @@
         return JobState.RUNNING;
     }
 
+    /** Notes that a run was ordered. */
+    void countOrder(long nowMs) {
+        if (orders == 0) {
+            firstOrderMs = nowMs;
+        }
+        orders++;
+    }
+
+    /** Notes that a run was over without an end. */
+    void countLostRun() {
+        lostRuns++;
+    }
+
+    /** How the job came along, for logs. */
+    String summary(long nowMs) {
+        String waited = orders == 0 ? "none" : Long.toString(firstOrderMs - submission.acceptedMs());
+        int failures = items().stream().mapToInt(WorkItem::failures).sum();
+        return "tookMs=" + (nowMs - submission.acceptedMs()) + " waitedMs=" + waited + " runs=" + orders + " lost="
+                + lostRuns + " failed=" + failures + (beyondShare ? " beyondShare" : "");
+    }
+
     /** Whether the job is beyond its team's rate. */
     boolean beyondShare() {
         return beyondShare;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
@@ -92,9 +92,14 @@
         return order;
     }
 
+    /** Time from its acceptance within which a job is on time, as far as can be told, ms; zero for unknown queues. */
+    double targetMs(ActiveJob job) {
+        JobQueue queue = site().queues().get(job.submission().queue());
+        return queue == null ? 0 : queue.stretchFactor() * job.chainMs(step -> stepMs(job, step)) + queue.targetMs();
+    }
+
     private OnTimeOrder.Entry<ActiveJob> entry(ActiveJob job, JobQueue queue) {
-        double chainMs = job.chainMs(step -> stepMs(job, step));
-        double dueMs = job.submission().acceptedMs() + queue.stretchFactor() * chainMs + queue.targetMs();
+        double dueMs = job.submission().acceptedMs() + targetMs(job);
         double latestStartMs = dueMs - job.remainingChainMs(step -> stepMs(job, step));
         double work = 0;
         for (int step = 0; step < job.submission().steps().size(); step++) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -292,7 +292,12 @@
             advice.forget(job.id());
             ended.put(job.id(), job.state());
             context.telemetry().count(CounterCode.JOBS_ENDED, job.state().name());
-            context.telemetry().event(EventCode.JOB_ENDED, "job=" + job.id() + " state=" + job.state());
+            context.telemetry()
+                    .event(
+                            EventCode.JOB_ENDED,
+                            "job=" + job.id() + " state=" + job.state() + " "
+                                    + job.summary(context.clock().millis()) + " targetMs="
+                                    + Math.round(order.targetMs(job)));
         }
         changed();
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -155,6 +155,7 @@
         }
         run.setPhase(Run.Phase.ORDERED);
         run.setStartedNanos(nowNanos);
+        run.item().job().countOrder(context.clock().millis());
         context.telemetry().event(EventCode.RUN_ORDERED, "run=" + run + " leaseEndMs=" + leaseEnd.get());
         ServerOrders.StartOrder order = new ServerOrders.StartOrder(
                 run.id(),
@@ -262,6 +263,7 @@
         WorkItem item = run.item();
         if (item.run().filter(run::equals).isPresent()) {
             item.endRun(false);
+            item.job().countLostRun();
             item.job().markDirty();
             context.telemetry().event(EventCode.RUN_LOST, "run=" + run + " " + reason);
         }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/DaemonTelemetry.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/DaemonTelemetry.java
@@ -15,7 +15,8 @@
 /** Writes the core's events to Log4j and its counts to Micrometer. */
 public final class DaemonTelemetry implements Telemetry {
     private static final Logger LOGGER = LogManager.getLogger("org.basilswitch");
-    private static final int EVENTS_PER_SECOND = 20;
+    /** Lines of one event a second: about twice the jobs that end in a second of the busiest day (docs/design/platform.md). */
+    private static final int EVENTS_PER_SECOND = 60;
 
     private final Meters meters;
     private final Clock clock;
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/EventsPage.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/telemetry/EventsPage.java
@@ -21,7 +21,7 @@
         page.append(
                 "name, node, text and detail, or as plain lines with `--log-format text`. An event that comes more\n");
         page.append(
-                "than 20 times a second is cut off, which event 2408 and a counter tell. This page is written by\n");
+                "than 60 times a second is cut off, which event 2408 and a counter tell. This page is written by\n");
         page.append("`./basilswitch catalogue events`; a test compares it with the code.\n");
         int range = 0;
         for (EventCode code : sorted()) {
