--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -29,6 +29,7 @@
 
 /** All backend servers and their hosts, with faults that a test sets. */
 public final class FleetModel implements ServerList, HostControl, WaveRecords {
+    private static final String NO_ADDRESS = "127.0.0.1:1";
     private static final Duration DELAY = Duration.ofMillis(1);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(700);
     private static final Duration AWAY_TIME = Duration.ofMillis(1500);
@@ -39,6 +40,7 @@
     private final Scheduler scheduler;
     private final Map<String, ServerModel> servers = new HashMap<>();
     private final Map<String, HostView> hosts = new HashMap<>();
+    private final Map<String, String> addressOfHost = new HashMap<>();
     private final Map<String, StepSpec> steps = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private final Set<String> lostStarts = new HashSet<>();
@@ -71,18 +73,24 @@
         return new FleetModel(clock, scheduler);
     }
 
-    /** Adds a host with a backend server. */
+    /** Adds a host with a backend server that has no address. */
     public void addServer(String id, String pool, Resources capacity, String rack) {
+        addServer(id, pool, capacity, rack, NO_ADDRESS);
+    }
+
+    /** Adds a host with a backend server; later servers of the host have the same address. */
+    public void addServer(String id, String pool, Resources capacity, String rack, String address) {
+        addressOfHost.put("host-" + id, address);
         hosts.put(
                 "host-" + id,
                 new HostView("host-" + id, pool, HostState.UP, List.of("a", rack), capacity, Optional.of(id)));
-        start(id, pool, capacity, rack);
+        start(id, pool, capacity, rack, address);
     }
 
-    private void start(String id, String pool, Resources capacity, String rack) {
+    private void start(String id, String pool, Resources capacity, String rack, String address) {
         long bornMs = clock.millis();
         BackendServer entry =
-                new BackendServer(id, bornMs, pool, "127.0.0.1:1", "zone", false, 0, capacity, List.of("a", rack));
+                new BackendServer(id, bornMs, pool, address, "zone", false, 0, capacity, List.of("a", rack));
         servers.put(id, new ServerModel(entry, this, clock, scheduler));
     }
 
@@ -135,7 +143,7 @@
         BackendServer before = servers.get(id).entry();
         servers.get(id).crash();
         silent.remove(id);
-        start(id, before.pool(), before.capacity(), before.rack().orElse(""));
+        start(id, before.pool(), before.capacity(), before.rack().orElse(""), before.address());
     }
 
     /** Reports a server as draining. */
@@ -178,6 +186,14 @@
         return servers.values().stream().mapToInt(ServerModel::runs).sum();
     }
 
+    /** The server that listens on an address now. */
+    public Optional<BackendServer> serverAt(String address) {
+        return servers.values().stream()
+                .map(ServerModel::entry)
+                .filter(entry -> entry.address().equals(address))
+                .findFirst();
+    }
+
     /** A server by its identifier. */
     public ServerModel server(String id) {
         return servers.get(id);
@@ -327,7 +343,7 @@
             if (!pool.equals("standby")) {
                 scheduler.schedule(JOIN_TIME, () -> {
                     hosts.put(name, listed(view, pool, Optional.of(id)));
-                    start(id, pool, view.capacity(), view.labels().get(1));
+                    start(id, pool, view.capacity(), view.labels().get(1), addressOfHost.get(name));
                 });
             }
         });
