--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -29,6 +29,7 @@
   sleep 0.1
 done
 sleep 1
-kill -TERM "$training"
+kill -TERM "$training" || echo "build: the training run has ended early, see target/training.log" >&2
 wait "$training" || true
-[ -s target/basilswitch.jsa ] || { echo "build: the class data archive was not written, see target/training.log" >&2; exit 1; }
+# Without the archive the program runs as well, and starts slower.
+[ -s target/basilswitch.jsa ] || echo "build: the class data archive was not written, see target/training.log" >&2
