Delete the records of ended jobs after their retention; count starts and ends of runs

Cause: nothing ever deleted the records of jobs, so that the store and every host's directory grew without end.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -72,6 +72,7 @@
     HOST_ORDERED(1921, Severity.INFO, "host ordered to move or to be maintained"),
     PACE_FAILED(1922, Severity.INFO, "pace of a work item could not be set; trying again"),
     CALL_REFUSED(1923, Severity.INFO, "call refused"),
+    JOBS_NOT_DELETED(1924, Severity.INFO, "records of ended jobs could not be deleted; they are deleted later"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
@@ -0,0 +1,77 @@
+package org.basilswitch.schedule;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.basilswitch.event.EventCode;
+import org.basilswitch.job.JobState;
+import org.basilswitch.store.Transaction;
+
+/** Final states of jobs, which are told for some time and then deleted from the store. */
+final class EndedJobs {
+    /** Jobs in one commit: three records each, and the duty's comparison, of 32 entries. */
+    private static final int JOBS_PER_COMMIT = 10;
+
+    private final SchedulerContext context;
+    private final long fence;
+    private final Map<String, JobState> states = new HashMap<>();
+    private final Deque<Ended> byTime = new ArrayDeque<>();
+    private boolean deleting;
+
+    private record Ended(String id, long atNanos) {}
+
+    EndedJobs(SchedulerContext context, long fence) {
+        this.context = context;
+        this.fence = fence;
+    }
+
+    /** Adds a job; one that an earlier holder has ended counts from now. */
+    void add(String id, JobState state) {
+        if (states.putIfAbsent(id, state) == null) {
+            byTime.add(new Ended(id, context.clock().monotonicNanos()));
+        }
+    }
+
+    Optional<JobState> state(String id) {
+        return Optional.ofNullable(states.get(id));
+    }
+
+    boolean contains(String id) {
+        return states.containsKey(id);
+    }
+
+    int size() {
+        return states.size();
+    }
+
+    /** Deletes the records of jobs that ended long enough ago, some at a time. */
+    void deleteOld() {
+        Duration retention = context.options().retention();
+        long beforeNanos = context.clock().monotonicNanos() - retention.toNanos();
+        if (deleting || byTime.isEmpty() || byTime.peek().atNanos > beforeNanos) {
+            return;
+        }
+        Transaction.Builder builder =
+                Transaction.builder().compare(context.keys().schedulerDuty(), fence);
+        for (int i = 0; i < JOBS_PER_COMMIT && !byTime.isEmpty() && byTime.peek().atNanos <= beforeNanos; i++) {
+            String id = byTime.poll().id();
+            states.remove(id);
+            builder.delete(context.keys().jobAccepted(id));
+            builder.delete(context.keys().jobCancelled(id));
+            builder.delete(context.keys().jobEnded(id));
+        }
+        deleting = true;
+        context.store().commit(builder.build()).thenAccept(result -> {
+            deleting = false;
+            if (result.isLeft()) {
+                // The next holder of the duty finds the records and deletes them.
+                context.telemetry()
+                        .event(EventCode.JOBS_NOT_DELETED, result.getLeft().detail());
+            }
+        });
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -49,7 +49,7 @@
     private final Predicate<Duration> heldFor;
     private final Consumer<String> onLost;
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
-    private final Map<String, JobState> ended = new HashMap<>();
+    private final EndedJobs ended;
     private final RunBook book = new RunBook();
     private final RunKeeper keeper;
     private final ProgressWriter writer;
@@ -71,6 +71,7 @@
         this.heldFor = heldFor;
         this.onLost = onLost;
         this.keeper = new RunKeeper(context, fence, book, this);
+        this.ended = new EndedJobs(context, fence);
         this.advice = new AdviceBook(context, this::changed);
         this.order = new JobOrder(context, durations);
         this.hosts = new Hosts(context, fence, heldFor);
@@ -135,9 +136,9 @@
         }
         long lapseNanos =
                 context.clock().monotonicNanos() + context.options().lease().toNanos() * 21 / 20;
-        read.ended(context.keys().jobsEnded()).forEach(ended::putIfAbsent);
+        read.ended(context.keys().jobsEnded()).forEach(ended::add);
         read.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
-            if (!ended.containsKey(submission.id()) && !jobs.containsKey(submission.id())) {
+            if (!ended.contains(submission.id()) && !jobs.containsKey(submission.id())) {
                 ActiveJob job = new ActiveJob(submission);
                 read.progress(context.keys().jobProgress(submission.id()))
                         .ifPresent(found -> job.restore(found.record(), found.revision()));
@@ -165,6 +166,7 @@
             return;
         }
         keeper.sweep();
+        ended.deleteOld();
         waves.step();
         hosts.refresh();
         balancer.step(jobs.values());
@@ -183,7 +185,7 @@
             acceptedWhileLoading.add(submission);
             return;
         }
-        if (closed || ended.containsKey(submission.id()) || jobs.containsKey(submission.id())) {
+        if (closed || ended.contains(submission.id()) || jobs.containsKey(submission.id())) {
             return;
         }
         ActiveJob job = new ActiveJob(submission);
@@ -204,7 +206,7 @@
     /** State of a job, as far as it is stored; empty when the job is not known. */
     public Optional<JobState> state(String id) {
         ActiveJob job = jobs.get(id);
-        return job != null ? Optional.of(job.storedState()) : Optional.ofNullable(ended.get(id));
+        return job != null ? Optional.of(job.storedState()) : ended.state(id);
     }
 
     /** Number of a queue's jobs of which no work item has been started. */
@@ -290,7 +292,7 @@
         if (job.ended()) {
             jobs.remove(job.id());
             advice.forget(job.id());
-            ended.put(job.id(), job.state());
+            ended.add(job.id(), job.state());
             context.telemetry().count(CounterCode.JOBS_ENDED, job.state().name());
             context.telemetry()
                     .event(
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -155,6 +155,7 @@
         }
         run.setPhase(Run.Phase.ORDERED);
         run.setStartedNanos(nowNanos);
+        context.telemetry().count(CounterCode.RUNS_STARTED, state.view().get().pool());
         run.item().job().countOrder(context.clock().millis());
         context.telemetry().event(EventCode.RUN_ORDERED, "run=" + run + " leaseEndMs=" + leaseEnd.get());
         ServerOrders.StartOrder order = new ServerOrders.StartOrder(
@@ -391,6 +392,7 @@
 
     private void applyEnd(ServerState state, WorkItem item, ServerOrders.EndRow end) {
         item.saveCheckpoint(end.checkpoint());
+        context.telemetry().count(CounterCode.RUNS_ENDED, end.kind().name());
         switch (end.kind()) {
             case DONE -> {
                 state.countSuccess();
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -123,7 +123,7 @@
                 fleet,
                 new Link(),
                 new Recorder(),
-                SchedulerOptions.within(Duration.ofSeconds(10), Duration.ofSeconds(3)),
+                SchedulerOptions.within(Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofSeconds(240)),
                 Duration.ofSeconds(4),
                 Duration.ZERO));
         nodes.add(node);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -225,6 +225,18 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void theRecordsOfAnEndedJobAreDeletedAfterItsRetention() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(2, 1000, 100)));
+        fleet.run(200_000);
+        assertEquals(state(fleet, fleet.nodes.get(1), JobFleet.id(1)), JobState.COMPLETED);
+        fleet.run(60_000);
+        JobAnswer answer = fleet.after(500, fleet.query(fleet.nodes.get(1), JobFleet.id(1)));
+        assertEquals(answer, new JobAnswer.UnknownJob());
+        assertEquals(fleet.store.range("/basilswitch/test/jobs/accepted/").entries(), List.of());
+    }
+
     @Test
     public void noWorkIsStartedOnADrainingServer() {
         JobFleet fleet = fleet(2, 2);
