--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -31,6 +31,9 @@
     /** Without a confirmed configuration for this long, the host takes no new callers; they find others. */
     private static final Duration READY_AGE = Duration.ofMillis(2800);
 
+    /** Interval at which a new holder of the duty looks for the first configuration. */
+    private static final Duration SITE_WAIT = Duration.ofMillis(20);
+
     private final Parts parts;
     private final Clock clock;
     private final JobDirectory directory;
@@ -99,21 +102,33 @@
         scheduler.ifPresent(JobScheduler::close);
         scheduler = Optional.empty();
         if (duty.fence() != 0 && !leaving) {
-            SchedulerContext context = new SchedulerContext(
-                    clock,
-                    parts.timers(),
-                    parts.store(),
-                    parts.keys(),
-                    parts.orders(),
-                    parts.advice(),
-                    () -> site.view().orElseThrow(),
-                    servers,
-                    parts.hosts(),
-                    parts.waves(),
-                    parts.telemetry(),
-                    parts.options());
-            scheduler = Optional.of(JobScheduler.takeOver(context, duty.fence(), duty::heldFor, duty::release));
+            takeOver(duty.fence());
+        }
+    }
+
+    /** Starts scheduling, once there is a configuration to schedule by. */
+    private void takeOver(long fence) {
+        if (leaving || duty.fence() != fence) {
+            return;
+        }
+        if (site.view().isEmpty()) {
+            parts.timers().schedule(SITE_WAIT, () -> takeOver(fence));
+            return;
         }
+        SchedulerContext context = new SchedulerContext(
+                clock,
+                parts.timers(),
+                parts.store(),
+                parts.keys(),
+                parts.orders(),
+                parts.advice(),
+                () -> site.view().orElseThrow(),
+                servers,
+                parts.hosts(),
+                parts.waves(),
+                parts.telemetry(),
+                parts.options());
+        scheduler = Optional.of(JobScheduler.takeOver(context, fence, duty::heldFor, duty::release));
     }
 
     @Override
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -165,13 +165,13 @@
         if (closed) {
             return;
         }
+        context.timers().schedule(SWEEP_INTERVAL, this::sweep);
         keeper.sweep();
         ended.deleteOld();
         waves.step();
         hosts.refresh();
         balancer.step(jobs.values());
         changed();
-        context.timers().schedule(SWEEP_INTERVAL, this::sweep);
     }
 
     /** Whether the jobs are read, so that states can be told. */
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -69,6 +69,11 @@
                 Transaction.builder().put("config", RecordCodec.encode(site)).build());
     }
 
+    /** Deletes the configuration, as before the operator has written the first one. */
+    void deleteConfiguration() {
+        store.commit(Transaction.builder().delete("config").build());
+    }
+
     /** Stores a configuration in which the team has no keys. */
     void withdrawKeys() {
         JobTeam team = site.teams().get("team");
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -225,6 +225,23 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void aHolderThatHasNoConfigurationYetSchedulesAndMaintainsOnceItComes() {
+        JobFleet fleet = new JobFleet();
+        fleet.addServers(4);
+        fleet.deleteConfiguration();
+        fleet.addNode();
+        fleet.run(1500);
+        fleet.configure(new Resources(0, 0, 0), 3);
+        fleet.run(3000);
+        List<String> hosts = List.of("host-s0", "host-s1");
+        fleet.fleet.addWave(new WaveRecords.WaveRequest(1, hosts, Duration.ofSeconds(26), 1, false, false));
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(2, 1000, 100)));
+        fleet.run(15_000);
+        assertEquals(state(fleet, fleet.nodes.get(0), JobFleet.id(1)), JobState.COMPLETED);
+        assertEquals(fleet.fleet.maintained().size(), 2, String.join("\n", fleet.events));
+    }
+
     @Test
     public void theRecordsOfAnEndedJobAreDeletedAfterItsRetention() {
         JobFleet fleet = fleet(2, 2);
