--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -29,8 +29,11 @@
     /** Part of the caller's patience that is kept for the answer's way back. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(150);
 
+    /** Below the usual patience of callers, 3 s, less the way back. */
     private static final Duration LONGEST_TIMEOUT = Duration.ofMillis(2500);
+    /** A refused caller finds another host by then; the balancer needs two probes to leave one out. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    /** Decisions on one call while the configuration changes under it. */
     private static final int MOST_DECISIONS = 4;
 
     private final JobNode node;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceBook.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceBook.java
@@ -18,6 +18,7 @@
     /** Part of a ticket's validity that the record and the start take. */
     private static final Duration START_TIME = Duration.ofMillis(600);
 
+    /** Time before a step is asked about again after no answer or a busy service. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
     private final SchedulerContext context;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
@@ -16,7 +16,9 @@
     /** Ends that come within this time are fetched by one call. */
     private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(40);
 
+    /** Without runs a hold only keeps the clock and the server's health known. */
     private static final Duration IDLE_INTERVAL = Duration.ofMillis(1500);
+    /** After a lost answer the lease is not extended until one comes; it is asked for soon. */
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
     private final ServerState state;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.basilswitch.event.EventCode;
@@ -21,6 +22,7 @@
  * holders never give orders for one host by turns.
  */
 final class Hosts {
+    /** A host is away for 1.5 s or more; one list in each quarter of that is enough to see it return. */
     private static final Duration LIST_INTERVAL = Duration.ofMillis(400);
     /** An order's way, including a slow answer, has to end within the duty's lease. */
     private static final Duration ORDER_MARGIN = Duration.ofMillis(700);
@@ -28,6 +30,7 @@
     /** Lists that show a maintained host up before another one may go down: its server joins just after the host. */
     private static final int LISTS_AFTER_MAINTENANCE = 2;
 
+    /** Time before an order that had no effect is given again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
 
     private final SchedulerContext context;
@@ -57,7 +60,7 @@
         }
     }
 
-    Hosts(SchedulerContext context, long fence, java.util.function.Predicate<Duration> heldFor) {
+    Hosts(SchedulerContext context, long fence, Predicate<Duration> heldFor) {
         this.context = context;
         this.fence = fence;
         this.mayOrder = () -> heldFor.test(ORDER_MARGIN);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -31,11 +31,14 @@
     /** Changes within this time are placed and stored together. */
     private static final Duration ROUND_DELAY = Duration.ofMillis(12);
 
+    /** Leases end and hosts come back within this much of the time that they are due. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
+    /** Time between two tries to read the jobs; the store refuses for seconds when it is down. */
     private static final Duration LOAD_RETRY = Duration.ofMillis(200);
     /** Starts on a draining server have to end within bounds.drainMs, 2 s or more. */
     private static final Duration SERVER_LIST_AGE = Duration.ofMillis(1400);
 
+    /** The same bound at the order itself, after the run's record was stored. */
     private static final Duration SERVER_LIST_AGE_AT_ORDER = Duration.ofMillis(1800);
     /** Starts follow a configuration that was the newest within this time. */
     private static final Duration SITE_AGE = Duration.ofMillis(2800);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -29,6 +29,7 @@
     /** Jobs in one commit; each takes up to four of the 32 entries that the platform's store accepts. */
     private static final int JOBS_PER_COMMIT = 7;
 
+    /** First and longest time between two tries of a commit; a store that is down refuses for seconds. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(60);
     private static final Duration LONGEST_RETRY_DELAY = Duration.ofMillis(500);
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -18,11 +18,14 @@
  * no longer be at work.
  */
 final class RunKeeper {
+    /** Time between two tries of a stop; a server takes up to 200 ms to stop a run. */
     private static final Duration STOP_RETRY = Duration.ofMillis(200);
     /** A server that refused for want of room shows its runs in its next report. */
     private static final Duration NO_ROOM_PAUSE = Duration.ofMillis(150);
 
+    /** An unhealthy or unreachable server is tried again with the next list of servers but one. */
     private static final Duration UNHEALTHY_PAUSE = Duration.ofMillis(1000);
+    /** Long enough for a failed work item to be done elsewhere. */
     private static final Duration FAILING_PAUSE = Duration.ofMillis(4000);
     /** Failed runs in a row, on any work items, after which a server is avoided for some time. */
     private static final int FAILURES_TO_AVOID = 2;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
@@ -14,6 +14,7 @@
     /** Long enough for a takeover within the duty's lease and one hold interval. */
     private static final Duration PREFERRED_LEASE = Duration.ofSeconds(4);
 
+    /** Renewed three times within it; a killed holder is replaced after it. */
     private static final Duration DUTY_LEASE = Duration.ofSeconds(2);
 
     /** Options within the longest lease that the platform grants. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -20,6 +20,7 @@
  * reports the wave.
  */
 final class WaveKeeper {
+    /** A wave has tens of seconds; less than one goes by before it is seen. */
     private static final Duration READ_INTERVAL = Duration.ofMillis(700);
     /** Hosts of one pool that are emptied at once, as a part of its hosts that are up. */
     private static final double EMPTYING_PART = 0.3;
@@ -171,11 +172,11 @@
         Map<String, Integer> up = new HashMap<>();
         Map<String, Integer> away = new HashMap<>();
         for (HostControl.HostView host : hosts.all()) {
-            boolean away1 = host.state() != HostControl.HostState.UP
+            boolean isAway = host.state() != HostControl.HostState.UP
                     || hosts.isEmptying(host.name())
                     || hosts.isOrdered(host.name());
             up.merge(host.pool(), 1, Integer::sum);
-            away.merge(host.pool(), away1 ? 1 : 0, Integer::sum);
+            away.merge(host.pool(), isAway ? 1 : 0, Integer::sum);
         }
         List<HostControl.HostView> found = new ArrayList<>();
         List<HostControl.HostView> byWork = new ArrayList<>();
