--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -31,6 +31,7 @@
 
     /** First and longest time between two tries of a commit; a store that is down refuses for seconds. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(60);
+
     private static final Duration LONGEST_RETRY_DELAY = Duration.ofMillis(500);
 
     private final PlatformStore store;
