Bar a delayed start at the next lifetime of its server

Cause: a start without an answer at a server that starts again under its identifier was taken as over with the old lifetime. The next lifetime has the same identifier, has seen no fencing number and counts its clock anew, so that the delayed start is carried out there while the work item runs elsewhere. Ruled out: the lease end in the start bars it (the clock starts anew); Expect-Instance bars it (it names the identifier). Change: runs in doubt move to the next lifetime, where they are stopped, or, for runs of an earlier holder, looked for. Test: JobSchedulerTest.aDelayedStartIsBarredAtTheNextLifetimeOfItsServer, failed before (run 1 beside run 3).

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -82,9 +82,9 @@
 
     /** Takes over the list of live servers. */
     void onServers(Map<BackendServer.Lifetime, BackendServer> live) {
-        Set<String> ids = new HashSet<>();
+        Map<String, BackendServer.Lifetime> lifetimeOf = new HashMap<>();
         live.forEach((lifetime, server) -> {
-            ids.add(lifetime.serverId());
+            lifetimeOf.put(lifetime.serverId(), lifetime);
             ServerState state = book.serverOrUnlisted(lifetime);
             state.setView(Optional.of(server));
             if (!loops.containsKey(lifetime) && !state.over()) {
@@ -105,8 +105,9 @@
         for (ServerState state : new ArrayList<>(book.servers())) {
             if (!live.containsKey(state.lifetime())) {
                 state.setView(Optional.empty());
-                if (ids.contains(state.lifetime().serverId())) {
-                    endLifetime(state, "server started again");
+                BackendServer.Lifetime next = lifetimeOf.get(state.lifetime().serverId());
+                if (next != null) {
+                    endLifetime(state, Optional.of(next), "server started again");
                 }
             }
         }
@@ -202,7 +203,7 @@
         context.telemetry().event(EventCode.RUN_REJECTED, "run=" + run + " reason=" + reason);
         switch (reason) {
             case FENCED -> owner.dutyLost("a backend server has seen a higher fencing number");
-            case OTHER_LIFETIME -> endLifetime(state, "another lifetime answers");
+            case OTHER_LIFETIME -> endLifetime(state, Optional.empty(), "another server answers");
             case NO_ROOM -> state.avoidUntil(nowNanos + NO_ROOM_PAUSE.toNanos());
             case UNHEALTHY, UNREACHABLE, INVALID, NO_TICKET -> state.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
             case OLD_RUN, LEASE_PASSED -> state.avoidUntil(nowNanos + NO_ROOM_PAUSE.toNanos());
@@ -242,7 +243,7 @@
                 case ServerOrders.NoAnswer lost -> context.timers().schedule(STOP_RETRY, () -> sendStop(run));
                 case ServerOrders.Rejected rejected -> {
                     switch (rejected.reason()) {
-                        case OTHER_LIFETIME -> endLifetime(state.get(), "another lifetime answers");
+                        case OTHER_LIFETIME -> endLifetime(state.get(), Optional.empty(), "another server answers");
                         case FENCED -> owner.dutyLost("a backend server has seen a higher fencing number");
                         case OLD_RUN -> settleStop(run, state.get());
                         default -> context.timers().schedule(STOP_RETRY, () -> sendStop(run));
@@ -274,7 +275,12 @@
         owner.changed();
     }
 
-    private void endLifetime(ServerState state, String reason) {
+    /**
+     * Ends all runs of a lifetime that is over.
+     *
+     * @param next the lifetime that goes on under the same identifier, if any
+     */
+    private void endLifetime(ServerState state, Optional<BackendServer.Lifetime> next, String reason) {
         if (state.over()) {
             return;
         }
@@ -283,12 +289,51 @@
                 .event(
                         EventCode.SERVER_LIFETIME_ENDED,
                         "server=" + state.lifetime().serverId() + " " + reason);
-        state.runs().forEach(run -> lose(run, reason));
+        for (Run run : state.runs()) {
+            if (next.isPresent() && mayStillArrive(run)) {
+                barAtNextLifetime(run, next.get());
+            } else {
+                lose(run, reason);
+            }
+        }
         if (state.view().isEmpty()) {
             remove(state);
         }
     }
 
+    /** Whether an order to start this run may be carried out from now on. */
+    private static boolean mayStillArrive(Run run) {
+        return switch (run.phase()) {
+            case ORDERED, DOUBTFUL, INHERITED -> true;
+            case RECORDING, RUNNING -> false;
+        };
+    }
+
+    /**
+     * Moves a run whose start may be delayed to the next lifetime of its server. The next lifetime has the same
+     * identifier, has seen no fencing number and counts its clock anew, so that it would carry the start out.
+     */
+    private void barAtNextLifetime(Run run, BackendServer.Lifetime next) {
+        book.remove(run);
+        if (run.item().run().filter(run::equals).isEmpty()) {
+            return;
+        }
+        Run.Phase phase = run.phase() == Run.Phase.INHERITED ? Run.Phase.INHERITED : Run.Phase.DOUBTFUL;
+        Run moved = run.item().begin(run.number(), next, phase);
+        book.add(moved);
+        book.serverOrUnlisted(next).expectLapse(context.clock().monotonicNanos() + leaseNanos());
+        run.item().job().markDirty();
+        if (phase == Run.Phase.DOUBTFUL) {
+            stop(moved);
+        }
+        owner.changed();
+    }
+
+    /** The longest time for which a lease given now lasts on a server whose clock is slow. */
+    private long leaseNanos() {
+        return (long) (context.options().lease().toNanos() / ServerState.SLOWEST_CLOCK);
+    }
+
     private void onHold(ServerState state, long sentNanos, ServerOrders.HoldResult result) {
         if (closed) {
             return;
@@ -299,7 +344,7 @@
                 if (rejected.reason() == ServerOrders.Reason.FENCED) {
                     owner.dutyLost("a backend server has seen a higher fencing number");
                 } else if (rejected.reason() == ServerOrders.Reason.OTHER_LIFETIME) {
-                    endLifetime(state, "another lifetime answers");
+                    endLifetime(state, Optional.empty(), "another server answers");
                 }
             }
             case ServerOrders.HoldLost lost -> {
@@ -311,7 +356,9 @@
 
     private void onReport(ServerState state, long sentNanos, ServerOrders.Report report) {
         if (report.bornMs() != state.lifetime().bornMs()) {
-            endLifetime(state, "report of a lifetime born at " + report.bornMs());
+            BackendServer.Lifetime next =
+                    new BackendServer.Lifetime(state.lifetime().serverId(), report.bornMs());
+            endLifetime(state, Optional.of(next), "report of a lifetime born at " + report.bornMs());
             return;
         }
         state.readClock(report.clockMs(), context.clock().monotonicNanos());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
@@ -15,7 +15,7 @@
 final class ServerState {
     private static final long NANOS_PER_MS = 1_000_000;
     /** A server's clock may be 2 % slow; a lease lasts longer by as much. */
-    private static final double SLOWEST_CLOCK = 0.98;
+    static final double SLOWEST_CLOCK = 0.98;
 
     private final BackendServer.Lifetime lifetime;
     private Optional<BackendServer> view;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -213,6 +213,26 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void aDelayedStartIsBarredAtTheNextLifetimeOfItsServer() {
+        for (int servers = 2; servers <= 6; servers++) {
+            JobFleet fleet = fleet(2, servers);
+            String id = JobFleet.id(1);
+            for (int i = 0; i < servers; i++) {
+                fleet.fleet.loseNextStart("s" + i);
+            }
+            fleet.after(50, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(1, 20_000, 9000)));
+            for (int i = 0; i < servers; i++) {
+                if (fleet.fleet.server("s" + i) != null) {
+                    fleet.fleet.restart("s" + i);
+                }
+            }
+            fleet.run(35_000);
+            assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
+            assertRulesKept(fleet);
+        }
+    }
+
     @Test
     public void aGangStartsWholeOrNotAtAll() {
         JobFleet fleet = fleet(2, 2);
