Log exceptions of actions on answers

Change: Completions.then runs such actions in the scheduler, the intake and the duty and logs what they throw (event 2409).

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -105,7 +105,8 @@
     SHUTDOWN_TIMED_OUT(2405, Severity.ERROR, "shutdown grace passed with requests open; closing them"),
     SHUTDOWN_COMPLETED(2406, Severity.INFO, "shutdown completed"),
     START_FAILED(2407, Severity.ERROR, "entry host can't start"),
-    EVENTS_SUPPRESSED(2408, Severity.WARN, "events of one number came too often; some were not logged");
+    EVENTS_SUPPRESSED(2408, Severity.WARN, "events of one number came too often; some were not logged"),
+    ACTION_FAILED(2409, Severity.ERROR, "an action on an answer failed; report this as a defect");
 
     private final int number;
     private final Severity severity;
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/DutyHolder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/DutyHolder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.peer.MemberId;
@@ -129,7 +130,7 @@
 
     private void requestLease() {
         requesting = true;
-        store.get(key).thenAccept(result -> {
+        Completions.then(store.get(key), telemetry, "duty", result -> {
             requesting = false;
             result.peek(entry -> {
                 if (entry.isEmpty() && !closed && leaseId.isEmpty()) {
@@ -142,7 +143,7 @@
     private void grant() {
         requesting = true;
         long askedNanos = clock.monotonicNanos();
-        store.grantLease(leaseTime).thenAccept(result -> {
+        Completions.then(store.grantLease(leaseTime), telemetry, "lease of a duty", result -> {
             requesting = false;
             result.peek(id -> {
                 leaseId = Optional.of(id);
@@ -157,7 +158,7 @@
                 .put(key, self.value().getBytes(StandardCharsets.UTF_8), id)
                 .build();
         requesting = true;
-        store.commit(transaction).thenAccept(result -> {
+        Completions.then(store.commit(transaction), telemetry, "duty", result -> {
             requesting = false;
             onAcquired(result, id, askedNanos);
         });
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobState;
@@ -68,7 +69,7 @@
         if (closed) {
             return;
         }
-        store.range(keys.jobs()).thenAccept(result -> {
+        Completions.then(store.range(keys.jobs()), telemetry, "directory of jobs", result -> {
             if (result.isLeft()) {
                 telemetry.event(EventCode.JOBS_READ_FAILED, result.getLeft().detail());
                 scheduler.schedule(RETRY_DELAY, this::load);
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
@@ -69,7 +70,8 @@
     public CompletionStage<JobAnswer> answer(JobCall call) {
         Duration timeout = timeout(call);
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
-        decide(call, clock.monotonicNanos() + timeout.toNanos(), 0).thenAccept(answer::complete);
+        Completions.then(
+                decide(call, clock.monotonicNanos() + timeout.toNanos(), 0), telemetry, "call", answer::complete);
         if (!answer.isDone()) {
             parts.timers().schedule(timeout, () -> answer.complete(timedOut(call)));
         }
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/SiteFollower.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/SiteFollower.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobSite;
@@ -67,7 +68,11 @@
     }
 
     private void poll() {
-        refresh().thenAccept(done -> scheduler.schedule(failing ? RETRY_INTERVAL : READ_INTERVAL, this::poll));
+        Completions.then(
+                refresh(),
+                telemetry,
+                "configuration",
+                done -> scheduler.schedule(failing ? RETRY_INTERVAL : READ_INTERVAL, this::poll));
     }
 
     /** Reads the record again; completes when a read that began after the call has ended, well or not. */
@@ -85,7 +90,7 @@
         List<CompletableFuture<Void>> served = waiting;
         waiting = new ArrayList<>();
         long askedNanos = clock.monotonicNanos();
-        store.get(key).thenAccept(result -> {
+        Completions.then(store.get(key), telemetry, "configuration", result -> {
             reading = false;
             result.peek(entry -> onEntry(entry, askedNanos)).peekLeft(error -> onFailure(error.detail()));
             served.forEach(done -> done.complete(null));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceBook.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceBook.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.basilswitch.event.Completions;
+
 /** Tickets of the advice service for the steps that need them. */
 final class AdviceBook {
     /** The service answers one call of a host after the other. */
@@ -56,7 +58,7 @@
                 .map(server -> server.lifetime().serverId())
                 .toList();
         asking.add(step);
-        context.advice().ask(step, ids).thenAccept(answer -> {
+        Completions.then(context.advice().ask(step, ids), context.telemetry(), "advice", answer -> {
             asking.remove(step);
             long answeredNanos = context.clock().monotonicNanos();
             if (answer.isPresent()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.job.JobState;
 import org.basilswitch.store.Transaction;
@@ -65,7 +66,7 @@
             builder.delete(context.keys().jobEnded(id));
         }
         deleting = true;
-        context.store().commit(builder.build()).thenAccept(result -> {
+        Completions.then(context.store().commit(builder.build()), context.telemetry(), "deletion of jobs", result -> {
             deleting = false;
             if (result.isLeft()) {
                 // The next holder of the duty finds the records and deletes them.
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HoldLoop.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
+import org.basilswitch.event.Completions;
+import org.basilswitch.event.Telemetry;
 import org.basilswitch.time.Clock;
 import org.basilswitch.time.Scheduler;
 
@@ -23,6 +25,7 @@
 
     private final ServerState state;
     private final ServerOrders orders;
+    private final Telemetry telemetry;
     private final Clock clock;
     private final Scheduler scheduler;
     private final long fence;
@@ -46,6 +49,7 @@
             ServerState state,
             BackendServer server,
             ServerOrders orders,
+            Telemetry telemetry,
             Clock clock,
             Scheduler scheduler,
             long fence,
@@ -55,6 +59,7 @@
         this.state = state;
         this.server = server;
         this.orders = orders;
+        this.telemetry = telemetry;
         this.clock = clock;
         this.scheduler = scheduler;
         this.fence = fence;
@@ -95,7 +100,8 @@
                 lost || !mayExtend.getAsBoolean() ? Optional.empty() : state.leaseEnd(lease, sentNanos);
         ServerOrders.HoldOrder order =
                 new ServerOrders.HoldOrder(leaseEnd, state.storedEnd(), lost ? Duration.ZERO : wait);
-        orders.hold(server, fence, order).thenAccept(result -> onResult(sentNanos, order, result));
+        Completions.then(
+                orders.hold(server, fence, order), telemetry, "hold", result -> onResult(sentNanos, order, result));
     }
 
     private void onResult(long sentNanos, ServerOrders.HoldOrder order, ServerOrders.HoldResult result) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Hosts.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 
 /**
@@ -82,7 +83,7 @@
         }
         listing = true;
         listAskedNanos = nowNanos;
-        context.hosts().list().thenAccept(result -> {
+        Completions.then(context.hosts().list(), context.telemetry(), "list of hosts", result -> {
             listing = false;
             result.ifPresent(list -> onList(nowNanos, list));
         });
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 
 import io.vavr.control.Either;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.job.JobQueue;
@@ -106,7 +107,7 @@
         }
         CompletionStage<Either<StoreError, PlatformStore.Range>> range =
                 context.store().range(prefix);
-        range.thenAccept(result -> {
+        Completions.then(range, context.telemetry(), "records of jobs", result -> {
             if (result.isLeft()) {
                 context.telemetry()
                         .event(EventCode.JOBS_READ_FAILED, result.getLeft().detail());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.store.StoreError;
@@ -89,7 +90,7 @@
             return;
         }
         long askedNanos = clock.monotonicNanos();
-        list.read().thenAccept(result -> {
+        Completions.then(list.read(), telemetry, "list of live servers", result -> {
             onResult(askedNanos, result);
             scheduler.schedule(result.isRight() ? READ_INTERVAL : RETRY_INTERVAL, this::read);
         });
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -9,6 +9,7 @@
 
 import io.vavr.control.Either;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobState;
@@ -119,7 +120,11 @@
     }
 
     private void commit(List<Write> group, Transaction transaction, Duration retryDelay) {
-        store.commit(transaction).thenAccept(result -> onResult(group, transaction, retryDelay, result));
+        Completions.then(
+                store.commit(transaction),
+                telemetry,
+                "progress of jobs",
+                result -> onResult(group, transaction, retryDelay, result));
     }
 
     private void onResult(
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 
@@ -92,6 +94,7 @@
                         state,
                         server,
                         context.orders(),
+                        context.telemetry(),
                         context.clock(),
                         context.timers(),
                         fence,
@@ -169,7 +172,11 @@
                 leaseEnd.get(),
                 run.item().checkpoint(),
                 owner.ticket(run));
-        context.orders().start(state.view().get(), fence, order).thenAccept(result -> onStarted(run, state, result));
+        Completions.then(
+                context.orders().start(state.view().get(), fence, order),
+                context.telemetry(),
+                "start",
+                result -> onStarted(run, state, result));
     }
 
     private void onStarted(Run run, ServerState state, ServerOrders.OrderResult result) {
@@ -234,7 +241,9 @@
             context.timers().schedule(STOP_RETRY, () -> sendStop(run));
             return;
         }
-        context.orders().stop(server.get(), fence, run.id(), run.number()).thenAccept(result -> {
+        CompletionStage<ServerOrders.OrderResult> stop =
+                context.orders().stop(server.get(), fence, run.id(), run.number());
+        Completions.then(stop, context.telemetry(), "stop", result -> {
             if (closed) {
                 return;
             }
@@ -384,22 +393,25 @@
     }
 
     private void pace(ServerState state) {
+        Optional<BackendServer> server = state.view();
         for (PaceController.Change change : pace.changes(state, context.clock().monotonicNanos())) {
-            Run run = change.run();
-            run.setPacePercent(change.percent());
-            state.view()
-                    .ifPresent(server -> context.orders()
-                            .pace(server, fence, run.id(), run.number(), change.percent())
-                            .thenAccept(result -> {
-                                if (!(result instanceof ServerOrders.Done)) {
-                                    context.telemetry()
-                                            .event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
-                                    run.setPacePercent(UNKNOWN_PACE);
-                                }
-                            }));
+            change.run().setPacePercent(change.percent());
+            server.ifPresent(view -> order(view, change));
         }
     }
 
+    private void order(BackendServer server, PaceController.Change change) {
+        Run run = change.run();
+        CompletionStage<ServerOrders.OrderResult> order =
+                context.orders().pace(server, fence, run.id(), run.number(), change.percent());
+        Completions.then(order, context.telemetry(), "pace", result -> {
+            if (!(result instanceof ServerOrders.Done)) {
+                context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
+                run.setPacePercent(UNKNOWN_PACE);
+            }
+        });
+    }
+
     private void onRunning(ServerState state, ServerOrders.RunningRow row) {
         Optional<Run> known = state.run(row.item(), row.run());
         if (known.isEmpty()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveKeeper.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.store.CommitResult;
 import org.basilswitch.store.Transaction;
@@ -92,7 +94,7 @@
         }
         reading = true;
         readNanos = nowNanos;
-        context.waves().readWaves().thenAccept(result -> {
+        Completions.then(context.waves().readWaves(), context.telemetry(), "waves", result -> {
             reading = false;
             result.peek(list -> list.forEach(request -> onRequest(request, nowNanos)));
         });
@@ -119,7 +121,8 @@
     }
 
     private void readProgress(Wave wave) {
-        context.store().get(context.keys().waveProgress(wave.request.number())).thenAccept(result -> {
+        String key = context.keys().waveProgress(wave.request.number());
+        Completions.then(context.store().get(key), context.telemetry(), "progress of a wave", result -> {
             if (result.isLeft()) {
                 context.timers().schedule(READ_INTERVAL, () -> readProgress(wave));
                 return;
@@ -201,23 +204,23 @@
             return;
         }
         wave.down.add(host);
-        hosts.order(
-                        host,
-                        Optional.empty(),
-                        () -> context.hosts().maintain(host, wave.request.number(), hosts.fence()),
-                        "wave=" + wave.request.number())
-                .thenAccept(result -> {
-                    switch (result) {
-                        case DONE -> markDone(wave, host);
-                        case NOT_IN_WAVE, INVALID -> {
-                            hosts.reopen(host);
-                            wave.done.add(host);
-                        }
-                        // The list of hosts shows what came of it; the same order has no second effect.
-                        case NO_ANSWER, BUSY -> {}
-                        case FENCED, TOO_MANY -> wave.down.remove(host);
-                    }
-                });
+        CompletionStage<HostControl.HostOrderResult> order = hosts.order(
+                host,
+                Optional.empty(),
+                () -> context.hosts().maintain(host, wave.request.number(), hosts.fence()),
+                "wave=" + wave.request.number());
+        Completions.then(order, context.telemetry(), "maintenance of a host", result -> {
+            switch (result) {
+                case DONE -> markDone(wave, host);
+                case NOT_IN_WAVE, INVALID -> {
+                    hosts.reopen(host);
+                    wave.done.add(host);
+                }
+                // The list of hosts shows what came of it; the same order has no second effect.
+                case NO_ANSWER, BUSY -> {}
+                case FENCED, TOO_MANY -> wave.down.remove(host);
+            }
+        });
     }
 
     private void markDone(Wave wave, String host) {
@@ -235,20 +238,18 @@
                 .put(
                         context.keys().waveProgress(wave.request.number()),
                         RecordCodec.encode(new WaveProgress(List.copyOf(wave.done))));
-        context.store()
-                .commit(context.waves()
-                        .writeState(builder, wave.request, completed)
-                        .build())
-                .thenAccept(result -> {
-                    wave.writing = false;
-                    boolean written = result.isRight() && result.get() instanceof CommitResult.Committed;
-                    if (!written) {
-                        wave.dirty = true;
-                    } else if (completed) {
-                        long tookMs = (context.clock().monotonicNanos() - wave.seenNanos) / 1_000_000;
-                        context.telemetry()
-                                .event(EventCode.WAVE_COMPLETED, "wave=" + wave.request.number() + " tookMs=" + tookMs);
-                    }
-                });
+        Transaction transaction =
+                context.waves().writeState(builder, wave.request, completed).build();
+        Completions.then(context.store().commit(transaction), context.telemetry(), "state of a wave", result -> {
+            wave.writing = false;
+            boolean written = result.isRight() && result.get() instanceof CommitResult.Committed;
+            if (!written) {
+                wave.dirty = true;
+            } else if (completed) {
+                long tookMs = (context.clock().monotonicNanos() - wave.seenNanos) / 1_000_000;
+                context.telemetry()
+                        .event(EventCode.WAVE_COMPLETED, "wave=" + wave.request.number() + " tookMs=" + tookMs);
+            }
+        });
     }
 }
