Avoid slow and failing servers, restart stragglers, tell hopeless jobs from bad servers

Cause: work on servers that had turned slow stayed there to its end, and new work went on going there; failures of jobs that can never be done were counted against the servers, which were then left idle. Change: ServerSpeed compares the progress in reports with that of other work items of the step or with what the queue's work takes; slow servers get no new work for 2.5 s and are replaced in the pool's plan; Stragglers stops runs where another server would end them sooner. A server is avoided when work of two jobs failed there without a success between, for a time that doubles; a work item that fails on two servers is at fault itself. Failed work items are tried on servers that have proven well.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -73,6 +73,10 @@
     PACE_FAILED(1922, Severity.INFO, "pace of a work item could not be set; trying again"),
     CALL_REFUSED(1923, Severity.INFO, "call refused"),
     JOBS_NOT_DELETED(1924, Severity.INFO, "records of ended jobs could not be deleted; they are deleted later"),
+    SERVER_SLOW(1925, Severity.INFO, "backend server works more slowly than others; it gets no new work for some time"),
+    SERVER_FAILING(
+            1927, Severity.WARN, "work of several jobs failed on a backend server; it gets no new work for some time"),
+    RUN_RESTARTED(1926, Severity.INFO, "run on a slow backend server stopped, to be started on another one"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -63,6 +63,8 @@
     private final DurationModel durations = DurationModel.create();
     private final JobOrder order;
     private final AdviceBook advice;
+    private final ServerSpeed speed = new ServerSpeed(durations);
+    private final Stragglers stragglers;
     private final List<JobSubmission> acceptedWhileLoading = new ArrayList<>();
     private final List<String> cancelledWhileLoading = new ArrayList<>();
     private boolean loaded;
@@ -79,6 +81,7 @@
         this.advice = new AdviceBook(context, this::changed);
         this.order = new JobOrder(context, durations);
         this.hosts = new Hosts(context, fence, heldFor);
+        this.stragglers = new Stragglers(context, book, keeper, speed);
         Evacuation evacuation = new Evacuation(context, book, keeper, hosts);
         this.waves = new WaveKeeper(context, hosts, evacuation);
         this.balancer = new PoolBalancer(context, hosts, evacuation, durations);
@@ -174,10 +177,18 @@
         ended.deleteOld();
         waves.step();
         hosts.refresh();
+        restartStragglers();
         balancer.step(jobs.values());
         changed();
     }
 
+    private void restartStragglers() {
+        if (mayOrder()) {
+            long nowNanos = context.clock().monotonicNanos();
+            stragglers.restart(server -> usable(server, nowNanos));
+        }
+    }
+
     /** Whether the jobs are read, so that states can be told. */
     public boolean loaded() {
         return loaded && !closed;
@@ -240,6 +251,19 @@
         durations.add(item.job().submission().queue(), item.spec().estimateMs(), tookMs);
     }
 
+    @Override
+    public void reported(ServerState server) {
+        long nowNanos = context.clock().monotonicNanos();
+        if (speed.judge(server, nowNanos)) {
+            context.telemetry()
+                    .event(
+                            EventCode.SERVER_SLOW,
+                            "server=" + server.lifetime().serverId() + " factor="
+                                    + Math.round(server.slowdown() * 10) / 10.0 + " runs="
+                                    + server.runs().size());
+        }
+    }
+
     @Override
     public Optional<String> ticket(Run run) {
         return advice.ticket(run.id().stepName(), run.lifetime().serverId());
@@ -319,7 +343,7 @@
         if (mayOrder() && context.servers().confirmedWithin(SERVER_LIST_AGE)) {
             long nowNanos = context.clock().monotonicNanos();
             List<ActiveJob> inOrder = order.of(jobs.values(), cores(nowNanos));
-            new PlacementRound(view.site(), book, advice, server -> usable(server, nowNanos), this::begin)
+            new PlacementRound(view.site(), book, advice, server -> usable(server, nowNanos), nowNanos, this::begin)
                     .place(inOrder);
         }
         for (ActiveJob job : jobs.values()) {
@@ -371,6 +395,8 @@
                 && !server.over()
                 && server.answeredWithin(ANSWER_AGE, nowNanos)
                 && !server.avoided(nowNanos)
+                && !server.slow(nowNanos)
+                && !server.failing(nowNanos)
                 && !hosts.closedToWork(server.lifetime().serverId());
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -1,5 +1,6 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -18,9 +19,20 @@
 
 /** Chooses backend servers for waiting work items, in one pass over all jobs. */
 final class PlacementRound {
+    /** A server that was slow comes before one where the work item failed and after all others. */
+    private static final double RECENTLY_SLOW_COST = 500;
+
+    /** A server on which a job has just failed comes after all others with room, and before one that was slow. */
+    private static final double SUSPECTED_COST = 300;
+    /** A work item that has failed is tried on a server that has lately done others, if there is one with room. */
+    private static final double UNPROVEN_COST = 150;
+
+    private static final Duration PROVEN = Duration.ofSeconds(5);
+
     private final JobSite site;
     private final RunBook book;
     private final AdviceBook advice;
+    private final long nowNanos;
     private final BiConsumer<WorkItem, ServerState> start;
     private final Map<String, List<ServerState>> byPool = new HashMap<>();
 
@@ -29,11 +41,13 @@
             RunBook book,
             AdviceBook advice,
             Predicate<ServerState> usable,
+            long nowNanos,
             BiConsumer<WorkItem, ServerState> start) {
         this.advice = advice;
         this.site = site;
         this.book = book;
         this.start = start;
+        this.nowNanos = nowNanos;
         for (ServerState state : book.servers()) {
             if (state.view().isPresent() && usable.test(state)) {
                 byPool.computeIfAbsent(state.view().get().pool(), pool -> new ArrayList<>())
@@ -133,7 +147,7 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean allowed(WorkItem item, ServerState server) {
+    static boolean allowed(WorkItem item, ServerState server) {
         BackendServer view = server.view().orElseThrow();
         return item.spec().label().map(view.labels()::contains).orElse(true);
     }
@@ -149,7 +163,7 @@
     }
 
     /** Lower is better. */
-    private static double cost(WorkItem item, List<WorkItem> step, ServerState server) {
+    private double cost(WorkItem item, List<WorkItem> step, ServerState server) {
         BackendServer view = server.view().orElseThrow();
         StepSpec spec = item.spec();
         double cost = 0;
@@ -159,6 +173,15 @@
         if (spec.rackOfData().map(rack -> !view.labels().contains(rack)).orElse(false)) {
             cost += 100;
         }
+        if (server.suspected()) {
+            cost += SUSPECTED_COST;
+        }
+        if (item.failures() > 0 && !server.succeededWithin(PROVEN, nowNanos)) {
+            cost += UNPROVEN_COST;
+        }
+        if (server.slowdown() > 1) {
+            cost += RECENTLY_SLOW_COST;
+        }
         double freeShare =
                 server.free().cpuMillis() / (double) Math.max(1, view.capacity().cpuMillis());
         if (spec.longRunning()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -169,7 +169,9 @@
         }
         return evacuation
                 .serverOf(host.name())
-                .map(state -> !state.answeredWithin(ANSWER_AGE, nowNanos) && !hosts.upWithin(host.name(), ARRIVAL_TIME))
+                .map(state -> state.slow(nowNanos)
+                        || state.failing(nowNanos)
+                        || !state.answeredWithin(ANSWER_AGE, nowNanos) && !hosts.upWithin(host.name(), ARRIVAL_TIME))
                 .orElseGet(() -> !hosts.upWithin(host.name(), ARRIVAL_TIME));
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -1,11 +1,17 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import org.basilswitch.job.ItemId;
 
 /** One start of a work item on one lifetime of a backend server. */
 final class Run {
+    /** Progress comes in whole percent; over a shorter time it says little. */
+    private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(250);
+    /** Longer than a run takes to resume from a checkpoint, 600 ms or less. */
+    private static final Duration STALLED_AFTER = Duration.ofMillis(1000);
+
     private final WorkItem item;
     private final int number;
     private final BackendServer.Lifetime lifetime;
@@ -15,6 +21,11 @@
 
     private int percent;
     private long load;
+    /** Start of the interval over which progress is measured, monotonic ns; 0 before the first report. */
+    private long progressSinceNanos;
+
+    private int progressSincePercent;
+    private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent = 100;
     private boolean stopping;
     private long startedNanos;
@@ -93,9 +104,36 @@
         return load;
     }
 
-    void observe(int percent, long load) {
+    /** Takes a report of its progress and load. */
+    void observe(int percent, long load, long nowNanos) {
         this.percent = percent;
         this.load = load;
+        if (progressSinceNanos == 0) {
+            // The time to resume from a checkpoint is not known, so that progress counts from the first report.
+            boolean fresh = startedNanos > 0 && item.checkpoint().isEmpty();
+            progressSinceNanos = fresh ? startedNanos : nowNanos;
+            progressSincePercent = fresh ? 0 : percent;
+        }
+        long intervalNanos = nowNanos - progressSinceNanos;
+        int progress = percent - progressSincePercent;
+        long shortestNanos = (progress > 0 ? SHORTEST_INTERVAL : STALLED_AFTER).toNanos();
+        if (intervalNanos >= shortestNanos) {
+            percentPerMs = Optional.of(progress / (intervalNanos / 1e6));
+            if (progress > 0) {
+                progressSinceNanos = nowNanos;
+                progressSincePercent = percent;
+            }
+        }
+    }
+
+    /** Latest progress, percent a millisecond; empty while too little has been seen. */
+    Optional<Double> percentPerMs() {
+        return percentPerMs;
+    }
+
+    /** Time until it is done if it goes on as of late, ms; empty while too little has been seen. */
+    Optional<Double> remainingMs() {
+        return percentPerMs.map(rate -> rate > 0 ? (100 - percent) / rate : Double.POSITIVE_INFINITY);
     }
 
     int pacePercent() {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -29,8 +29,12 @@
     private static final Duration UNHEALTHY_PAUSE = Duration.ofMillis(1000);
     /** Long enough for a failed work item to be done elsewhere. */
     private static final Duration FAILING_PAUSE = Duration.ofMillis(4000);
-    /** Failed runs in a row, on any work items, after which a server is avoided for some time. */
-    private static final int FAILURES_TO_AVOID = 2;
+    /** The longest pause of a server that goes on failing all it is tried with. */
+    private static final Duration LONGEST_FAILING_PAUSE = Duration.ofMillis(16_000);
+    /** Jobs whose work items failed on a server in a row after which it is avoided for some time. */
+    private static final int FAILED_JOBS_TO_AVOID = 2;
+    /** Servers on which a work item has failed after which the failures are its own. */
+    private static final int SERVERS_TO_BLAME_ITEM = 2;
 
     /** Pace of a run after an order without an answer; any new pace differs from it. */
     private static final int UNKNOWN_PACE = 99;
@@ -54,6 +58,9 @@
         /** A run has ended well after some time, ms. */
         void ranToEnd(WorkItem item, double tookMs);
 
+        /** A server has reported what it runs. */
+        void reported(ServerState server);
+
         /** The advice service's ticket for a run, where its queue needs one. */
         Optional<String> ticket(Run run);
 
@@ -389,6 +396,7 @@
             }
         }
         pace(state);
+        owner.reported(state);
         owner.changed();
     }
 
@@ -421,7 +429,7 @@
             return;
         }
         Run run = known.get();
-        run.observe(row.percent(), row.load());
+        run.observe(row.percent(), row.load(), context.clock().monotonicNanos());
         run.item().saveCheckpoint(row.checkpoint());
         if (run.phase() == Run.Phase.ORDERED || run.phase() == Run.Phase.INHERITED) {
             run.setPhase(Run.Phase.RUNNING);
@@ -457,10 +465,11 @@
         context.telemetry().count(CounterCode.RUNS_ENDED, end.kind().name());
         switch (end.kind()) {
             case DONE -> {
-                state.countSuccess();
+                state.countSuccess(context.clock().monotonicNanos());
                 item.run().filter(run -> run.startedNanos() > 0).ifPresent(run -> {
-                    long tookNanos = context.clock().monotonicNanos() - run.startedNanos();
-                    owner.ranToEnd(item, tookNanos / 1e6);
+                    double tookMs = (context.clock().monotonicNanos() - run.startedNanos()) / 1e6;
+                    item.setTookMs(tookMs);
+                    owner.ranToEnd(item, tookMs);
                 });
                 item.endRun(true);
                 if (item.spec().gang()) {
@@ -476,6 +485,10 @@
         }
     }
 
+    private static boolean failsEverywhere(WorkItem item) {
+        return item.failedOnServers() >= SERVERS_TO_BLAME_ITEM;
+    }
+
     private void endGangMember(WorkItem member) {
         member.run().ifPresent(book::remove);
         member.endRun(true);
@@ -489,8 +502,15 @@
                 : item.failures();
         int bound = owner.maxAttempts(item);
         context.telemetry().event(EventCode.RUN_FAILED, "item=" + item.id() + " failures=" + failures + "/" + bound);
-        if (state.countFailure() >= FAILURES_TO_AVOID) {
-            state.avoidUntil(context.clock().monotonicNanos() + FAILING_PAUSE.toNanos());
+        if (failsEverywhere(item)) {
+            book.servers().forEach(server -> server.pardon(item.id().job()));
+        } else if (state.countFailure(item.id().job()) >= FAILED_JOBS_TO_AVOID) {
+            Duration pause = state.setFailing(
+                    FAILING_PAUSE, LONGEST_FAILING_PAUSE, context.clock().monotonicNanos());
+            context.telemetry()
+                    .event(
+                            EventCode.SERVER_FAILING,
+                            "server=" + state.lifetime().serverId() + " avoidedMs=" + pause.toMillis());
         }
         if (bound > 0 && failures >= bound && !item.job().cancelled()) {
             item.job().fail();
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerSpeed.java
@@ -0,0 +1,88 @@
+package org.basilswitch.schedule;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Finds backend servers that work more slowly than others, from the progress that their reports show.
+ *
+ * <p>A work item's usual time is that of other work items of its step, which ask for the same, or what its queue's
+ * earlier work items took. The median over the steps at work on a server is robust against a step whose estimate is far off.
+ */
+final class ServerSpeed {
+    /** A server is slow from this multiple of the usual times on; work items of a step differ by a sixth or so. */
+    private static final double SLOW_FACTOR = 2.0;
+    /** The same where only one step shows it, as its work items may be three times as long as their estimate. */
+    private static final double SLOW_FACTOR_OF_ONE = 3.5;
+    /** Time after which a server that was found slow is tried again; disturbances last some seconds. */
+    private static final Duration AVOIDED = Duration.ofMillis(2500);
+
+    private static final int FULL_PERCENT = 100;
+    /** Progress that counts as none, percent a millisecond: an hour for a work item. */
+    private static final double SLOWEST_RATE = FULL_PERCENT / 3.6e6;
+
+    private final DurationModel durations;
+
+    ServerSpeed(DurationModel durations) {
+        this.durations = durations;
+    }
+
+    /** Judges a server by its newest report; returns whether it has just been found slow. */
+    boolean judge(ServerState server, long nowNanos) {
+        Map<String, List<Double>> byStep = new HashMap<>();
+        for (Run run : server.runs()) {
+            factor(run)
+                    .ifPresent(factor -> byStep.computeIfAbsent(run.id().stepName(), step -> new ArrayList<>())
+                            .add(factor));
+        }
+        if (byStep.isEmpty()) {
+            return false;
+        }
+        double median = median(byStep.values().stream().map(ServerSpeed::median).toList());
+        boolean slow = median >= (byStep.size() == 1 ? SLOW_FACTOR_OF_ONE : SLOW_FACTOR);
+        boolean before = server.slow(nowNanos);
+        if (slow) {
+            server.setSlow(median, nowNanos + AVOIDED.toNanos());
+        } else if (median < SLOW_FACTOR) {
+            server.clearSlow();
+        }
+        return slow && !before;
+    }
+
+    /** The median, the lower one of two in the middle. */
+    private static double median(List<Double> values) {
+        List<Double> sorted = values.stream().sorted().toList();
+        return sorted.get((sorted.size() - 1) / 2);
+    }
+
+    /** How many times as long a run takes as usual, by its progress; empty where that can't be told. */
+    private Optional<Double> factor(Run run) {
+        if (run.phase() != Run.Phase.RUNNING
+                || run.stopping()
+                || run.item().spec().longRunning()
+                || run.item().spec().gang()
+                || run.pacePercent() < FULL_PERCENT) {
+            return Optional.empty();
+        }
+        return run.percentPerMs().map(rate -> FULL_PERCENT / usualMs(run.item()) / Math.max(rate, SLOWEST_RATE));
+    }
+
+    /** Time that a work item takes on a server of usual speed, ms. */
+    double usualMs(WorkItem item) {
+        double[] took = item.job().stepOf(item.id()).stream()
+                .mapToDouble(WorkItem::tookMs)
+                .filter(ms -> ms > 0)
+                .toArray();
+        if (took.length == 0) {
+            return durations.expectedMs(
+                    item.job().submission().queue(), item.spec().estimateMs());
+        }
+        Arrays.sort(took);
+        return took[took.length / 2];
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 
 import org.basilswitch.job.ItemId;
@@ -17,6 +19,9 @@
     /** A server's clock may be 2 % slow; a lease lasts longer by as much. */
     static final double SLOWEST_CLOCK = 0.98;
 
+    /** Keeps the shift within its range; the longest pause is reached before. */
+    private static final int MOST_DOUBLINGS = 8;
+
     private final BackendServer.Lifetime lifetime;
     private Optional<BackendServer> view;
     private final Map<RunKey, Run> runs = new LinkedHashMap<>();
@@ -28,9 +33,14 @@
     private long lastEnd;
     private long lastReportNanos = Long.MIN_VALUE;
     private long avoidUntilNanos = Long.MIN_VALUE;
-    private int failuresInRow;
+    private final Set<String> failedJobs = new HashSet<>();
+    private long lastSuccessNanos = Long.MIN_VALUE;
+    private long failingUntilNanos = Long.MIN_VALUE;
+    private int failingPeriods;
     private final TreeSet<Long> unstoredEnds = new TreeSet<>();
     private boolean over;
+    private long slowUntilNanos = Long.MIN_VALUE;
+    private double slowdown = 1;
 
     /** Names a run on this server. */
     record RunKey(ItemId item, int run) {}
@@ -145,13 +155,70 @@
         return nowNanos < avoidUntilNanos;
     }
 
-    int countFailure() {
-        failuresInRow++;
-        return failuresInRow;
+    /** Notes that it works more slowly than others. */
+    void setSlow(double factor, long untilNanos) {
+        slowdown = factor;
+        slowUntilNanos = untilNanos;
+    }
+
+    void clearSlow() {
+        slowdown = 1;
+        slowUntilNanos = Long.MIN_VALUE;
+    }
+
+    /** Whether it was found slow of late. */
+    boolean slow(long nowNanos) {
+        return nowNanos < slowUntilNanos;
+    }
+
+    /** How many times as long work took when it was last found slow; 1 when it has worked well since. */
+    double slowdown() {
+        return slowdown;
+    }
+
+    /** Notes that a work item of a job has failed here; returns the number of such jobs since the last success. */
+    int countFailure(String job) {
+        failedJobs.add(job);
+        return failedJobs.size();
+    }
+
+    /** Takes back the failures of a job that fails elsewhere as well. */
+    void pardon(String job) {
+        if (failedJobs.remove(job) && failedJobs.isEmpty()) {
+            failingUntilNanos = Long.MIN_VALUE;
+        }
+    }
+
+    void countSuccess(long nowNanos) {
+        failedJobs.clear();
+        failingPeriods = 0;
+        lastSuccessNanos = nowNanos;
+    }
+
+    /** Keeps new work away for a time that doubles until a work item is done here; returns it. */
+    Duration setFailing(Duration first, Duration longest, long nowNanos) {
+        Duration pause = first.multipliedBy(1L << Math.min(failingPeriods, MOST_DOUBLINGS));
+        if (pause.compareTo(longest) > 0) {
+            pause = longest;
+        }
+        failingPeriods++;
+        failingUntilNanos = nowNanos + pause.toNanos();
+        return pause;
+    }
+
+    /** Whether new work is kept away because work items of several jobs have failed here. */
+    boolean failing(long nowNanos) {
+        return nowNanos < failingUntilNanos;
+    }
+
+    /** Whether work items have failed here since the last success. */
+    boolean suspected() {
+        return !failedJobs.isEmpty();
     }
 
-    void countSuccess() {
-        failuresInRow = 0;
+    /** Whether a work item was done here within some time. */
+    boolean succeededWithin(Duration duration, long nowNanos) {
+        return lastSuccessNanos != Long.MIN_VALUE && nowNanos - lastSuccessNanos <= duration.toNanos();
     }
 
     boolean over() {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -17,6 +17,8 @@
     private int failures;
     private int lastFailedRun;
     private String checkpoint = "";
+    private double tookMs;
+    private int restarts;
     private Optional<Run> run = Optional.empty();
     private final Set<String> failedOnServers = new HashSet<>();
 
@@ -62,6 +64,28 @@
         return run;
     }
 
+    /** Time that the run took which did the work item, ms; 0 while it is not done or not known. */
+    double tookMs() {
+        return tookMs;
+    }
+
+    void setTookMs(double ms) {
+        tookMs = ms;
+    }
+
+    /** How often it has been stopped to be started on another server. */
+    int restarts() {
+        return restarts;
+    }
+
+    void countRestart() {
+        restarts++;
+    }
+
+    int failedOnServers() {
+        return failedOnServers.size();
+    }
+
     boolean failedOn(String serverId) {
         return failedOnServers.contains(serverId);
     }
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
@@ -52,16 +52,16 @@
     public void workThatFillsIsSlowedWhileItsNeighbourNearsItsTargetAndLetGoAfterwards() {
         Run serving = add("a", step(100, false));
         Run filling = add("b", step(0, true));
-        serving.observe(100, 85);
+        serving.observe(100, 85, 0);
         assertEquals(pace.changes(server, SECOND), List.of(new PaceController.Change(filling, 50)));
         filling.setPacePercent(50);
-        serving.observe(100, 130);
+        serving.observe(100, 130, 0);
         assertEquals(pace.changes(server, SECOND + 1000), List.of(), "too soon after the last change");
         assertEquals(pace.changes(server, 2 * SECOND), List.of(new PaceController.Change(filling, 0)));
         filling.setPacePercent(0);
-        serving.observe(100, 70);
+        serving.observe(100, 70, 0);
         assertEquals(pace.changes(server, 3 * SECOND), List.of());
-        serving.observe(100, 30);
+        serving.observe(100, 30, 0);
         assertEquals(pace.changes(server, 4 * SECOND), List.of(new PaceController.Change(filling, 20)));
     }
 
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -87,6 +87,19 @@
         start(id, pool, capacity, rack, address);
     }
 
+    /** Adds a host that is switched off, in a standby pool. */
+    public void addResting(String id, String pool, Resources capacity, String rack) {
+        addressOfHost.put("host-" + id, NO_ADDRESS);
+        hosts.put(
+                "host-" + id,
+                new HostView("host-" + id, pool, HostState.UP, List.of("a", rack), capacity, Optional.empty()));
+    }
+
+    /** Number of hosts that are not in a pool. */
+    public long hostsOutside(String pool) {
+        return hosts.values().stream().filter(host -> !host.pool().equals(pool)).count();
+    }
+
     private void start(String id, String pool, Resources capacity, String rack, String address) {
         long bornMs = clock.millis();
         BackendServer entry =
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -37,11 +37,22 @@
     private static final class Running {
         private final int run;
         private final StepSpec spec;
+        private final long startedNanos;
+        private final Duration work;
         private boolean stopping;
 
-        private Running(int run, StepSpec spec) {
+        private Running(int run, StepSpec spec, long startedNanos, Duration work) {
             this.run = run;
             this.spec = spec;
+            this.startedNanos = startedNanos;
+            this.work = work;
+        }
+
+        private int percent(long nowNanos) {
+            if (spec.longRunning()) {
+                return 100;
+            }
+            return (int) Math.min(99, (nowNanos - startedNanos) * 100 / Math.max(1, work.toNanos()));
         }
     }
 
@@ -105,10 +116,10 @@
         if (!used().plus(spec.get().reserved()).fitsInto(entry.capacity())) {
             return new ServerOrders.Rejected(ServerOrders.Reason.NO_ROOM);
         }
-        running.put(order.item(), new Running(order.run(), spec.get()));
+        Duration work = spec.get().longRunning() ? Duration.ZERO : fleet.workTime(order.item(), entry);
+        running.put(order.item(), new Running(order.run(), spec.get(), clock.monotonicNanos(), work));
         fleet.rules().started(order.item(), order.run(), entry);
         if (!spec.get().longRunning()) {
-            Duration work = fleet.workTime(order.item(), entry);
             scheduler.schedule(work, () -> {
                 boolean failed = fleet.fails(order.item(), order.run(), entry);
                 end(order.item(), order.run(), failed ? ServerOrders.EndKind.FAILED : ServerOrders.EndKind.DONE);
@@ -201,7 +212,8 @@
 
     private ServerOrders.HoldResult report() {
         List<ServerOrders.RunningRow> rows = new ArrayList<>();
-        running.forEach((item, r) -> rows.add(new ServerOrders.RunningRow(item, r.run, "", 100, 0)));
+        running.forEach((item, r) ->
+                rows.add(new ServerOrders.RunningRow(item, r.run, "", r.percent(clock.monotonicNanos()), 0)));
         return new ServerOrders.Report(entry.bornMs(), clockMs(), rows, List.copyOf(ends));
     }
 }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -69,6 +69,13 @@
                 Transaction.builder().put("config", RecordCodec.encode(site)).build());
     }
 
+    /** Stores a configuration. */
+    void configure(List<JobQueue> queues, List<JobTeam> teams, List<JobPool> pools) {
+        site = JobSite.of(site.version() + 1, queues, teams, pools, 16384, 262144);
+        store.commit(
+                Transaction.builder().put("config", RecordCodec.encode(site)).build());
+    }
+
     /** Deletes the configuration, as before the operator has written the first one. */
     void deleteConfiguration() {
         store.commit(Transaction.builder().delete("config").build());
@@ -220,6 +227,17 @@
         return node.service().answer(call(id, new JobCall.Submit("spec", List.of(steps), Optional.empty())));
     }
 
+    CompletionStage<JobAnswer> submit(JobNode node, String queue, String id, List<StepSpec> steps) {
+        fleet.register(new JobSubmission(id, queue, "team", "spec", steps, null, 0));
+        return node.service()
+                .answer(new JobCall(
+                        "host",
+                        "/" + queue + "/" + id,
+                        Optional.of(KEY),
+                        Duration.ofSeconds(3),
+                        new JobCall.Submit("spec", steps, Optional.empty())));
+    }
+
     CompletionStage<JobAnswer> query(JobNode node, String id) {
         return node.service().answer(call(id, new JobCall.Query()));
     }
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadDay.java
@@ -0,0 +1,297 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobPool;
+import org.basilswitch.job.JobQueue;
+import org.basilswitch.job.JobTeam;
+import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.BackendServer;
+
+/**
+ * Half a minute of load on four pools whose queues peak by turns, each asking about five times its mean for four
+ * seconds and a twentieth in between; counts what was on time.
+ */
+final class LoadDay {
+    /** Length of a queue's turn. */
+    private static final Duration TURN = Duration.ofSeconds(4);
+
+    private static final double PEAK = 4.0;
+    private static final double QUIET = 0.05;
+    private static final Duration LENGTH = Duration.ofSeconds(32);
+    /** Time after the load in which jobs that are late may still end. */
+    private static final Duration REST = Duration.ofSeconds(20);
+
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Resources HOST = new Resources(64_000, 262_144, 0);
+    private static final long TARGET_MS = 600;
+    private static final double STRETCH = 1.6;
+
+    /**
+     * The load of one queue, which has a pool of its own.
+     *
+     * @param name name of the queue and its pool
+     * @param hosts hosts of the pool
+     * @param jobsPerS mean rate
+     * @param steps mean number of steps
+     * @param width mean number of work items of a step
+     * @param workMs mean time of a work item, ms
+     * @param cpuMillis mean processors of a work item, thousandths of a core
+     * @param speculativePart part of the jobs whose work items may run as copies
+     */
+    record Demand(
+            String name,
+            int hosts,
+            double jobsPerS,
+            double steps,
+            double width,
+            double workMs,
+            long cpuMillis,
+            double speculativePart) {}
+
+    /**
+     * What came of a day.
+     *
+     * @param jobs jobs handed in
+     * @param onTime jobs whose last work item was done within the target
+     * @param late jobs done later
+     * @param worthPart worth of the jobs on time, as a part of all worth
+     * @param hostSeconds seconds of hosts in working pools
+     * @param moves moves of hosts
+     */
+    record Report(int jobs, int onTime, int late, double worthPart, double hostSeconds, int moves) {
+        double onTimePart() {
+            return onTime / (double) Math.max(1, jobs);
+        }
+    }
+
+    private record Job(long submittedMs, double targetMs, double worth, int lastStep, int lastWidth) {}
+
+    final JobFleet fleet = new JobFleet();
+    private final List<Demand> demands;
+    private final UniformRandomProvider random;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, Long> doneMs = new HashMap<>();
+    private final Map<ItemId, Double> slowness = new HashMap<>();
+    private final Set<String> hopeless = new HashSet<>();
+    private double hopelessPart;
+    private double slowPart;
+    private double slowFactor = 1;
+    private double hostSeconds;
+    private int number;
+
+    private LoadDay(List<Demand> demands, int standbyHosts, long seed) {
+        this.demands = demands;
+        this.random = RandomSource.SPLIT_MIX_64.create(seed);
+        List<JobQueue> queues = new ArrayList<>();
+        List<JobPool> pools = new ArrayList<>();
+        int host = 0;
+        for (Demand demand : demands) {
+            queues.add(new JobQueue(
+                    demand.name,
+                    "host",
+                    "/" + demand.name + "/",
+                    demand.name,
+                    3000,
+                    TARGET_MS,
+                    0,
+                    3,
+                    STRETCH,
+                    false,
+                    false));
+            pools.add(new JobPool(demand.name, true, false));
+            for (int i = 0; i < demand.hosts; i++, host++) {
+                fleet.fleet.addServer("s" + host, demand.name, HOST, "rack-" + host / 4);
+            }
+        }
+        pools.add(new JobPool("standby", true, true));
+        fleet.configure(
+                queues, List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1000, new Resources(0, 0, 0))), pools);
+        for (int i = 0; i < standbyHosts; i++, host++) {
+            fleet.fleet.addResting("s" + host, "standby", HOST, "rack-" + host / 4);
+        }
+        fleet.fleet.setWorkTimes(this::workTime);
+    }
+
+    static LoadDay create(List<Demand> demands, int standbyHosts, long seed) {
+        return new LoadDay(demands, standbyHosts, seed);
+    }
+
+    /** Four queues like those of the users' first site. */
+    static LoadDay byTurns(long seed) {
+        return create(
+                List.of(
+                        new Demand("dispatch", 8, 5.2, 1.6, 6, 800, 3500, 0.3),
+                        new Demand("billing", 8, 0.61, 2, 8, 2100, 7700, 0),
+                        new Demand("booking", 8, 6.5, 1.6, 6, 800, 3500, 0.3),
+                        new Demand("compliance", 8, 0.74, 2, 8, 2100, 7700, 0)),
+                16,
+                seed);
+    }
+
+    /** Makes some hosts' servers run work slower by a factor. */
+    void slowServers(double part, double factor) {
+        slowPart = part;
+        slowFactor = factor;
+    }
+
+    /** Makes all work fail on some servers. */
+    void failingServers(double part) {
+        fleet.fleet.setFailing((item, run, server) -> isAmong(server, part));
+    }
+
+    /** Makes some jobs fail on all servers; they are not counted. */
+    void hopelessJobs(double part) {
+        hopelessPart = part;
+        fleet.fleet.setFailing((item, run, server) -> hopeless.contains(item.job()));
+    }
+
+    /** Whether a host is one of a part; its server's names through all its lives begin alike. */
+    private static boolean isAmong(BackendServer server, double part) {
+        String host = server.id().replaceAll("-[0-9]+$", "").replaceAll("^host-", "");
+        return Math.floorMod(host.hashCode() * 0x9E3779B9, 1000) < part * 1000;
+    }
+
+    private Duration workTime(ItemId item, BackendServer server) {
+        double ms = fleet.fleet.step(item).orElseThrow().estimateMs() * slowness.getOrDefault(item, 1.0);
+        return Duration.ofNanos((long) (ms * (isAmong(server, slowPart) ? slowFactor : 1) * 1e6));
+    }
+
+    /** Plays the day with entry hosts that have been started. */
+    Report run() {
+        for (int i = 0; i < 3; i++) {
+            fleet.addNode();
+        }
+        fleet.run(3000);
+        long startMs = fleet.time.millis();
+        while (fleet.time.millis() - startMs < LENGTH.toMillis()) {
+            long atMs = fleet.time.millis() - startMs;
+            int turn = (int) (atMs / TURN.toMillis()) % demands.size();
+            for (int i = 0; i < demands.size(); i++) {
+                double rate = demands.get(i).jobsPerS * (i == turn ? PEAK : QUIET);
+                if (random.nextDouble() < rate * TICK.toMillis() / 1000.0) {
+                    submit(demands.get(i));
+                }
+            }
+            tick();
+        }
+        for (long ms = 0; ms < REST.toMillis() && doneMs.size() < jobs.size(); ms += TICK.toMillis()) {
+            tick();
+        }
+        return report();
+    }
+
+    private void tick() {
+        fleet.run(TICK.toMillis());
+        hostSeconds += fleet.fleet.hostsOutside("standby") * TICK.toMillis() / 1000.0;
+        long nowMs = fleet.time.millis();
+        jobs.forEach((id, job) -> {
+            if (!doneMs.containsKey(id) && isDone(id, job)) {
+                doneMs.put(id, nowMs);
+            }
+        });
+    }
+
+    private boolean isDone(String id, Job job) {
+        for (int i = 0; i < job.lastWidth; i++) {
+            if (!fleet.fleet.rules().isDone(new ItemId(id, 0, job.lastStep, i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private double spread(double mean, double spread, double most) {
+        double gauss = Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+        double sigma = Math.sqrt(Math.log(1 + spread * spread));
+        return Math.min(most, mean * Math.exp(sigma * gauss - sigma * sigma / 2));
+    }
+
+    private void submit(Demand demand) {
+        String id = JobFleet.id(++number);
+        int count = (int) Math.max(1, Math.round(spread(demand.steps, 0.4, demand.steps * 2.5)));
+        boolean speculative = random.nextDouble() < demand.speculativePart;
+        List<StepSpec> steps = new ArrayList<>();
+        double chainMs = 0;
+        double work = 0;
+        int width = 1;
+        for (int s = 0; s < count; s++) {
+            width = (int) Math.max(1, Math.round(spread(demand.width, 0.6, demand.width * 4)));
+            long cpu = (long) spread(demand.cpuMillis, 0.45, demand.cpuMillis * 3.0);
+            double meanMs = spread(demand.workMs, 0.5, demand.workMs * 2.5);
+            long estimateMs = (long) Math.max(50, meanMs * spread(1, 0.5, 3));
+            double longestMs = 0;
+            for (int i = 0; i < width; i++) {
+                double itemMs = meanMs * spread(1, 0.15, 2);
+                slowness.put(new ItemId(id, 0, s, i), itemMs / estimateMs);
+                longestMs = Math.max(longestMs, itemMs);
+                work += cpu * itemMs;
+            }
+            chainMs += longestMs;
+            steps.add(new StepSpec(
+                    width,
+                    new Resources(cpu, 3000, 0),
+                    estimateMs,
+                    s == 0 ? List.of() : List.of(s - 1),
+                    false,
+                    false,
+                    false,
+                    null,
+                    null,
+                    0,
+                    speculative,
+                    false,
+                    null,
+                    0,
+                    false,
+                    0));
+        }
+        if (random.nextDouble() < hopelessPart) {
+            hopeless.add(id);
+            fleet.submit(fleet.nodes.get(number % fleet.nodes.size()), demand.name, id, steps);
+            return;
+        }
+        double mean = demand.steps * demand.width * demand.workMs * demand.cpuMillis;
+        jobs.put(
+                id,
+                new Job(
+                        fleet.time.millis(),
+                        STRETCH * chainMs + TARGET_MS,
+                        Math.min(4, 0.3 + 0.7 * work / mean),
+                        count - 1,
+                        width));
+        fleet.submit(fleet.nodes.get(number % fleet.nodes.size()), demand.name, id, steps);
+    }
+
+    private Report report() {
+        int onTime = 0;
+        int late = 0;
+        double worth = 0;
+        double earned = 0;
+        for (Map.Entry<String, Job> entry : jobs.entrySet()) {
+            Job job = entry.getValue();
+            worth += job.worth;
+            Long endMs = doneMs.get(entry.getKey());
+            if (endMs == null) {
+                continue;
+            }
+            if (endMs - job.submittedMs <= job.targetMs + TICK.toMillis()) {
+                onTime++;
+                earned += job.worth;
+            } else {
+                late++;
+            }
+        }
+        return new Report(jobs.size(), onTime, late, earned / worth, hostSeconds, fleet.fleet.moves());
+    }
+}
