--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -73,11 +73,41 @@
         Completions.then(
                 decide(call, clock.monotonicNanos() + timeout.toNanos(), 0), telemetry, "call", answer::complete);
         if (!answer.isDone()) {
-            parts.timers().schedule(timeout, () -> answer.complete(timedOut(call)));
+            parts.timers().schedule(timeout, () -> {
+                if (answer.complete(timedOut(call))) {
+                    telemetry.event(
+                            EventCode.CALL_TIMED_OUT,
+                            describe(call) + " timeoutMs=" + timeout.toMillis() + " " + configuration());
+                }
+            });
         }
         return answer;
     }
 
+    private static String describe(JobCall call) {
+        String action = switch (call.action()) {
+            case JobCall.Query query -> "query";
+            case JobCall.Submit submit -> "submit";
+            case JobCall.Cancel cancel -> "cancel";
+        };
+        return action + " path=" + call.path();
+    }
+
+    /** Version and age of the configuration that decisions follow, for logs. */
+    private String configuration() {
+        return site.view()
+                .map(view -> "configuration=" + view.site().version() + " ageMs="
+                        + (clock.monotonicNanos() - view.confirmedNanos()) / 1_000_000)
+                .orElse("configuration=none");
+    }
+
+    private JobAnswer notAdmitted(JobCall call, JobAnswer answer) {
+        telemetry.event(
+                EventCode.CALL_NOT_ADMITTED,
+                describe(call) + " answer=" + answer.getClass().getSimpleName() + " " + configuration());
+        return answer;
+    }
+
     /** The answer when the caller's patience ends: what writes may have been carried out. */
     private static JobAnswer timedOut(JobCall call) {
         return switch (call.action()) {
@@ -130,7 +160,7 @@
     private CompletionStage<JobAnswer> negative(
             JobCall call, long untilNanos, int earlier, Supplier<JobAnswer> answer) {
         if (site.confirmedWithin(FRESH) || earlier > 0 && site.confirmedWithin(NEGATIVE_AGE)) {
-            return CompletableFuture.completedFuture(answer.get());
+            return CompletableFuture.completedFuture(notAdmitted(call, answer.get()));
         }
         return readAgain(call, untilNanos, earlier, "configuration is too old to say that a queue or key is missing");
     }
