Look for a run whose start had no answer before stopping it

Change: the server is asked at once what runs there; a run that it lists goes on, another one is barred by a stop as before.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -37,7 +37,7 @@
         RECORDING,
         /** The start was sent. */
         ORDERED,
-        /** The start had no answer; the run is to be barred. */
+        /** The start had no answer; it is looked for, and barred when it is not at work. */
         DOUBTFUL,
         /** The server has confirmed it. */
         RUNNING,
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -207,12 +207,30 @@
                 if (run.phase() == Run.Phase.ORDERED) {
                     run.setPhase(Run.Phase.DOUBTFUL);
                     context.telemetry().event(EventCode.RUN_DOUBTFUL, "run=" + run + " " + lost.detail());
-                    stop(run);
+                    lookFor(run, state);
                 }
             }
         }
     }
 
+    /** Asks the server at once what runs there. A run that it does not list may still arrive, and is barred. */
+    private void lookFor(Run run, ServerState state) {
+        if (state.view().isEmpty()) {
+            stop(run);
+            return;
+        }
+        long sentNanos = context.clock().monotonicNanos();
+        ServerOrders.HoldOrder look =
+                new ServerOrders.HoldOrder(Optional.empty(), state.storedEnd(), Duration.ZERO);
+        Completions.then(
+                context.orders().hold(state.view().get(), fence, look), context.telemetry(), "look", result -> {
+                    onHold(state, sentNanos, result);
+                    if (run.phase() == Run.Phase.DOUBTFUL) {
+                        stop(run);
+                    }
+                });
+    }
+
     private void onRejected(Run run, ServerState state, ServerOrders.Reason reason, long nowNanos) {
         context.telemetry().event(EventCode.RUN_REJECTED, "run=" + run + " reason=" + reason);
         switch (reason) {
@@ -431,7 +449,7 @@
         Run run = known.get();
         run.observe(row.percent(), row.load(), context.clock().monotonicNanos());
         run.item().saveCheckpoint(row.checkpoint());
-        if (run.phase() == Run.Phase.ORDERED || run.phase() == Run.Phase.INHERITED) {
+        if (run.phase() != Run.Phase.RUNNING && !run.stopping()) {
             run.setPhase(Run.Phase.RUNNING);
             run.settle(context.clock().monotonicNanos());
         }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -44,6 +44,7 @@
     private final Map<String, StepSpec> steps = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private final Set<String> lostStarts = new HashSet<>();
+    private final Set<String> lostAnswers = new HashSet<>();
     private final Set<String> draining = new HashSet<>();
     private final FleetRules rules = new FleetRules(this);
     private final List<WaveRequest> waves = new ArrayList<>();
@@ -169,6 +170,11 @@
         lostStarts.add(id);
     }
 
+    /** Lets the next start on a server be carried out without an answer. */
+    public void loseNextAnswer(String id) {
+        lostAnswers.add(id);
+    }
+
     /** Adds a maintenance wave. */
     public void addWave(WaveRequest wave) {
         waves.add(wave);
@@ -252,6 +258,10 @@
                         Duration.ofSeconds(2), () -> find(server).ifPresent(model -> model.start(fence, order)));
                 return timeout();
             }
+            if (lostAnswers.remove(server.id())) {
+                scheduler.schedule(DELAY, () -> find(server).ifPresent(model -> model.start(fence, order)));
+                return timeout();
+            }
             return call(server, model -> model.start(fence, order));
         }
 
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -119,6 +119,19 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void aRunWhoseAnswerIsLostGoesOn() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.fleet.loseNextAnswer("s0");
+        fleet.fleet.loseNextAnswer("s1");
+        String id = JobFleet.id(1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 20_000, 4000)));
+        fleet.run(6000);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
+        assertEquals(fleet.fleet.rules().starts(), 4, "nothing was started twice");
+        assertRulesKept(fleet);
+    }
+
     @Test
     public void aCancelledJobIsStoppedAndNeverStartedAgain() {
         JobFleet fleet = fleet(3, 2);
