Cut the work of a scheduling round; measure progress by the servers' clocks

Change: reports without news ask for no round; estimates are kept until the job changes; what no server has room for is not tried again in a round; servers are found by identifier; done and started work items are counted. Progress is timed by the server's clock.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -1,6 +1,7 @@
 package org.basilswitch.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,6 +18,10 @@
 final class ActiveJob {
     private final JobSubmission submission;
     private final Map<Integer, List<List<WorkItem>>> occurrences = new TreeMap<>();
+    private final List<WorkItem> items = new ArrayList<>();
+    private int doneItems;
+    private int touchedItems;
+    private long changes;
     private long firstOrderMs;
     private int orders;
     private int lostRuns;
@@ -53,11 +58,26 @@
     }
 
     private List<List<WorkItem>> open(int occurrence) {
-        return occurrences.computeIfAbsent(
-                occurrence,
-                k -> IntStream.range(0, submission.steps().size())
-                        .mapToObj(step -> items(k, step))
-                        .toList());
+        return occurrences.computeIfAbsent(occurrence, k -> {
+            List<List<WorkItem>> steps = IntStream.range(0, submission.steps().size())
+                    .mapToObj(step -> items(k, step))
+                    .toList();
+            steps.forEach(items::addAll);
+            changes++;
+            return steps;
+        });
+    }
+
+    /** Told by a work item that its run has begun or is over. */
+    void onItemChanged(boolean nowTouched, boolean nowDone) {
+        changes++;
+        touchedItems += nowTouched ? 1 : 0;
+        doneItems += nowDone ? 1 : 0;
+    }
+
+    /** Number of changes of its work items, by which what was derived from them is known to be out of date. */
+    long changes() {
+        return changes;
     }
 
     private List<WorkItem> items(int occurrence, int step) {
@@ -99,9 +119,17 @@
 
     /** All work items of open occurrences. */
     List<WorkItem> items() {
-        List<WorkItem> all = new ArrayList<>();
-        occurrences.values().forEach(steps -> steps.forEach(all::addAll));
-        return all;
+        return Collections.unmodifiableList(items);
+    }
+
+    /** Whether a run of a work item may be at work. */
+    boolean hasRuns() {
+        for (WorkItem item : items) {
+            if (item.run().isPresent()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** All work items of the step that an item belongs to. */
@@ -120,12 +148,11 @@
     }
 
     boolean started() {
-        return items().stream().anyMatch(WorkItem::touched);
+        return touchedItems > 0;
     }
 
     boolean allDone() {
-        return occurrences.size() == submission.occurrences()
-                && items().stream().allMatch(WorkItem::done);
+        return occurrences.size() == submission.occurrences() && doneItems == items.size();
     }
 
     /**
@@ -156,15 +183,23 @@
     }
 
     private static boolean isDone(List<WorkItem> step) {
-        return step.stream().allMatch(WorkItem::done);
+        for (WorkItem item : step) {
+            if (!item.done()) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Number of work items of a step that have not been started or have to be started again. */
     long waitingIn(int step) {
-        return occurrences.values().stream()
-                .mapToLong(steps ->
-                        steps.get(step).stream().filter(WorkItem::waiting).count())
-                .sum();
+        long waiting = 0;
+        for (List<List<WorkItem>> steps : occurrences.values()) {
+            for (WorkItem item : steps.get(step)) {
+                waiting += item.waiting() ? 1 : 0;
+            }
+        }
+        return waiting;
     }
 
     JobState state() {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Evacuation.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Evacuation.java
@@ -32,12 +32,7 @@
 
     /** The state of a host's backend server. */
     Optional<ServerState> serverOf(String host) {
-        Optional<String> id = hosts.find(host).flatMap(HostControl.HostView::serverId);
-        return id.flatMap(serverId -> book.servers().stream()
-                .filter(state -> state.view().isPresent()
-                        && !state.over()
-                        && state.lifetime().serverId().equals(serverId))
-                .findFirst());
+        return hosts.find(host).flatMap(HostControl.HostView::serverId).flatMap(book::listed);
     }
 
     /** Work that has to end or move before a host is empty; lower is sooner empty. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
@@ -1,10 +1,12 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 
 import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobSite;
@@ -26,10 +28,22 @@
     /** Weight of a new job in its queue's mean work. */
     private static final double MEAN_WEIGHT = 0.05;
 
+    /** Expected durations change by little while a few work items end. */
+    private static final Duration ESTIMATE_AGE = Duration.ofMillis(500);
+
     private final SchedulerContext context;
     private final DurationModel durations;
     private final TeamRates rates = new TeamRates();
     private final Map<String, Double> meanWork = new HashMap<>();
+    private final Map<ActiveJob, Estimate> estimates = new WeakHashMap<>();
+
+    /**
+     * What a job still needs.
+     *
+     * @param changes state of the job that it was derived from
+     * @param untilNanos monotonic time until which it is used, as expected durations change
+     */
+    private record Estimate(OnTimeOrder.Entry<ActiveJob> entry, long changes, long untilNanos) {}
 
     JobOrder(SchedulerContext context, DurationModel durations) {
         this.context = context;
@@ -84,7 +98,7 @@
             if (job.submission().isLongRunning()) {
                 order.add(job);
             } else {
-                byPool.computeIfAbsent(queue.pool(), pool -> new ArrayList<>()).add(entry(job, queue));
+                byPool.computeIfAbsent(queue.pool(), pool -> new ArrayList<>()).add(estimate(job, queue));
             }
         }
         byPool.forEach((pool, entries) ->
@@ -98,6 +112,16 @@
         return queue == null ? 0 : queue.stretchFactor() * job.chainMs(step -> stepMs(job, step)) + queue.targetMs();
     }
 
+    private OnTimeOrder.Entry<ActiveJob> estimate(ActiveJob job, JobQueue queue) {
+        long nowNanos = context.clock().monotonicNanos();
+        Estimate known = estimates.get(job);
+        if (known == null || known.changes != job.changes() || nowNanos > known.untilNanos) {
+            known = new Estimate(entry(job, queue), job.changes(), nowNanos + ESTIMATE_AGE.toNanos());
+            estimates.put(job, known);
+        }
+        return known.entry;
+    }
+
     private OnTimeOrder.Entry<ActiveJob> entry(ActiveJob job, JobQueue queue) {
         double dueMs = job.submission().acceptedMs() + targetMs(job);
         double latestStartMs = dueMs - job.remainingChainMs(step -> stepMs(job, step));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -347,8 +347,7 @@
                     .place(inOrder);
         }
         for (ActiveJob job : jobs.values()) {
-            boolean settled = job.state().isFinal()
-                    && job.items().stream().allMatch(item -> item.run().isEmpty());
+            boolean settled = job.state().isFinal() && !job.hasRuns();
             if (settled && !job.writing()) {
                 job.markDirty();
             } else if (!job.isOpen()) {
@@ -382,7 +381,7 @@
         Map<String, Double> cores = new HashMap<>();
         for (ServerState server : book.servers()) {
             if (usable(server, nowNanos)) {
-                long longRunning = PoolBalancer.longRunningCpu(server);
+                long longRunning = server.longRunningCpuMillis();
                 long capacity = server.view().orElseThrow().capacity().cpuMillis();
                 cores.merge(server.view().get().pool(), (capacity - longRunning) / 1000.0, Double::sum);
             }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,8 @@
     private final long nowNanos;
     private final BiConsumer<WorkItem, ServerState> start;
     private final Map<String, List<ServerState>> byPool = new HashMap<>();
+    /** Amounts that no server of a list has had room for; rooms only become smaller within a round. */
+    private final Map<List<ServerState>, List<Resources>> beyondRoom = new IdentityHashMap<>();
 
     PlacementRound(
             JobSite site,
@@ -130,12 +133,18 @@
 
     private Optional<ServerState> choose(WorkItem item, List<WorkItem> step, List<ServerState> servers) {
         StepSpec spec = item.spec();
+        if (isBeyondRoom(servers, spec.reserved())) {
+            return Optional.empty();
+        }
         ServerState best = null;
+        boolean fitted = false;
         double bestCost = Double.MAX_VALUE;
         for (ServerState server : servers) {
-            if (!allowed(item, server)
-                    || !spec.reserved().fitsInto(server.free())
-                    || spec.maxPerServer() > 0 && onServer(step, server) >= spec.maxPerServer()) {
+            if (!spec.reserved().fitsInto(server.free())) {
+                continue;
+            }
+            fitted = true;
+            if (!allowed(item, server) || spec.maxPerServer() > 0 && onServer(step, server) >= spec.maxPerServer()) {
                 continue;
             }
             double cost = cost(item, step, server);
@@ -144,12 +153,26 @@
                 bestCost = cost;
             }
         }
+        if (!fitted) {
+            beyondRoom.computeIfAbsent(servers, key -> new ArrayList<>()).add(spec.reserved());
+        }
         return Optional.ofNullable(best);
     }
 
+    /** Whether an amount is no smaller than one that none of these servers has had room for in this round. */
+    private boolean isBeyondRoom(List<ServerState> servers, Resources amount) {
+        for (Resources refused : beyondRoom.getOrDefault(servers, List.of())) {
+            if (refused.fitsInto(amount)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     static boolean allowed(WorkItem item, ServerState server) {
         BackendServer view = server.view().orElseThrow();
-        return item.spec().label().map(view.labels()::contains).orElse(true);
+        String label = item.spec().requiredLabel();
+        return label == null || view.labels().contains(label);
     }
 
     private static int onServer(List<WorkItem> step, ServerState server) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -137,7 +137,7 @@
             hostCpu = Math.max(hostCpu, host.capacity().cpuMillis());
             Optional<ServerState> server = evacuation.serverOf(host.name());
             usedCpu += server.map(state -> state.used().cpuMillis()).orElse(0L);
-            longRunningCpu += server.map(PoolBalancer::longRunningCpu).orElse(0L);
+            longRunningCpu += server.map(ServerState::longRunningCpuMillis).orElse(0L);
             members.add(member(host, server, nowNanos));
         }
         double asked = usedCpu + waitingCpu * WAITING_PART;
@@ -153,15 +153,6 @@
         return new HostPlan.PoolNeed(pool, needed, keep, members);
     }
 
-    /** Processor time reserved for long-running work on a server, thousandths of a core. */
-    static long longRunningCpu(ServerState state) {
-        return state.runs().stream()
-                .map(run -> run.item().spec())
-                .filter(StepSpec::longRunning)
-                .mapToLong(spec -> spec.reserved().cpuMillis())
-                .sum();
-    }
-
     /** Whether a host can't be counted on: it is down, or its backend server is silent or missing. */
     private boolean isLost(HostControl.HostView host, long nowNanos) {
         if (host.state() != HostControl.HostState.UP || hosts.isOrdered(host.name())) {
@@ -176,8 +167,7 @@
     }
 
     private HostPlan.IdleHost member(HostControl.HostView host, Optional<ServerState> server, long nowNanos) {
-        boolean idle =
-                movable(host) && server.isPresent() && server.get().runs().isEmpty();
+        boolean idle = movable(host) && server.isPresent() && !server.get().hasRuns();
         if (!idle) {
             idleSinceNanos.remove(host.name());
         }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -95,8 +95,7 @@
         job.setWriting(true);
         List<Runnable> actions = job.takeActions();
         JobState state = job.state();
-        boolean last = state.isFinal()
-                && job.items().stream().allMatch(item -> item.run().isEmpty());
+        boolean last = state.isFinal() && !job.hasRuns();
         return new Write(
                 job, job.record(fence), job.cancelled(), last ? Optional.of(state) : Optional.empty(), actions);
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -21,14 +21,16 @@
 
     private int percent;
     private long load;
-    /** Start of the interval over which progress is measured, monotonic ns; 0 before the first report. */
-    private long progressSinceNanos;
+    private boolean progressKnown;
+    /** Start of the interval over which progress is measured, on the server's clock, ms. */
+    private long progressSinceMs;
 
     private int progressSincePercent;
     private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent = 100;
     private boolean stopping;
     private long startedNanos;
+    private long startedServerMs;
     private Optional<String> rack = Optional.empty();
 
     /** How far a run has come. */
@@ -104,23 +106,27 @@
         return load;
     }
 
-    /** Takes a report of its progress and load. */
-    void observe(int percent, long load, long nowNanos) {
+    /**
+     * Takes a report of its progress and load.
+     *
+     * @param serverClockMs the server's clock at the report, so that delays on the way do not count, ms
+     */
+    void observe(int percent, long load, long serverClockMs) {
         this.percent = percent;
         this.load = load;
-        if (progressSinceNanos == 0) {
+        if (!progressKnown) {
             // The time to resume from a checkpoint is not known, so that progress counts from the first report.
             boolean fresh = startedNanos > 0 && item.checkpoint().isEmpty();
-            progressSinceNanos = fresh ? startedNanos : nowNanos;
+            progressKnown = true;
+            progressSinceMs = fresh ? startedServerMs : serverClockMs;
             progressSincePercent = fresh ? 0 : percent;
         }
-        long intervalNanos = nowNanos - progressSinceNanos;
+        long intervalMs = serverClockMs - progressSinceMs;
         int progress = percent - progressSincePercent;
-        long shortestNanos = (progress > 0 ? SHORTEST_INTERVAL : STALLED_AFTER).toNanos();
-        if (intervalNanos >= shortestNanos) {
-            percentPerMs = Optional.of(progress / (intervalNanos / 1e6));
+        if (intervalMs >= (progress > 0 ? SHORTEST_INTERVAL : STALLED_AFTER).toMillis()) {
+            percentPerMs = Optional.of(progress / (double) intervalMs);
             if (progress > 0) {
-                progressSinceNanos = nowNanos;
+                progressSinceMs = serverClockMs;
                 progressSincePercent = percent;
             }
         }
@@ -157,8 +163,15 @@
         return startedNanos;
     }
 
-    void setStartedNanos(long nanos) {
+    /**
+     * Notes when it was ordered.
+     *
+     * @param nanos monotonic time, ns
+     * @param serverMs the server's clock, ms
+     */
+    void setStarted(long nanos, long serverMs) {
         startedNanos = nanos;
+        startedServerMs = serverMs;
     }
 
     @Override
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunBook.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunBook.java
@@ -11,6 +11,7 @@
 /** All runs that may be at work, by server lifetime, and what each team has running. */
 final class RunBook {
     private final Map<BackendServer.Lifetime, ServerState> servers = new LinkedHashMap<>();
+    private final Map<String, ServerState> listed = new HashMap<>();
     private final Map<String, Resources> teamUsage = new HashMap<>();
 
     Collection<ServerState> servers() {
@@ -25,9 +26,27 @@
         return servers.computeIfAbsent(lifetime, key -> new ServerState(key, Optional.empty()));
     }
 
+    /** The state of a server that is listed under an identifier. */
+    Optional<ServerState> listed(String serverId) {
+        return Optional.ofNullable(listed.get(serverId))
+                .filter(state -> state.view().isPresent() && !state.over());
+    }
+
+    /** Notes the entry of a server in the list of live servers; empty when it is missing there. */
+    void list(ServerState state, Optional<BackendServer> view) {
+        state.setView(view);
+        String id = state.lifetime().serverId();
+        if (view.isPresent()) {
+            listed.put(id, state);
+        } else {
+            listed.remove(id, state);
+        }
+    }
+
     /** Removes a server's lifetime. */
     void forget(ServerState state) {
         servers.remove(state.lifetime());
+        listed.remove(state.lifetime().serverId(), state);
     }
 
     void add(Run run) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -38,6 +38,8 @@
 
     /** Pace of a run after an order without an answer; any new pace differs from it. */
     private static final int UNKNOWN_PACE = 99;
+    /** A server that answers after a longer time may get work again; placement looks at twice a second of silence. */
+    private static final Duration SILENCE = Duration.ofMillis(1900);
 
     private final SchedulerContext context;
     private final long fence;
@@ -95,7 +97,7 @@
         live.forEach((lifetime, server) -> {
             lifetimeOf.put(lifetime.serverId(), lifetime);
             ServerState state = book.serverOrUnlisted(lifetime);
-            state.setView(Optional.of(server));
+            book.list(state, Optional.of(server));
             if (!loops.containsKey(lifetime) && !state.over()) {
                 HoldLoop loop = new HoldLoop(
                         state,
@@ -114,7 +116,7 @@
         });
         for (ServerState state : new ArrayList<>(book.servers())) {
             if (!live.containsKey(state.lifetime())) {
-                state.setView(Optional.empty());
+                book.list(state, Optional.empty());
                 BackendServer.Lifetime next = lifetimeOf.get(state.lifetime().serverId());
                 if (next != null) {
                     endLifetime(state, Optional.of(next), "server started again");
@@ -168,7 +170,7 @@
             return;
         }
         run.setPhase(Run.Phase.ORDERED);
-        run.setStartedNanos(nowNanos);
+        run.setStarted(nowNanos, leaseEnd.get() - context.options().lease().toMillis());
         context.telemetry().count(CounterCode.RUNS_STARTED, state.view().get().pool());
         run.item().job().countOrder(context.clock().millis());
         context.telemetry().event(EventCode.RUN_ORDERED, "run=" + run + " leaseEndMs=" + leaseEnd.get());
@@ -220,8 +222,7 @@
             return;
         }
         long sentNanos = context.clock().monotonicNanos();
-        ServerOrders.HoldOrder look =
-                new ServerOrders.HoldOrder(Optional.empty(), state.storedEnd(), Duration.ZERO);
+        ServerOrders.HoldOrder look = new ServerOrders.HoldOrder(Optional.empty(), state.storedEnd(), Duration.ZERO);
         Completions.then(
                 context.orders().hold(state.view().get(), fence, look), context.telemetry(), "look", result -> {
                     onHold(state, sentNanos, result);
@@ -395,16 +396,19 @@
             endLifetime(state, Optional.of(next), "report of a lifetime born at " + report.bornMs());
             return;
         }
-        state.readClock(report.clockMs(), context.clock().monotonicNanos());
+        long nowNanos = context.clock().monotonicNanos();
+        boolean news = !state.answeredWithin(SILENCE, nowNanos);
+        state.readClock(report.clockMs(), nowNanos);
         for (ServerOrders.EndRow end : report.ended()) {
             if (state.addEnd(end.number())) {
+                news = true;
                 onEnd(state, end);
             }
         }
         Set<ServerState.RunKey> listed = new HashSet<>();
         for (ServerOrders.RunningRow row : report.running()) {
             listed.add(new ServerState.RunKey(row.item(), row.run()));
-            onRunning(state, row);
+            onRunning(state, row, report.clockMs());
         }
         for (Run run : state.runs()) {
             boolean covered =
@@ -415,7 +419,9 @@
         }
         pace(state);
         owner.reported(state);
-        owner.changed();
+        if (news) {
+            owner.changed();
+        }
     }
 
     private void pace(ServerState state) {
@@ -438,7 +444,7 @@
         });
     }
 
-    private void onRunning(ServerState state, ServerOrders.RunningRow row) {
+    private void onRunning(ServerState state, ServerOrders.RunningRow row, long serverClockMs) {
         Optional<Run> known = state.run(row.item(), row.run());
         if (known.isEmpty()) {
             // The run of a cancelled job, or one that was given up on and has arrived late.
@@ -447,7 +453,7 @@
             return;
         }
         Run run = known.get();
-        run.observe(row.percent(), row.load(), context.clock().monotonicNanos());
+        run.observe(row.percent(), row.load(), serverClockMs);
         run.item().saveCheckpoint(row.checkpoint());
         if (run.phase() != Run.Phase.RUNNING && !run.stopping()) {
             run.setPhase(Run.Phase.RUNNING);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
@@ -12,6 +12,7 @@
 
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
 
 /** What the scheduler knows of one lifetime of a backend server: its runs, its clock, its lease and its ends. */
 final class ServerState {
@@ -26,6 +27,7 @@
     private Optional<BackendServer> view;
     private final Map<RunKey, Run> runs = new LinkedHashMap<>();
     private Resources used = Resources.NONE;
+    private long longRunningCpuMillis;
     private boolean clockKnown;
     private long clockMs;
     private long clockReadNanos;
@@ -67,6 +69,10 @@
         return new ArrayList<>(runs.values());
     }
 
+    boolean hasRuns() {
+        return !runs.isEmpty();
+    }
+
     boolean idle() {
         return runs.isEmpty() && unstoredEnds.isEmpty();
     }
@@ -78,12 +84,14 @@
     void add(Run run) {
         if (runs.put(new RunKey(run.id(), run.number()), run) == null) {
             used = used.plus(run.item().spec().reserved());
+            longRunningCpuMillis += longRunningCpuMillis(run);
         }
     }
 
     void remove(Run run) {
         if (runs.remove(new RunKey(run.id(), run.number())) != null) {
             used = used.minus(run.item().spec().reserved());
+            longRunningCpuMillis -= longRunningCpuMillis(run);
         }
     }
 
@@ -95,6 +103,16 @@
         return used;
     }
 
+    /** Processor time reserved for long-running work, thousandths of a core. */
+    long longRunningCpuMillis() {
+        return longRunningCpuMillis;
+    }
+
+    private static long longRunningCpuMillis(Run run) {
+        StepSpec spec = run.item().spec();
+        return spec.longRunning() ? spec.reserved().cpuMillis() : 0;
+    }
+
     /** Takes the server's clock from a report that arrived now. */
     void readClock(long serverClockMs, long nowNanos) {
         clockKnown = true;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -92,6 +92,7 @@
 
     Run begin(int number, BackendServer.Lifetime lifetime, Run.Phase phase) {
         Run begun = Run.create(this, number, lifetime, phase);
+        job.onItemChanged(lastRun == 0, false);
         lastRun = Math.max(lastRun, number);
         run = Optional.of(begun);
         return begun;
@@ -105,6 +106,7 @@
 
     void endRun(boolean completed) {
         run = Optional.empty();
+        job.onItemChanged(false, completed && !done);
         done |= completed;
     }
 
@@ -136,6 +138,7 @@
     }
 
     void restore(ProgressRecord.ItemRow row) {
+        job.onItemChanged(lastRun == 0 && row.lastRun() > 0, row.done() && !done);
         done = row.done();
         lastRun = row.lastRun();
         failures = row.failures();
