Read all records of jobs at once at a takeover

Ruled out: an inconsistent picture, as progress and final states are written by the holder of the duty only. Test: JobSchedulerTest.aNewHolderReadsAllRecordsInTheTimeOfOneCall (1,200 ms before, within 400 ms after, calls of 300 ms).

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -100,43 +100,42 @@
     public static JobScheduler takeOver(
             SchedulerContext context, long fence, Predicate<Duration> heldFor, Consumer<String> onLost) {
         JobScheduler scheduler = new JobScheduler(context, fence, heldFor, onLost);
-        scheduler.load(new LoadedJobs(), context.keys().jobsAccepted());
+        scheduler.load();
         return scheduler;
     }
 
-    private void load(LoadedJobs read, String prefix) {
+    /**
+     * Reads all records at once. Progress and final states stand still meanwhile, as only the holder of the duty writes
+     * them; jobs and cancellations that come meanwhile are told by the directory.
+     */
+    private void load() {
+        LoadedJobs read = new LoadedJobs();
+        List<String> prefixes = List.of(
+                context.keys().jobsAccepted(),
+                context.keys().jobsProgress(),
+                context.keys().jobsCancelled(),
+                context.keys().jobsEnded());
+        prefixes.forEach(prefix -> load(read, prefix, prefixes));
+    }
+
+    private void load(LoadedJobs read, String prefix, List<String> prefixes) {
         if (closed) {
             return;
         }
-        CompletionStage<Either<StoreError, PlatformStore.Range>> range =
-                context.store().range(prefix);
-        Completions.then(range, context.telemetry(), "records of jobs", result -> {
+        Completions.then(context.store().range(prefix), context.telemetry(), "records of jobs", result -> {
             if (result.isLeft()) {
                 context.telemetry()
                         .event(EventCode.JOBS_READ_FAILED, result.getLeft().detail());
-                context.timers().schedule(LOAD_RETRY, () -> load(read, prefix));
+                context.timers().schedule(LOAD_RETRY, () -> load(read, prefix, prefixes));
                 return;
             }
             read.add(prefix, result.get().entries());
-            Optional<String> next = nextPrefix(prefix);
-            if (next.isPresent()) {
-                load(read, next.get());
-            } else {
+            if (read.hasAll(prefixes)) {
                 onLoaded(read);
             }
         });
     }
 
-    private Optional<String> nextPrefix(String prefix) {
-        List<String> prefixes = List.of(
-                context.keys().jobsAccepted(),
-                context.keys().jobsProgress(),
-                context.keys().jobsCancelled(),
-                context.keys().jobsEnded());
-        int next = prefixes.indexOf(prefix) + 1;
-        return next < prefixes.size() ? Optional.of(prefixes.get(next)) : Optional.empty();
-    }
-
     private void onLoaded(LoadedJobs read) {
         if (closed) {
             return;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LoadedJobs.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LoadedJobs.java
@@ -27,6 +27,11 @@
         read.forEach(entry -> entries.put(entry.key(), entry));
     }
 
+    /** Whether the records of all these prefixes have been read. */
+    boolean hasAll(List<String> prefixes) {
+        return byPrefix.keySet().containsAll(prefixes);
+    }
+
     List<JobSubmission> accepted(String prefix, Telemetry telemetry) {
         List<JobSubmission> submissions = new ArrayList<>();
         for (PlatformStore.Entry entry : byPrefix.getOrDefault(prefix, List.of())) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -76,6 +76,27 @@
         assertRulesKept(fleet);
     }
 
+    /** Load pattern: a change of the holder while the store is slow. */
+    @Test
+    public void aNewHolderReadsAllRecordsInTheTimeOfOneCall() {
+        JobFleet fleet = fleet(3, 4);
+        fleet.clients.forEach(client -> client.setOneWayDelay(Duration.ofMillis(150)));
+        fleet.run(1000);
+        fleet.events.clear();
+        fleet.kill(fleet.holder());
+        fleet.run(6000);
+        long readMs = eventMs(fleet, "SCHEDULER_STARTED") - eventMs(fleet, "DUTY_ACQUIRED");
+        assertTrue(readMs <= 400, "reading took " + readMs + " ms");
+    }
+
+    private static long eventMs(JobFleet fleet, String code) {
+        return fleet.events.stream()
+                .filter(event -> event.contains(" " + code + " "))
+                .mapToLong(event -> Long.parseLong(event.substring(0, event.indexOf(' '))))
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     public void aJobAcceptedWhileTheNextSchedulerLoadsIsRun() {
         JobFleet fleet = fleet(3, 4);
