Start copies of speculative work items on silent and slow servers

Change: a run whose step allows copies is set aside when its server has been silent for 1.3 s or is slow, and the work item is started elsewhere; the first end counts and the other run is stopped; copies count for limits, room and per-server bounds. Test: JobSchedulerTest.aSpeculativeWorkItemOnASilentServerIsStartedElsewhereBeforeItsLeaseEnds, failed before.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -7,19 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-import io.vavr.control.Either;
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
-import org.basilswitch.store.PlatformStore;
-import org.basilswitch.store.StoreError;
 
 /**
  * Schedules the work items of all jobs while one entry host holds the scheduler duty.
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -144,7 +144,9 @@
                 continue;
             }
             fitted = true;
-            if (!allowed(item, server) || spec.maxPerServer() > 0 && onServer(step, server) >= spec.maxPerServer()) {
+            if (!allowed(item, server)
+                    || copiesOn(item, server) > 0
+                    || spec.maxPerServer() > 0 && onServer(step, server) >= spec.maxPerServer()) {
                 continue;
             }
             double cost = cost(item, step, server);
@@ -181,6 +183,15 @@
             if (item.run().isPresent() && item.run().get().lifetime().equals(server.lifetime())) {
                 count++;
             }
+            count += copiesOn(item, server);
+        }
+        return count;
+    }
+
+    private static int copiesOn(WorkItem item, ServerState server) {
+        int count = 0;
+        for (Run copy : item.copies()) {
+            count += copy.lifetime().equals(server.lifetime()) ? 1 : 0;
         }
         return count;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -307,6 +307,7 @@
             item.job().markDirty();
             context.telemetry().event(EventCode.RUN_LOST, "run=" + run + " " + reason);
         }
+        item.endCopy(run);
         owner.changed();
     }
 
@@ -467,20 +468,30 @@
     private void onEnd(ServerState state, ServerOrders.EndRow end) {
         Optional<ActiveJob> job = owner.job(end.item().job());
         WorkItem item = job.map(j -> j.item(end.item())).orElse(null);
+        Optional<Run> run = state.run(end.item(), end.run());
+        run.ifPresent(book::remove);
         if (item == null) {
             state.endStored(end.number());
             return;
         }
-        Optional<Run> run = state.run(end.item(), end.run());
-        run.ifPresent(book::remove);
+        boolean copy = run.filter(item::endCopy).isPresent();
         boolean current = item.run().isPresent() && run.equals(item.run());
-        if (!current && item.run().isPresent()) {
-            state.endStored(end.number());
+        if (copy && end.kind() == ServerOrders.EndKind.DONE && !item.done()) {
+            item.setAside();
+        } else if (!current && item.run().isPresent()) {
+            if (copy && end.kind() == ServerOrders.EndKind.FAILED) {
+                item.countFailureOfCopy(state.lifetime().serverId());
+                onFailure(state, item);
+            }
+            job.get().afterCommit(() -> state.endStored(end.number()));
             return;
         }
         if (!item.done()) {
             applyEnd(state, item, end);
         }
+        if (item.done()) {
+            item.copies().forEach(this::stop);
+        }
         job.get().afterCommit(() -> state.endStored(end.number()));
     }
 
@@ -542,6 +553,13 @@
         }
     }
 
+    /** Lets a work item be started again while its run goes on; the first one to end counts. */
+    void setAside(Run run) {
+        run.item().setAside();
+        run.item().job().markDirty();
+        owner.changed();
+    }
+
     /** Stops all runs of a job. */
     void stopAll(ActiveJob job) {
         forEachRun(job, this::stop);
@@ -549,7 +567,10 @@
 
     private static void forEachRun(ActiveJob job, Consumer<Run> action) {
         List<Run> runs = new ArrayList<>();
-        job.items().forEach(item -> item.run().ifPresent(runs::add));
+        job.items().forEach(item -> {
+            item.run().ifPresent(runs::add);
+            runs.addAll(item.copies());
+        });
         runs.forEach(action);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
@@ -1,5 +1,6 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -8,14 +9,17 @@
 import org.basilswitch.job.Resources;
 
 /**
- * Stops runs that a slow backend server would end late, where another server of the pool has room and would do the work
- * item sooner from the beginning.
+ * Starts work items again that a slow backend server would end late, where another server of the pool has room and would
+ * do them sooner from the beginning. The first run is stopped before, or goes on as a copy where the step allows copies;
+ * there a server that has fallen silent is reason enough.
  */
 final class Stragglers {
     /** Time for the stop, its report, the record and the new start, ms; a stop alone may take 200 ms. */
     private static final double RESTART_MS = 400;
     /** A restart has to save this part of what is left, as progress comes in whole percent. */
     private static final double LEAST_SAVING = 0.25;
+    /** A hold is answered within 0.9 s; a server that is silent for longer may have crashed. */
+    private static final Duration SILENCE = Duration.ofMillis(1300);
     /** A work item that was slow on several servers is slow itself. */
     private static final int MOST_RESTARTS = 2;
 
@@ -40,22 +44,46 @@
         long nowNanos = context.clock().monotonicNanos();
         Map<ServerState, Resources> promised = new HashMap<>();
         for (ServerState slow : book.servers()) {
-            if (slow.slow(nowNanos) && slow.view().isPresent()) {
-                for (Run run : slow.runs()) {
-                    if (saves(run) && reserve(run, slow, usable, promised)) {
-                        run.item().countRestart();
-                        context.telemetry().event(EventCode.RUN_RESTARTED, "run=" + run + " percent=" + run.percent());
-                        keeper.stop(run);
-                    }
+            boolean silent = !slow.answeredWithin(SILENCE, nowNanos);
+            if (slow.view().isEmpty() || !silent && !slow.slow(nowNanos)) {
+                continue;
+            }
+            for (Run run : slow.runs()) {
+                boolean better = silent ? mayHaveCopy(run) : saves(run);
+                if (better && reserve(run, slow, usable, promised)) {
+                    restart(run);
                 }
             }
         }
     }
 
+    private void restart(Run run) {
+        boolean copy = run.item().spec().speculative();
+        run.item().countRestart();
+        context.telemetry()
+                .event(EventCode.RUN_RESTARTED, "run=" + run + " percent=" + run.percent() + " copy=" + copy);
+        if (copy) {
+            keeper.setAside(run);
+        } else {
+            keeper.stop(run);
+        }
+    }
+
+    /** Whether a second run may be started while this one may go on. */
+    private static boolean mayHaveCopy(Run run) {
+        WorkItem item = run.item();
+        return item.spec().speculative()
+                && item.run().filter(run::equals).isPresent()
+                && run.phase() != Run.Phase.RECORDING
+                && !run.stopping()
+                && item.restarts() < MOST_RESTARTS;
+    }
+
     private boolean saves(Run run) {
         WorkItem item = run.item();
         if (run.phase() != Run.Phase.RUNNING
                 || run.stopping()
+                || item.run().filter(run::equals).isEmpty()
                 || item.spec().longRunning()
                 || item.spec().gang()
                 || item.restarts() >= MOST_RESTARTS) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -1,6 +1,8 @@
 package org.basilswitch.schedule;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -20,6 +22,7 @@
     private double tookMs;
     private int restarts;
     private Optional<Run> run = Optional.empty();
+    private final List<Run> copies = new ArrayList<>();
     private final Set<String> failedOnServers = new HashSet<>();
 
     WorkItem(ItemId id, ActiveJob job, StepSpec spec) {
@@ -64,6 +67,23 @@
         return run;
     }
 
+    /** Further runs that may be at work beside the current one, where the step allows copies. */
+    List<Run> copies() {
+        return List.copyOf(copies);
+    }
+
+    /** Lets the current run go on as a copy, so that another one can be started. */
+    void setAside() {
+        run.ifPresent(copies::add);
+        run = Optional.empty();
+        job.onItemChanged(false, false);
+    }
+
+    /** Ends a copy; returns whether the run was one. */
+    boolean endCopy(Run ended) {
+        return copies.remove(ended);
+    }
+
     /** Time that the run took which did the work item, ms; 0 while it is not done or not known. */
     double tookMs() {
         return tookMs;
@@ -119,6 +139,12 @@
         }
     }
 
+    /** Counts the failure of a copy, whose number says nothing about whether it was counted. */
+    void countFailureOfCopy(String serverId) {
+        failedOnServers.add(serverId);
+        failures++;
+    }
+
     boolean touched() {
         return lastRun > 0;
     }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -115,6 +115,10 @@
         }
     }
 
+    long nowNanos() {
+        return clock.monotonicNanos();
+    }
+
     Optional<StepSpec> step(ItemId item) {
         return Optional.ofNullable(steps.get(item.job() + "." + item.step()));
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -182,6 +182,26 @@
                 0);
     }
 
+    static StepSpec speculative(int count, long cpuMillis, long ms) {
+        return new StepSpec(
+                count,
+                new Resources(cpuMillis, 1000, 0),
+                ms,
+                List.of(),
+                false,
+                false,
+                false,
+                null,
+                null,
+                0,
+                true,
+                false,
+                null,
+                0,
+                false,
+                0);
+    }
+
     static StepSpec gang(int count, long cpuMillis, long ms) {
         return new StepSpec(
                 count,
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -140,6 +140,22 @@
         assertRulesKept(fleet);
     }
 
+    /** Load pattern: a rack goes dark while copies are allowed. */
+    @Test
+    public void aSpeculativeWorkItemOnASilentServerIsStartedElsewhereBeforeItsLeaseEnds() {
+        JobFleet fleet = fleet(2, 2);
+        String id = JobFleet.id(1);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.speculative(2, 20_000, 1500)));
+        String server = fleet.fleet.server("s0").runs() > 0 ? "s0" : "s1";
+        fleet.fleet.setSilent(server, true);
+        fleet.run(3900);
+        assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
+        fleet.fleet.setSilent(server, false);
+        fleet.run(3000);
+        assertEquals(fleet.fleet.runs(), 0);
+        assertRulesKept(fleet);
+    }
+
     @Test
     public void aRunWhoseAnswerIsLostGoesOn() {
         JobFleet fleet = fleet(2, 2);
