Hand calls over to the scheduler's host where the store turns this one away

Ruled out: the scheduler (77 of 81 jobs on time from their acceptance); refusing at once, as callers would lose a second each. Change: after two tries that fail, the call goes to the holder of the duty, whose answer is passed on; without one this host goes on by itself, and a refusal is told only where neither may have stored anything. Tests: JobIntakeTest.aHostThatTheStoreTurnsAwayHasItsCallsAnsweredByTheHolder (failed before: refused), aJobWhoseAnswerIsLostAtOneHostIsFoundStoredByTheHolder, PeerDocumentTest. anAnswerThatIsLostIsNeverARefusal now asks a host that may not hand the call over, as the answer of the two together has become Accepted, which is true.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -78,6 +78,7 @@
             1927, Severity.WARN, "work of several jobs failed on a backend server; it gets no new work for some time"),
     RUN_RESTARTED(1926, Severity.INFO, "run on a slow backend server stopped, to be started on another one"),
     CALL_NOT_ADMITTED(1928, Severity.INFO, "call names a queue, key or job that does not exist"),
+    CALL_HANDED_OVER(1930, Severity.INFO, "store turned this host away; the scheduler's host answers the call"),
     CALL_TIMED_OUT(1929, Severity.WARN, "call was not decided within the caller's patience"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or without an answer"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
@@ -25,6 +25,8 @@
  */
 public final class JobIntake {
     private static final Duration RETRY_DELAY = Duration.ofMillis(60);
+    /** Two tries that are refused at once; a store that turns one host away does so for seconds. */
+    private static final Duration OWN_TRIES = Duration.ofMillis(130);
 
     private final PlatformStore store;
     private final StoreKeys keys;
@@ -68,21 +70,30 @@
     /** No answer in time; it may be stored or not. */
     public record Undecided(String reason) implements Result {}
 
-    /** Stores a job unless it is stored already. */
-    public CompletionStage<Result> submit(JobSubmission submission, long siteRevision, Duration timeout) {
+    /**
+     * Stores a job unless it is stored already.
+     *
+     * @param handOver whether to end after the first tries that fail, as another host can go on
+     */
+    public CompletionStage<Result> submit(
+            JobSubmission submission, long siteRevision, Duration timeout, boolean handOver) {
         String key = keys.jobAccepted(submission.id());
         Transaction transaction = Transaction.builder()
                 .compare(key, Transaction.ABSENT)
                 .compare(siteKey, siteRevision)
                 .put(key, RecordCodec.encode(submission))
                 .build();
-        return new Attempt(transaction, clock.monotonicNanos() + timeout.toNanos(), false).start();
+        return new Attempt(transaction, clock.monotonicNanos() + timeout.toNanos(), false, handOver).start();
     }
 
-    /** Stores the cancellation of a job, unless the job has a final state. */
-    public CompletionStage<Result> cancel(String id, Duration timeout) {
+    /**
+     * Stores the cancellation of a job, unless the job has a final state.
+     *
+     * @param handOver whether to end after the first tries that fail, as another host can go on
+     */
+    public CompletionStage<Result> cancel(String id, Duration timeout, boolean handOver) {
         long untilNanos = clock.monotonicNanos() + timeout.toNanos();
-        return find(id, untilNanos).thenCompose(found -> {
+        return find(id, timeout, handOver).thenCompose(found -> {
             if (found.isLeft()) {
                 return CompletableFuture.completedFuture(
                         new NotStored(found.getLeft().detail()));
@@ -95,13 +106,19 @@
                     .compare(keys.jobEnded(id), Transaction.ABSENT)
                     .put(keys.jobCancelled(id), new byte[0])
                     .build();
-            return new Attempt(transaction, untilNanos, true).start();
+            return new Attempt(transaction, untilNanos, true, handOver).start();
         });
     }
 
-    /** Reads a job's record. */
-    public CompletionStage<Either<StoreError, Optional<PlatformStore.Entry>>> find(String id, Duration timeout) {
-        return find(id, clock.monotonicNanos() + timeout.toNanos());
+    /**
+     * Reads a job's record.
+     *
+     * @param handOver whether to end after the first tries that fail, as another host can go on
+     */
+    public CompletionStage<Either<StoreError, Optional<PlatformStore.Entry>>> find(
+            String id, Duration timeout, boolean handOver) {
+        Duration patience = handOver && timeout.compareTo(OWN_TRIES) > 0 ? OWN_TRIES : timeout;
+        return find(id, clock.monotonicNanos() + patience.toNanos());
     }
 
     private CompletionStage<Either<StoreError, Optional<PlatformStore.Entry>>> find(String id, long untilNanos) {
@@ -120,6 +137,7 @@
         private final Transaction transaction;
         private final long untilNanos;
         private final boolean single;
+        private final long ownTriesUntilNanos;
         private final CompletableFuture<Result> outcome = new CompletableFuture<>();
         private boolean mayBeStored;
 
@@ -128,10 +146,11 @@
          *
          * @param single whether any failed comparison means that there is nothing left to store
          */
-        private Attempt(Transaction transaction, long untilNanos, boolean single) {
+        private Attempt(Transaction transaction, long untilNanos, boolean single, boolean handOver) {
             this.transaction = transaction;
             this.untilNanos = untilNanos;
             this.single = single;
+            this.ownTriesUntilNanos = handOver ? clock.monotonicNanos() + OWN_TRIES.toNanos() : untilNanos;
         }
 
         private CompletionStage<Result> start() {
@@ -147,7 +166,7 @@
                 }
                 StoreError error = result.getLeft();
                 mayBeStored |= error instanceof StoreError.Unknown;
-                if (clock.monotonicNanos() + retryDelay.toNanos() < untilNanos) {
+                if (clock.monotonicNanos() + retryDelay.toNanos() < Math.min(untilNanos, ownTriesUntilNanos)) {
                     scheduler.schedule(retryDelay, () -> send(retryDelay.multipliedBy(2)));
                 } else {
                     outcome.complete(mayBeStored ? new Undecided(error.detail()) : new NotStored(error.detail()));
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
 import org.basilswitch.event.EventCode;
@@ -168,6 +169,11 @@
         directory.addCancelled(id);
     }
 
+    /** Answers a caller's call for another entry host. */
+    public CompletionStage<JobAnswer> peerCall(JobCall call) {
+        return service.answerForPeer(call);
+    }
+
     /** State of a job for another entry host. */
     public Optional<JobState> peerState(String id) {
         return scheduler().flatMap(s -> s.state(id));
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -69,9 +69,60 @@
     /** Answers a call. */
     public CompletionStage<JobAnswer> answer(JobCall call) {
         Duration timeout = timeout(call);
+        long untilNanos = clock.monotonicNanos() + timeout.toNanos();
+        CompletionStage<JobAnswer> decided = decide(new Request(call, untilNanos, otherHolder()), 0)
+                .thenCompose(
+                        own -> isFinal(own) ? CompletableFuture.completedFuture(own) : handOver(call, own, untilNanos));
+        return withinTimeout(call, timeout, decided);
+    }
+
+    /** Answers a call that another entry host has handed over. */
+    CompletionStage<JobAnswer> answerForPeer(JobCall call) {
+        Duration timeout = timeout(call);
+        long untilNanos = clock.monotonicNanos() + timeout.toNanos();
+        return withinTimeout(call, timeout, decide(new Request(call, untilNanos, Optional.empty()), 0));
+    }
+
+    /** Whether another entry host would say the same. */
+    private static boolean isFinal(JobAnswer answer) {
+        return !(answer instanceof JobAnswer.Refused) && !(answer instanceof JobAnswer.Undecided);
+    }
+
+    /**
+     * Has the holder of the duty answer a call that the store does not let this host decide. Without its answer this host
+     * goes on by itself; a refusal is told only when neither of the two may have stored anything.
+     */
+    private CompletionStage<JobAnswer> handOver(JobCall call, JobAnswer own, long untilNanos) {
+        Optional<String> holder = otherHolder();
+        Duration left = left(untilNanos);
+        if (holder.isEmpty() || left.compareTo(ANSWER_MARGIN) < 0) {
+            return CompletableFuture.completedFuture(own);
+        }
+        JobCall relayed = new JobCall(call.host(), call.path(), call.key(), left, call.action());
+        return parts.link().answer(holder.get(), relayed).thenCompose(answer -> {
+            telemetry.event(
+                    EventCode.CALL_HANDED_OVER,
+                    describe(call) + " holder=" + holder.get() + " answer="
+                            + answer.map(found -> found.getClass().getSimpleName())
+                                    .orElse("none"));
+            if (answer.isEmpty()) {
+                return decide(new Request(call, untilNanos, Optional.empty()), 0)
+                        .thenApply(JobService::withDoubt);
+            }
+            boolean mayBeStored = own instanceof JobAnswer.Undecided;
+            return CompletableFuture.completedFuture(mayBeStored ? withDoubt(answer.get()) : answer.get());
+        });
+    }
+
+    /** The answer where an earlier try may have stored something. */
+    private static JobAnswer withDoubt(JobAnswer answer) {
+        return answer instanceof JobAnswer.Refused refused ? new JobAnswer.Undecided(refused.reason()) : answer;
+    }
+
+    private CompletionStage<JobAnswer> withinTimeout(
+            JobCall call, Duration timeout, CompletionStage<JobAnswer> decided) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
-        Completions.then(
-                decide(call, clock.monotonicNanos() + timeout.toNanos(), 0), telemetry, "call", answer::complete);
+        Completions.then(decided, telemetry, "call", answer::complete);
         if (!answer.isDone()) {
             parts.timers().schedule(timeout, () -> {
                 if (answer.complete(timedOut(call))) {
@@ -84,6 +135,18 @@
         return answer;
     }
 
+    /**
+     * A call that is being decided.
+     *
+     * @param untilNanos monotonic time at which the caller's patience ends, ns
+     * @param other host that can go on if the store turns this one away
+     */
+    private record Request(JobCall call, long untilNanos, Optional<String> other) {
+        private boolean mayHandOver() {
+            return other.isPresent();
+        }
+    }
+
     private static String describe(JobCall call) {
         String action = switch (call.action()) {
             case JobCall.Query query -> "query";
@@ -126,7 +189,8 @@
         return Duration.ofNanos(Math.max(0, untilNanos - clock.monotonicNanos()));
     }
 
-    private CompletionStage<JobAnswer> decide(JobCall call, long untilNanos, int earlier) {
+    private CompletionStage<JobAnswer> decide(Request request, int earlier) {
+        JobCall call = request.call();
         if (site.view().isEmpty()) {
             return refused("no configuration has been read yet");
         }
@@ -136,12 +200,12 @@
         boolean admitted = queue.isPresent() && (queue.get().open() || team.isPresent());
         if (!admitted) {
             Supplier<JobAnswer> answer = queue.isEmpty() ? JobAnswer.UnknownQueue::new : JobAnswer.UnknownKey::new;
-            return negative(call, untilNanos, earlier, answer);
+            return negative(request, earlier, answer);
         }
         String id = call.path().substring(queue.get().pathPrefix().length());
         boolean read = !(call.action() instanceof JobCall.Submit);
         if (read && !queue.get().open() && !site.confirmedWithin(parts.keyAge())) {
-            return readAgain(call, untilNanos, earlier, "configuration is too old to trust the key");
+            return readAgain(request, earlier, "configuration is too old to trust the key");
         }
         if (id.isEmpty() && call.action() instanceof JobCall.Query) {
             return pending(queue.get());
@@ -151,25 +215,24 @@
                     new JobAnswer.Invalid("a job's identifier has 16 hexadecimal digits"));
         }
         return switch (call.action()) {
-            case JobCall.Submit submit -> submit(call, untilNanos, earlier, view, queue.get(), team, id, submit);
-            case JobCall.Query query -> query(id, untilNanos);
-            case JobCall.Cancel cancel -> cancel(id, untilNanos);
+            case JobCall.Submit submit -> submit(request, earlier, view, queue.get(), team, id, submit);
+            case JobCall.Query query -> query(id, request);
+            case JobCall.Cancel cancel -> cancel(id, request);
         };
     }
 
-    private CompletionStage<JobAnswer> negative(
-            JobCall call, long untilNanos, int earlier, Supplier<JobAnswer> answer) {
+    private CompletionStage<JobAnswer> negative(Request request, int earlier, Supplier<JobAnswer> answer) {
         if (site.confirmedWithin(FRESH) || earlier > 0 && site.confirmedWithin(NEGATIVE_AGE)) {
-            return CompletableFuture.completedFuture(notAdmitted(call, answer.get()));
+            return CompletableFuture.completedFuture(notAdmitted(request.call(), answer.get()));
         }
-        return readAgain(call, untilNanos, earlier, "configuration is too old to say that a queue or key is missing");
+        return readAgain(request, earlier, "configuration is too old to say that a queue or key is missing");
     }
 
-    private CompletionStage<JobAnswer> readAgain(JobCall call, long untilNanos, int earlier, String reason) {
-        if (earlier >= MOST_DECISIONS || left(untilNanos).isZero()) {
+    private CompletionStage<JobAnswer> readAgain(Request request, int earlier, String reason) {
+        if (earlier >= MOST_DECISIONS || left(request.untilNanos()).isZero()) {
             return refused(reason);
         }
-        return site.refresh().thenCompose(done -> decide(call, untilNanos, earlier + 1));
+        return site.refresh().thenCompose(done -> decide(request, earlier + 1));
     }
 
     private CompletionStage<JobAnswer> refused(String reason) {
@@ -177,8 +240,7 @@
     }
 
     private CompletionStage<JobAnswer> submit(
-            JobCall call,
-            long untilNanos,
+            Request request,
             int earlier,
             SiteView view,
             JobQueue queue,
@@ -196,20 +258,22 @@
                 submit.steps(),
                 submit.recurrence().orElse(null),
                 clock.millis());
-        return intake.submit(submission, view.revision(), left(untilNanos)).thenCompose(result -> switch (result) {
-            case JobIntake.Stored stored -> accepted(submission);
-            case JobIntake.SiteChanged changed -> readAgain(call, untilNanos, earlier, "configuration keeps changing");
-            case JobIntake.NotStored not -> {
-                telemetry.count(CounterCode.JOBS_REFUSED, "store");
-                telemetry.event(EventCode.JOB_REFUSED, "job=" + id + " store: " + not.reason());
-                yield refused("the store did not take the job: " + not.reason());
-            }
-            case JobIntake.Missing missing -> refused("not stored");
-            case JobIntake.Undecided undecided -> {
-                telemetry.event(EventCode.JOB_UNDECIDED, "job=" + id + " " + undecided.reason());
-                yield CompletableFuture.completedFuture(new JobAnswer.Undecided(undecided.reason()));
-            }
-        });
+        Duration left = left(request.untilNanos());
+        return intake.submit(submission, view.revision(), left, request.mayHandOver())
+                .thenCompose(result -> switch (result) {
+                    case JobIntake.Stored stored -> accepted(submission);
+                    case JobIntake.SiteChanged changed -> readAgain(request, earlier, "configuration keeps changing");
+                    case JobIntake.NotStored not -> {
+                        telemetry.count(CounterCode.JOBS_REFUSED, "store");
+                        telemetry.event(EventCode.JOB_REFUSED, "job=" + id + " store: " + not.reason());
+                        yield refused("the store did not take the job: " + not.reason());
+                    }
+                    case JobIntake.Missing missing -> refused("not stored");
+                    case JobIntake.Undecided undecided -> {
+                        telemetry.event(EventCode.JOB_UNDECIDED, "job=" + id + " " + undecided.reason());
+                        yield CompletableFuture.completedFuture(new JobAnswer.Undecided(undecided.reason()));
+                    }
+                });
     }
 
     private CompletionStage<JobAnswer> accepted(JobSubmission submission) {
@@ -227,24 +291,25 @@
         return directory.dutyHolder().filter(holder -> !holder.equals(parts.address()));
     }
 
-    private CompletionStage<JobAnswer> cancel(String id, long untilNanos) {
-        return intake.cancel(id, left(untilNanos)).thenApply(result -> switch (result) {
-            case JobIntake.Stored stored -> {
-                if (directory.finalState(id).isEmpty()) {
-                    telemetry.event(EventCode.JOB_CANCELLED, "job=" + id);
-                }
-                directory.addCancelled(id);
-                otherHolder().ifPresent(holder -> parts.link().cancelled(holder, id));
-                yield new JobAnswer.Cancelled();
-            }
-            case JobIntake.Missing missing -> new JobAnswer.UnknownJob();
-            case JobIntake.NotStored not -> new JobAnswer.Refused(not.reason(), RETRY_AFTER);
-            case JobIntake.SiteChanged changed -> new JobAnswer.Refused("not stored", RETRY_AFTER);
-            case JobIntake.Undecided undecided -> new JobAnswer.Undecided(undecided.reason());
-        });
+    private CompletionStage<JobAnswer> cancel(String id, Request request) {
+        return intake.cancel(id, left(request.untilNanos()), request.mayHandOver())
+                .thenApply(result -> switch (result) {
+                    case JobIntake.Stored stored -> {
+                        if (directory.finalState(id).isEmpty()) {
+                            telemetry.event(EventCode.JOB_CANCELLED, "job=" + id);
+                        }
+                        directory.addCancelled(id);
+                        otherHolder().ifPresent(holder -> parts.link().cancelled(holder, id));
+                        yield new JobAnswer.Cancelled();
+                    }
+                    case JobIntake.Missing missing -> new JobAnswer.UnknownJob();
+                    case JobIntake.NotStored not -> new JobAnswer.Refused(not.reason(), RETRY_AFTER);
+                    case JobIntake.SiteChanged changed -> new JobAnswer.Refused("not stored", RETRY_AFTER);
+                    case JobIntake.Undecided undecided -> new JobAnswer.Undecided(undecided.reason());
+                });
     }
 
-    private CompletionStage<JobAnswer> query(String id, long untilNanos) {
+    private CompletionStage<JobAnswer> query(String id, Request request) {
         Optional<JobState> known =
                 directory.finalState(id).or(() -> node.scheduler().flatMap(s -> s.state(id)));
         if (known.isPresent()) {
@@ -252,21 +317,21 @@
         }
         Optional<String> holder = otherHolder();
         if (holder.isEmpty()) {
-            return stored(id, untilNanos);
+            return stored(id, request);
         }
         return parts.link().state(holder.get(), id).thenCompose(state -> {
             if (state.isPresent()) {
                 return CompletableFuture.completedFuture(new JobAnswer.State(state.get()));
             }
-            return stored(id, untilNanos);
+            return stored(id, request);
         });
     }
 
-    private CompletionStage<JobAnswer> stored(String id, long untilNanos) {
+    private CompletionStage<JobAnswer> stored(String id, Request request) {
         if (directory.knows(id)) {
             return CompletableFuture.completedFuture(new JobAnswer.State(JobState.QUEUED));
         }
-        return intake.find(id, left(untilNanos))
+        return intake.find(id, left(request.untilNanos()), request.mayHandOver())
                 .thenApply(result -> result.fold(
                         error -> new JobAnswer.Refused(error.detail(), RETRY_AFTER),
                         entry ->
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerLink.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerLink.java
@@ -12,6 +12,12 @@
  */
 public interface SchedulerLink {
 
+    /**
+     * Has the holder answer a caller's call, for a host that the store turns away; empty when it did not answer in time,
+     * so that it may have carried the call out.
+     */
+    CompletionStage<Optional<JobAnswer>> answer(String holder, JobCall call);
+
     /** Asks for the state of a job; empty when the holder does not know it or did not answer. */
     CompletionStage<Optional<JobState>> state(String holder, String id);
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerClient.java
@@ -12,6 +12,8 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.SchedulerLink;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
@@ -21,7 +23,8 @@
     /** A peer answers from memory; a later answer is worth less than reading the store. */
     private static final int TIMEOUT_MS = 350;
 
-    private static final int CONNECTIONS = 2;
+    /** Calls that are handed over wait for the holder's commit, 4 ms as a rule; messages are short. */
+    private static final int CONNECTIONS = 4;
 
     private final HttpClient client;
 
@@ -35,6 +38,16 @@
         return new SchedulerPeerClient(vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS)));
     }
 
+    @Override
+    public CompletionStage<Optional<JobAnswer>> answer(String holder, JobCall call) {
+        Buffer body = Buffer.buffer(RecordCodec.encode(PeerDocument.Call.of(call)));
+        return call(HttpMethod.POST, holder, SchedulerPeerPort.CALLS, body, (int)
+                        call.timeout().toMillis())
+                .thenApply(answer -> answer.flatMap(
+                                buffer -> RecordCodec.decode(buffer.getBytes(), PeerDocument.Answer.class))
+                        .map(PeerDocument.Answer::toAnswer));
+    }
+
     @Override
     public CompletionStage<Optional<JobState>> state(String holder, String id) {
         return call(HttpMethod.GET, holder, SchedulerPeerPort.STATES + id, Buffer.buffer())
@@ -63,6 +76,11 @@
     }
 
     private CompletionStage<Optional<Buffer>> call(HttpMethod method, String holder, String uri, Buffer body) {
+        return call(method, holder, uri, body, TIMEOUT_MS);
+    }
+
+    private CompletionStage<Optional<Buffer>> call(
+            HttpMethod method, String holder, String uri, Buffer body, int timeoutMs) {
         int colon = holder.lastIndexOf(':');
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
@@ -70,7 +88,7 @@
                 .setPort(Integer.parseInt(holder.substring(colon + 1)))
                 .setURI(uri)
                 .setConnectTimeout(TIMEOUT_MS)
-                .setIdleTimeout(TIMEOUT_MS);
+                .setIdleTimeout(timeoutMs);
         CompletableFuture<Optional<Buffer>> answer = new CompletableFuture<>();
         client.request(options)
                 .compose(request -> request.send(body))
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerPort.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerPort.java
@@ -14,6 +14,7 @@
 
 /** The port on which the holder of the scheduler duty answers other entry hosts. */
 public final class SchedulerPeerPort {
+    static final String CALLS = "/calls";
     static final String STATES = "/states/";
     static final String PENDING = "/pending/";
     static final String ACCEPTED = "/accepted";
@@ -42,6 +43,16 @@
                         .setStatusCode(submission.isPresent() ? 204 : 400)
                         .end();
             });
+        } else if (request.method() == HttpMethod.POST && path.equals(CALLS)) {
+            request.body().onSuccess(body -> {
+                Optional<PeerDocument.Call> call = RecordCodec.decode(body.getBytes(), PeerDocument.Call.class);
+                if (call.isEmpty()) {
+                    request.response().setStatusCode(400).end();
+                    return;
+                }
+                node.peerCall(call.get().toCall())
+                        .thenAccept(result -> answer(request, PeerDocument.Answer.of(result)));
+            });
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.peerCancelled(path.substring(CANCELLED.length()));
             request.response().setStatusCode(204).end();
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -281,6 +281,14 @@
     }
 
     private final class Link implements SchedulerLink {
+        @Override
+        public CompletionStage<Optional<JobAnswer>> answer(String holder, JobCall call) {
+            JobNode node = byAddress.get(holder);
+            return killed.contains(node)
+                    ? CompletableFuture.completedFuture(Optional.empty())
+                    : node.peerCall(call).thenApply(Optional::of);
+        }
+
         @Override
         public CompletionStage<Optional<JobState>> state(String holder, String id) {
             JobNode node = byAddress.get(holder);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
@@ -9,6 +9,7 @@
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.JobState;
+import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.Resources;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -50,6 +51,27 @@
         assertEquals(fleet.after(500, fleet.nodes.get(0).service().answer(query)), expected);
     }
 
+    /** Load pattern: the store turns some entry hosts away and serves the others. */
+    @Test
+    public void aHostThatTheStoreTurnsAwayHasItsCallsAnsweredByTheHolder() {
+        JobFleet fleet = new JobFleet();
+        fleet.addServers(2);
+        for (int i = 0; i < 3; i++) {
+            fleet.addNode();
+        }
+        fleet.run(2000);
+        JobNode away = fleet.nodes.stream()
+                .filter(node -> node != fleet.holder())
+                .findFirst()
+                .orElseThrow();
+        fleet.clients.get(fleet.nodes.indexOf(away)).setReachable(false);
+        String id = JobFleet.id(1);
+        assertEquals(fleet.after(1100, fleet.submit(away, id, JobFleet.step(1, 1000, 5000))), new JobAnswer.Accepted());
+        assertEquals(fleet.after(1100, fleet.query(away, id)), new JobAnswer.State(JobState.RUNNING));
+        assertEquals(fleet.after(1100, fleet.cancel(away, id)), new JobAnswer.Cancelled());
+        assertEquals(fleet.after(1100, fleet.query(away, JobFleet.id(2))), new JobAnswer.UnknownJob());
+    }
+
     @Test
     public void anIdentifierOfAnotherLengthIsInvalid() {
         JobFleet fleet = fleet();
@@ -96,12 +118,26 @@
 
     @Test
     public void anAnswerThatIsLostIsNeverARefusal() {
+        JobFleet fleet = fleet();
+        int other = 1 - fleet.nodes.indexOf(fleet.holder());
+        fleet.clients.get(other).setLostAnswerRatio(1);
+        JobCall.Submit submit = new JobCall.Submit("spec", List.of(JobFleet.step(1, 1000, 100)), Optional.empty());
+        fleet.fleet.register(new JobSubmission(JobFleet.id(1), "queue", "team", "spec", submit.steps(), null, 0));
+        // A host that answers for another one does not hand the call over again.
+        JobAnswer answer = fleet.after(3000, fleet.nodes.get(other).peerCall(JobFleet.call(JobFleet.id(1), submit)));
+        assertTrue(answer instanceof JobAnswer.Undecided, "" + answer);
+        JobAnswer state = fleet.after(500, fleet.query(fleet.holder(), JobFleet.id(1)));
+        assertEquals(state, new JobAnswer.State(JobState.COMPLETED), String.join("\n", fleet.events));
+    }
+
+    @Test
+    public void aJobWhoseAnswerIsLostAtOneHostIsFoundStoredByTheHolder() {
         JobFleet fleet = fleet();
         int other = 1 - fleet.nodes.indexOf(fleet.holder());
         fleet.clients.get(other).setLostAnswerRatio(1);
         JobAnswer answer =
                 fleet.after(3000, fleet.submit(fleet.nodes.get(other), JobFleet.id(1), JobFleet.step(1, 1000, 100)));
-        assertTrue(answer instanceof JobAnswer.Undecided, "" + answer);
+        assertEquals(answer, new JobAnswer.Accepted());
         JobAnswer state = fleet.after(500, fleet.query(fleet.holder(), JobFleet.id(1)));
         assertEquals(state, new JobAnswer.State(JobState.COMPLETED), String.join("\n", fleet.events));
     }
