Keep attempts used up across a change of the holder

The holder stores each failure at once but the job's final state only when all of its runs have ended; a holder that took over between the two read the failures and went on with the job. Ruled out: a failure reported again and not counted (the record had all three). Test: JobSchedulerTest.attemptsThatAnEarlierHolderHasUsedUpStayUsedUp, failed before (5 starts for 4).

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -530,11 +530,7 @@
     }
 
     private void onFailure(ServerState state, WorkItem item) {
-        int failures = item.spec().gang()
-                ? item.job().stepOf(item.id()).stream()
-                        .mapToInt(WorkItem::failures)
-                        .sum()
-                : item.failures();
+        int failures = failures(item);
         int bound = owner.maxAttempts(item);
         context.telemetry().event(EventCode.RUN_FAILED, "item=" + item.id() + " failures=" + failures + "/" + bound);
         if (failsEverywhere(item)) {
@@ -547,12 +543,25 @@
                             EventCode.SERVER_FAILING,
                             "server=" + state.lifetime().serverId() + " avoidedMs=" + pause.toMillis());
         }
-        if (bound > 0 && failures >= bound && !item.job().cancelled()) {
+        if (hasNoAttemptLeft(item) && !item.job().cancelled()) {
             item.job().fail();
             stopAll(item.job());
         }
     }
 
+    private static int failures(WorkItem item) {
+        return item.spec().gang()
+                ? item.job().stepOf(item.id()).stream()
+                        .mapToInt(WorkItem::failures)
+                        .sum()
+                : item.failures();
+    }
+
+    private boolean hasNoAttemptLeft(WorkItem item) {
+        int bound = owner.maxAttempts(item);
+        return bound > 0 && failures(item) >= bound;
+    }
+
     /** Lets a work item be started again while its run goes on; the first one to end counts. */
     void setAside(Run run) {
         run.item().setAside();
@@ -576,6 +585,10 @@
 
     /** Adds the runs of a job that was read from the store. */
     void inherit(ActiveJob job, long lapseNanos) {
+        // An earlier holder stores the failures at once, and the final state only when all runs of the job have ended.
+        if (!job.cancelled() && job.items().stream().anyMatch(this::hasNoAttemptLeft)) {
+            job.fail();
+        }
         forEachRun(job, run -> {
             book.add(run);
             book.serverOrUnlisted(run.lifetime()).expectLapse(lapseNanos);
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -73,6 +73,11 @@
         return Duration.ofNanos(clock.monotonicNanos() - bornNanos).toMillis();
     }
 
+    /** Whether a run of a work item is at work. */
+    public boolean runsItem(ItemId item) {
+        return running.containsKey(item);
+    }
+
     /** Number of runs at work. */
     public int runs() {
         return running.size();
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -196,6 +196,24 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void attemptsThatAnEarlierHolderHasUsedUpStayUsedUp() {
+        JobFleet fleet = fleet(3, 2);
+        String id = JobFleet.id(1);
+        fleet.fleet.setWorkTimes((item, server) -> Duration.ofMillis(item.index() == 0 ? 100 : 20_000));
+        fleet.fleet.setFailing((item, run, server) -> item.index() == 0);
+        fleet.after(50, fleet.submit(fleet.holder(), id, JobFleet.step(2, 40_000, 100)));
+        // The job can't be given its final state while the stop of its other work item has no answer.
+        fleet.fleet.setSilent(fleet.fleet.server("s0").runsItem(new ItemId(id, 0, 0, 1)) ? "s0" : "s1", true);
+        fleet.run(1500);
+        assertEquals(fleet.fleet.rules().failures(new ItemId(id, 0, 0, 0)), 3);
+        fleet.kill(fleet.holder());
+        fleet.run(10_000);
+        assertEquals(state(fleet, fleet.holder(), id), JobState.FAILED);
+        assertEquals(fleet.fleet.rules().starts(), 4, "three attempts and the other work item");
+        assertRulesKept(fleet);
+    }
+
     @Test
     public void aTeamNeverRunsMoreThanItsLimit() {
         JobFleet fleet = fleet(2, 4);
