Leave a run in doubt alone until its server reports

Ruled out by reading: restarts of stragglers (never long-running work) and evacuation (counts others that are away). Change: only a report from after the doubt settles it; a silent server's lease ends it. Test: JobSchedulerTest.aRunInDoubtIsNotStoppedWhileItsServerMayBeAtWorkUnseen, failed before.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -29,6 +29,7 @@
     private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent = 100;
     private boolean stopping;
+    private long doubtedNanos;
     private long startedNanos;
     private long startedServerMs;
     private Optional<String> rack = Optional.empty();
@@ -82,6 +83,17 @@
         this.phase = phase;
     }
 
+    /** Notes that its start had no answer. */
+    void doubt(long nowNanos) {
+        phase = Phase.DOUBTFUL;
+        doubtedNanos = nowNanos;
+    }
+
+    /** Whether its start had had no answer at some time, and nothing has settled the doubt. */
+    boolean doubtedBefore(long nanos) {
+        return phase == Phase.DOUBTFUL && doubtedNanos <= nanos;
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -207,7 +207,6 @@
             case ServerOrders.Rejected rejected -> onRejected(run, state, rejected.reason(), nowNanos);
             case ServerOrders.NoAnswer lost -> {
                 if (run.phase() == Run.Phase.ORDERED) {
-                    run.setPhase(Run.Phase.DOUBTFUL);
                     context.telemetry().event(EventCode.RUN_DOUBTFUL, "run=" + run + " " + lost.detail());
                     lookFor(run, state);
                 }
@@ -215,21 +214,22 @@
         }
     }
 
-    /** Asks the server at once what runs there. A run that it does not list may still arrive, and is barred. */
+    /**
+     * Asks the server at once what runs there. A report from after the doubt settles it: a run that is listed goes on,
+     * another one may still arrive and is barred. While there is no report the run is left alone, as it may be at work.
+     */
     private void lookFor(Run run, ServerState state) {
-        if (state.view().isEmpty()) {
-            stop(run);
-            return;
-        }
         long sentNanos = context.clock().monotonicNanos();
-        ServerOrders.HoldOrder look = new ServerOrders.HoldOrder(Optional.empty(), state.storedEnd(), Duration.ZERO);
-        Completions.then(
-                context.orders().hold(state.view().get(), fence, look), context.telemetry(), "look", result -> {
-                    onHold(state, sentNanos, result);
-                    if (run.phase() == Run.Phase.DOUBTFUL) {
-                        stop(run);
-                    }
-                });
+        run.doubt(sentNanos);
+        state.view().ifPresent(server -> {
+            ServerOrders.HoldOrder look =
+                    new ServerOrders.HoldOrder(Optional.empty(), state.storedEnd(), Duration.ZERO);
+            Completions.then(
+                    context.orders().hold(server, fence, look),
+                    context.telemetry(),
+                    "look",
+                    result -> onHold(state, sentNanos, result));
+        });
     }
 
     private void onRejected(Run run, ServerState state, ServerOrders.Reason reason, long nowNanos) {
@@ -414,8 +414,13 @@
         for (Run run : state.runs()) {
             boolean covered =
                     run.phase() == Run.Phase.INHERITED || run.settledNanos() > 0 && sentNanos > run.settledNanos();
-            if (covered && !listed.contains(new ServerState.RunKey(run.id(), run.number()))) {
+            if (listed.contains(new ServerState.RunKey(run.id(), run.number()))) {
+                continue;
+            }
+            if (covered) {
                 lose(run, "not at the server");
+            } else if (run.doubtedBefore(sentNanos)) {
+                stop(run);
             }
         }
         pace(state);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -140,6 +140,23 @@
         assertRulesKept(fleet);
     }
 
+    @Test
+    public void aRunInDoubtIsNotStoppedWhileItsServerMayBeAtWorkUnseen() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.fleet.loseNextAnswer("s0");
+        fleet.fleet.loseNextAnswer("s1");
+        String id = JobFleet.id(1);
+        fleet.after(50, fleet.submit(fleet.nodes.get(0), id, JobFleet.longRunning(1, 8000, 0)));
+        String server = fleet.fleet.server("s0").runs() > 0 ? "s0" : "s1";
+        fleet.fleet.setSilent(server, true);
+        fleet.run(2200);
+        fleet.fleet.setSilent(server, false);
+        fleet.run(5000);
+        assertEquals(fleet.fleet.rules().starts(), 1, "the run goes on");
+        assertEquals(fleet.fleet.runs(), 1);
+        assertRulesKept(fleet);
+    }
+
     /** Load pattern: a rack goes dark while copies are allowed. */
     @Test
     public void aSpeculativeWorkItemOnASilentServerIsStartedElsewhereBeforeItsLeaseEnds() {
