Forget the estimates of jobs that have ended

Cause: read in review: estimates were kept in a weak map whose values refer to their keys, so that no job that has ended was ever freed at the scheduler's host. Change: kept by identifier and removed with the job. Also two comments and an event's text.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -76,7 +76,7 @@
     SERVER_SLOW(1925, Severity.INFO, "backend server works more slowly than others; it gets no new work for some time"),
     SERVER_FAILING(
             1927, Severity.WARN, "work of several jobs failed on a backend server; it gets no new work for some time"),
-    RUN_RESTARTED(1926, Severity.INFO, "run on a slow backend server stopped, to be started on another one"),
+    RUN_RESTARTED(1926, Severity.INFO, "work item on a slow or silent backend server is started on another one"),
     CALL_NOT_ADMITTED(1928, Severity.INFO, "call names a queue, key or job that does not exist"),
     CALL_HANDED_OVER(1930, Severity.INFO, "store turned this host away; the scheduler's host answers the call"),
     CALL_TIMED_OUT(1929, Severity.WARN, "call was not decided within the caller's patience"),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.WeakHashMap;
 
 import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobSite;
@@ -35,7 +34,7 @@
     private final DurationModel durations;
     private final TeamRates rates = new TeamRates();
     private final Map<String, Double> meanWork = new HashMap<>();
-    private final Map<ActiveJob, Estimate> estimates = new WeakHashMap<>();
+    private final Map<String, Estimate> estimates = new HashMap<>();
 
     /**
      * What a job still needs.
@@ -65,6 +64,11 @@
         meanWork.merge(job.submission().queue(), wholeWork(job), (mean, work) -> mean + MEAN_WEIGHT * (work - mean));
     }
 
+    /** Forgets a job that has ended. */
+    void forget(String job) {
+        estimates.remove(job);
+    }
+
     private double stepMs(ActiveJob job, int step) {
         StepSpec spec = job.submission().steps().get(step);
         return durations.expectedMs(job.submission().queue(), spec.estimateMs()) * SLOWEST_ITEM + STEP_OVERHEAD_MS;
@@ -114,10 +118,10 @@
 
     private OnTimeOrder.Entry<ActiveJob> estimate(ActiveJob job, JobQueue queue) {
         long nowNanos = context.clock().monotonicNanos();
-        Estimate known = estimates.get(job);
+        Estimate known = estimates.get(job.id());
         if (known == null || known.changes != job.changes() || nowNanos > known.untilNanos) {
             known = new Estimate(entry(job, queue), job.changes(), nowNanos + ESTIMATE_AGE.toNanos());
-            estimates.put(job, known);
+            estimates.put(job.id(), known);
         }
         return known.entry;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -315,6 +315,7 @@
         if (job.ended()) {
             jobs.remove(job.id());
             advice.forget(job.id());
+            order.forget(job.id());
             ended.add(job.id(), job.state());
             context.telemetry().count(CounterCode.JOBS_ENDED, job.state().name());
             context.telemetry()
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -38,7 +38,7 @@
 
     /** Pace of a run after an order without an answer; any new pace differs from it. */
     private static final int UNKNOWN_PACE = 99;
-    /** A server that answers after a longer time may get work again; placement looks at twice a second of silence. */
+    /** Placement does not count on a server that is silent for longer (two holds); its next answer asks for a round. */
     private static final Duration SILENCE = Duration.ofMillis(1900);
 
     private final SchedulerContext context;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
@@ -16,7 +16,7 @@
 final class Stragglers {
     /** Time for the stop, its report, the record and the new start, ms; a stop alone may take 200 ms. */
     private static final double RESTART_MS = 400;
-    /** A restart has to save this part of what is left, as progress comes in whole percent. */
+    /** Part of the time left that a restart has to save: progress comes in whole percent and durations are expected ones. */
     private static final double LEAST_SAVING = 0.25;
     /** A hold is answered within 0.9 s; a server that is silent for longer may have crashed. */
     private static final Duration SILENCE = Duration.ofMillis(1300);
