Count the second after which no copy may start from the acknowledged end

The log shows the copies at 27.758 s, 1.3 s after the server fell silent, and no acknowledgement before. The platform's rule counts from when an end is taken note of, and steps with copies are exempt until a second later; the stand-in counted from the end itself. Change: the stand-in notes acknowledgements; for other steps the check is as before.

--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -200,6 +200,9 @@
         }
         highestFence = fence;
         order.leaseEndMs().ifPresent(this::extend);
+        ends.stream()
+                .filter(end -> end.number() <= order.acknowledgedEnd() && end.kind() == ServerOrders.EndKind.DONE)
+                .forEach(end -> fleet.rules().acknowledged(end.item()));
         ends.removeIf(end -> end.number() <= order.acknowledgedEnd());
         if (!ends.isEmpty() || order.longestWait().isZero()) {
             answer.accept(report());
