Give the trace that a void end may be repeated, and a test of lost servers that can fail

Cause: read in review. And JobSchedulerTest.workOnAServerThatIsCutOff... silenced s0 while all eight runs were on s1, so that it could not fail. FleetRulesTest shows what is still found: a run before the lease has lapsed, after an acknowledged end, a copy a second after one. The lost server's test now also has work that the lapsed lease ends.

--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/FleetRulesTest.java
@@ -0,0 +1,102 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobSubmission;
+import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.BackendServer;
+import org.basilswitch.schedule.ServerOrders;
+import org.basilswitch.time.VirtualTime;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** When a work item that is done may run again: only where its end was void, or for a moment where copies are allowed. */
+final class FleetRulesTest {
+    private static final ItemId ITEM = new ItemId(JobFleet.id(1), 0, 0, 0);
+    private static final long LEASE_MS = 4000;
+
+    private final VirtualTime time = VirtualTime.create();
+    private final FleetModel fleet = FleetModel.create(time, time);
+    private final ServerOrders orders = fleet.orders();
+
+    private static FleetRulesTest withDoneItem(StepSpec spec) {
+        FleetRulesTest test = new FleetRulesTest();
+        test.fleet.addServer("s0", "pool", new Resources(64_000, 262_144, 0), "rack");
+        test.fleet.addServer("s1", "pool", new Resources(64_000, 262_144, 0), "rack");
+        test.fleet.register(new JobSubmission(JobFleet.id(1), "queue", "team", "spec", List.of(spec), null, 0));
+        test.start("s0", 1);
+        test.run(1000);
+        return test;
+    }
+
+    private BackendServer server(String id) {
+        return fleet.server(id).entry();
+    }
+
+    private void start(String id, int run) {
+        long leaseEndMs = fleet.server(id).clockMs() + LEASE_MS;
+        orders.start(server(id), 1, new ServerOrders.StartOrder(ITEM, run, "spec", leaseEndMs, "", Optional.empty()));
+    }
+
+    private void acknowledge(String id) {
+        orders.hold(server(id), 1, new ServerOrders.HoldOrder(Optional.empty(), 1, Duration.ZERO));
+        run(10);
+    }
+
+    private void run(long ms) {
+        time.runFor(Duration.ofMillis(ms));
+    }
+
+    private void assertViolations(int number) {
+        run(100);
+        assertEquals(
+                fleet.rules().violations().size(),
+                number,
+                fleet.rules().violations().toString());
+    }
+
+    @Test
+    public void aRunBeforeTheLeaseHasLapsedIsFound() {
+        FleetRulesTest test = withDoneItem(JobFleet.step(1, 1000, 500));
+        test.start("s1", 2);
+        test.assertViolations(1);
+    }
+
+    @Test
+    public void aRunAfterAnAcknowledgedEndIsFoundAlsoWhenTheLeaseHasLapsed() {
+        FleetRulesTest test = withDoneItem(JobFleet.step(1, 1000, 500));
+        test.acknowledge("s0");
+        test.run(LEASE_MS);
+        test.start("s1", 2);
+        test.assertViolations(1);
+    }
+
+    @Test
+    public void anEndThatALapsedLeaseHasMadeVoidMayBeRepeated() {
+        FleetRulesTest test = withDoneItem(JobFleet.step(1, 1000, 500));
+        test.run(LEASE_MS);
+        test.start("s1", 2);
+        test.assertViolations(0);
+    }
+
+    @Test
+    public void aCopyMayStartBeforeTheEndIsAcknowledgedAndASecondAfter() {
+        FleetRulesTest test = withDoneItem(JobFleet.speculative(1, 1000, 500));
+        test.start("s1", 2);
+        test.assertViolations(0);
+    }
+
+    @Test
+    public void aCopyLongAfterAnAcknowledgedEndIsFound() {
+        FleetRulesTest test = withDoneItem(JobFleet.speculative(1, 1000, 500));
+        test.acknowledge("s0");
+        test.run(1100);
+        test.start("s1", 2);
+        test.assertViolations(1);
+    }
+}
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -9,6 +9,7 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.Resources;
 import org.basilswitch.schedule.WaveRecords;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -115,15 +116,23 @@
         assertRulesKept(fleet);
     }
 
-    @Test
-    public void workOnAServerThatIsCutOffIsStartedElsewhereOnlyAfterItsLease() {
+    /** Work that ends unseen while its server is cut off, and work that its lapsed lease ends. */
+    @DataProvider
+    public Object[][] workTimesMs() {
+        return new Object[][] {{3000L}, {8000L}};
+    }
+
+    @Test(dataProvider = "workTimesMs")
+    public void workOnAServerThatIsCutOffIsStartedElsewhereOnlyAfterItsLease(long workMs) {
         JobFleet fleet = fleet(2, 2);
         String id = JobFleet.id(1);
-        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(8, 8000, 3000)));
-        fleet.fleet.setSilent("s0", true);
-        fleet.run(12_000);
+        fleet.after(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(8, 8000, workMs)));
+        String server = fleet.fleet.server("s0").runs() > 0 ? "s0" : "s1";
+        fleet.fleet.setSilent(server, true);
+        fleet.run(15_000);
         assertEquals(state(fleet, fleet.nodes.get(1), id), JobState.COMPLETED);
-        fleet.fleet.setSilent("s0", false);
+        assertEquals(fleet.fleet.rules().starts(), 16, "all work was started again");
+        fleet.fleet.setSilent(server, false);
         fleet.run(3000);
         assertRulesKept(fleet);
     }
