--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -70,7 +70,8 @@
     public CompletionStage<JobAnswer> answer(JobCall call) {
         Duration timeout = timeout(call);
         long untilNanos = clock.monotonicNanos() + timeout.toNanos();
-        CompletionStage<JobAnswer> decided = decide(new Request(call, untilNanos, otherHolder()), 0)
+        CompletionStage<JobAnswer> decided = decide(
+                        new Request(call, untilNanos, otherHolder().isPresent()), 0)
                 .thenCompose(
                         own -> isFinal(own) ? CompletableFuture.completedFuture(own) : handOver(call, own, untilNanos));
         return withinTimeout(call, timeout, decided);
@@ -80,7 +81,7 @@
     CompletionStage<JobAnswer> answerForPeer(JobCall call) {
         Duration timeout = timeout(call);
         long untilNanos = clock.monotonicNanos() + timeout.toNanos();
-        return withinTimeout(call, timeout, decide(new Request(call, untilNanos, Optional.empty()), 0));
+        return withinTimeout(call, timeout, decide(new Request(call, untilNanos, false), 0));
     }
 
     /** Whether another entry host would say the same. */
@@ -106,8 +107,7 @@
                             + answer.map(found -> found.getClass().getSimpleName())
                                     .orElse("none"));
             if (answer.isEmpty()) {
-                return decide(new Request(call, untilNanos, Optional.empty()), 0)
-                        .thenApply(JobService::withDoubt);
+                return decide(new Request(call, untilNanos, false), 0).thenApply(JobService::withDoubt);
             }
             boolean mayBeStored = own instanceof JobAnswer.Undecided;
             return CompletableFuture.completedFuture(mayBeStored ? withDoubt(answer.get()) : answer.get());
@@ -139,13 +139,9 @@
      * A call that is being decided.
      *
      * @param untilNanos monotonic time at which the caller's patience ends, ns
-     * @param other host that can go on if the store turns this one away
+     * @param mayHandOver whether another host can go on if the store turns this one away
      */
-    private record Request(JobCall call, long untilNanos, Optional<String> other) {
-        private boolean mayHandOver() {
-            return other.isPresent();
-        }
-    }
+    private record Request(JobCall call, long untilNanos, boolean mayHandOver) {}
 
     private static String describe(JobCall call) {
         String action = switch (call.action()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -39,8 +39,6 @@
     private static final Duration SERVER_LIST_AGE_AT_ORDER = Duration.ofMillis(1800);
     /** Starts follow a configuration that was the newest within this time. */
     private static final Duration SITE_AGE = Duration.ofMillis(2800);
-    /** A server that has not answered for this long gets no new work. */
-    private static final Duration ANSWER_AGE = Duration.ofMillis(1900);
     /** Time on the duty's lease that a start may take on its way. */
     private static final Duration ORDER_MARGIN = Duration.ofMillis(250);
 
@@ -388,7 +386,7 @@
     private boolean usable(ServerState server, long nowNanos) {
         return server.view().filter(view -> !view.draining()).isPresent()
                 && !server.over()
-                && server.answeredWithin(ANSWER_AGE, nowNanos)
+                && server.answeredWithin(ServerState.ANSWER_AGE, nowNanos)
                 && !server.avoided(nowNanos)
                 && !server.slow(nowNanos)
                 && !server.failing(nowNanos)
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -28,6 +28,7 @@
     /** A work item that has failed is tried on a server that has lately done others, if there is one with room. */
     private static final double UNPROVEN_COST = 150;
 
+    /** About as long as the longest work item of the platform's sites, 5.2 s, so that a busy server counts as proven. */
     private static final Duration PROVEN = Duration.ofSeconds(5);
 
     private final JobSite site;
@@ -173,8 +174,8 @@
 
     static boolean allowed(WorkItem item, ServerState server) {
         BackendServer view = server.view().orElseThrow();
-        String label = item.spec().requiredLabel();
-        return label == null || view.labels().contains(label);
+        Optional<String> label = item.spec().label();
+        return label.isEmpty() || view.labels().contains(label.get());
     }
 
     private static int onServer(List<WorkItem> step, ServerState server) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -26,8 +26,6 @@
     private static final Duration HOLD_TIME = Duration.ofMillis(1500);
     /** Time from when a host is up until its backend server is listed and has answered. */
     private static final Duration ARRIVAL_TIME = Duration.ofMillis(2500);
-    /** A server that is silent for longer is not counted on; two holds long. */
-    private static final Duration ANSWER_AGE = Duration.ofMillis(1900);
     /** Waiting work runs one part after the other within its time, so that not all of it needs room at once. */
     private static final double WAITING_PART = 0.7;
     /** Most hosts that one pool is given, as a part of all. */
@@ -162,7 +160,8 @@
                 .serverOf(host.name())
                 .map(state -> state.slow(nowNanos)
                         || state.failing(nowNanos)
-                        || !state.answeredWithin(ANSWER_AGE, nowNanos) && !hosts.upWithin(host.name(), ARRIVAL_TIME))
+                        || !state.answeredWithin(ServerState.ANSWER_AGE, nowNanos)
+                                && !hosts.upWithin(host.name(), ARRIVAL_TIME))
                 .orElseGet(() -> !hosts.upWithin(host.name(), ARRIVAL_TIME));
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunKeeper.java
@@ -38,8 +38,6 @@
 
     /** Pace of a run after an order without an answer; any new pace differs from it. */
     private static final int UNKNOWN_PACE = 99;
-    /** Placement does not count on a server that is silent for longer (two holds); its next answer asks for a round. */
-    private static final Duration SILENCE = Duration.ofMillis(1900);
 
     private final SchedulerContext context;
     private final long fence;
@@ -398,7 +396,7 @@
             return;
         }
         long nowNanos = context.clock().monotonicNanos();
-        boolean news = !state.answeredWithin(SILENCE, nowNanos);
+        boolean news = !state.answeredWithin(ServerState.ANSWER_AGE, nowNanos);
         state.readClock(report.clockMs(), nowNanos);
         for (ServerOrders.EndRow end : report.ended()) {
             if (state.addEnd(end.number())) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerState.java
@@ -17,6 +17,9 @@
 /** What the scheduler knows of one lifetime of a backend server: its runs, its clock, its lease and its ends. */
 final class ServerState {
     private static final long NANOS_PER_MS = 1_000_000;
+    /** A server that is silent for longer, two holds, is not counted on and gets no new work. */
+    static final Duration ANSWER_AGE = Duration.ofMillis(1900);
+
     /** A server's clock may be 2 % slow; a lease lasts longer by as much. */
     static final double SLOWEST_CLOCK = 0.98;
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Stragglers.java
@@ -36,7 +36,7 @@
     }
 
     /**
-     * Stops the runs that are to be started elsewhere.
+     * Starts elsewhere what is late on slow servers, and copies of what is on silent ones.
      *
      * @param usable whether a server may get new work
      */
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -163,79 +163,43 @@
     }
 
     static StepSpec step(int count, long cpuMillis, long ms, Integer... after) {
-        return new StepSpec(
-                count,
-                new Resources(cpuMillis, 1000, 0),
-                ms,
-                List.of(after),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return spec(count, cpuMillis, ms, List.of(after), false, false, false, 0);
     }
 
     static StepSpec speculative(int count, long cpuMillis, long ms) {
-        return new StepSpec(
-                count,
-                new Resources(cpuMillis, 1000, 0),
-                ms,
-                List.of(),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                true,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return spec(count, cpuMillis, ms, List.of(), false, true, false, 0);
     }
 
     static StepSpec gang(int count, long cpuMillis, long ms) {
-        return new StepSpec(
-                count,
-                new Resources(cpuMillis, 1000, 0),
-                ms,
-                List.of(),
-                false,
-                true,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return spec(count, cpuMillis, ms, List.of(), true, false, false, 0);
     }
 
     static StepSpec longRunning(int count, long cpuMillis, int maxUnavailable) {
+        return spec(count, cpuMillis, 0, List.of(), false, false, true, maxUnavailable);
+    }
+
+    private static StepSpec spec(
+            int count,
+            long cpuMillis,
+            long ms,
+            List<Integer> after,
+            boolean gang,
+            boolean speculative,
+            boolean longRunning,
+            int maxUnavailable) {
         return new StepSpec(
                 count,
                 new Resources(cpuMillis, 1000, 0),
-                0,
-                List.of(),
-                false,
+                ms,
+                after,
                 false,
+                gang,
                 false,
                 null,
                 null,
                 0,
-                false,
-                true,
+                speculative,
+                longRunning,
                 null,
                 0,
                 false,
