Log jumps between a host's wall clock and its monotonic clock

A jump of the wall clock, by a suspension, a step ahead or a step back, could be told only by comparing the dates of two log lines by hand; a step back showed nowhere else. Each jump beyond the tolerance of 150 ms is now event 2410 with the signed size, and is counted by direction in basilswitch_clock_jumps_total. A test's step ahead and back prints:

CLOCK_JUMPED jumpMs=5990 CLOCK_JUMPED jumpMs=-5989

The step back was 5990 as well; the wall clock is read in whole ms, so that sizes are exact to 1 ms, which the test allows. What the clock returns has not changed.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -24,6 +24,7 @@
     RUNS_STARTED("basilswitch.runs.started", "pool"),
     RUNS_ENDED("basilswitch.runs.ended", "kind"),
     HOLDS_LOST("basilswitch.holds.lost", ""),
+    CLOCK_JUMPS("basilswitch.clock.jumps", "direction"),
     EVENTS_SUPPRESSED("basilswitch.events.suppressed", "event");
 
     private final String metric;
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -123,7 +123,11 @@
     START_FAILED(2407, Severity.ERROR, "entry host can't start"),
     EVENTS_SUPPRESSED(2408, Severity.WARN, "events of one number exceeded the rate limit; some were not logged"),
     ACTION_FAILED(
-            2409, Severity.ERROR, "processing the result of an asynchronous call failed; report this as a defect");
+            2409, Severity.ERROR, "processing the result of an asynchronous call failed; report this as a defect"),
+    CLOCK_JUMPED(
+            2410,
+            Severity.WARN,
+            "the wall clock jumped against the monotonic clock; the host was suspended or its clock was set");
 
     private final int number;
     private final Severity severity;
--- a/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
@@ -15,19 +15,32 @@
     private static final long TOLERANCE_NANOS = Duration.ofMillis(150).toNanos();
 
     private final Clock clock;
+    private final JumpObserver jumpObserver;
     private long lastMonotonicNanos;
     private long lastWallMs;
     private long suspendedNanos;
 
-    private SuspendAwareClock(Clock clock) {
+    /** Observer of differences between the wall clock and the monotonic clock. */
+    @FunctionalInterface
+    public interface JumpObserver {
+        /**
+         * Called when the wall clock has jumped against the monotonic clock between two readings.
+         *
+         * @param jump time by which the wall clock is ahead of before; negative when it was set back
+         */
+        void onJump(Duration jump);
+    }
+
+    private SuspendAwareClock(Clock clock, JumpObserver jumpObserver) {
         this.clock = clock;
+        this.jumpObserver = jumpObserver;
         this.lastMonotonicNanos = clock.monotonicNanos();
         this.lastWallMs = clock.millis();
     }
 
     /** Creates a clock that corrects another clock, whose monotonic time may exclude suspensions. */
-    public static SuspendAwareClock of(Clock clock) {
-        return new SuspendAwareClock(clock);
+    public static SuspendAwareClock of(Clock clock, JumpObserver jumpObserver) {
+        return new SuspendAwareClock(clock, jumpObserver);
     }
 
     @Override
@@ -46,6 +59,11 @@
         }
         lastMonotonicNanos = monotonicNanos;
         lastWallMs = wallMs;
-        return monotonicNanos + suspendedNanos;
+        long correctedNanos = monotonicNanos + suspendedNanos;
+        if (Math.abs(missingNanos) > TOLERANCE_NANOS) {
+            // The observer may read this clock, so the reading is complete before it is called.
+            jumpObserver.onJump(Duration.ofNanos(missingNanos));
+        }
+        return correctedNanos;
     }
 }
