Tell in RUN_LOST the age of the server's report, and in RUN_UNKNOWN the server

An operator saw "lease expired" without how old the server's last report was, by how much the longest lease was over, and whether the run came from an earlier leader. RUN_LOST now has these for an expired lease, and the run's phase and origin for each cause; RUN_UNKNOWN names the server.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -21,6 +21,7 @@
     private final WorkItem item;
     private final int number;
     private final BackendServer.Incarnation incarnation;
+    private final boolean recovered;
     private Phase phase;
     /** Monotonic time since which reports of the server include this run or its end, ns; 0 while not known. */
     private long confirmedNanos;
@@ -59,6 +60,7 @@
         this.number = number;
         this.incarnation = incarnation;
         this.phase = phase;
+        this.recovered = phase == Phase.RECOVERED;
     }
 
     static Run create(WorkItem item, int number, BackendServer.Incarnation incarnation, Phase phase) {
@@ -89,6 +91,11 @@
         this.phase = phase;
     }
 
+    /** Returns whether the run was taken over from the record of an earlier leader; its phase changes with reports. */
+    boolean isRecovered() {
+        return recovered;
+    }
+
     /** Marks the start as unconfirmed because its command was not answered. */
     void markUnconfirmed(long nowNanos) {
         phase = Phase.UNCONFIRMED;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -146,7 +146,7 @@
             if (silent && nowNanos > tracked.leaseExpiryNanos()) {
                 for (Run run : tracked.runs()) {
                     if (run.phase() != Run.Phase.RECORDING) {
-                        loseRun(run, "lease expired");
+                        loseRun(run, "lease expired " + leaseDetail(tracked, nowNanos));
                     }
                 }
                 if (tracked.listing().isEmpty() && tracked.runs().isEmpty()) {
@@ -156,6 +156,14 @@
         }
     }
 
+    private static String leaseDetail(TrackedServer tracked, long nowNanos) {
+        String reportAgeMs = tracked.reportAge(nowNanos)
+                .map(age -> Long.toString(age.toMillis()))
+                .orElse("none");
+        Duration overdue = Duration.ofNanos(nowNanos - tracked.leaseExpiryNanos());
+        return "reportAgeMs=" + reportAgeMs + " overdueMs=" + overdue.toMillis();
+    }
+
     private void remove(TrackedServer tracked) {
         runRegistry.removeServer(tracked);
         Optional.ofNullable(leaseRenewers.remove(tracked.incarnation())).ifPresent(LeaseRenewer::close);
@@ -327,7 +335,10 @@
             item.endRun(false);
             item.job().countLostRun();
             item.job().markDirty();
-            context.telemetry().event(EventCode.RUN_LOST, "run=" + run + " " + reason);
+            context.telemetry()
+                    .event(
+                            EventCode.RUN_LOST,
+                            "run=" + run + " " + reason + " phase=" + run.phase() + " recovered=" + run.isRecovered());
         }
         item.endCopy(run);
         owner.schedulePlacement();
@@ -478,7 +489,11 @@
         Optional<Run> known = tracked.run(status.item(), status.run());
         if (known.isEmpty()) {
             // The run belongs to a cancelled job, or it was considered lost and started late.
-            context.telemetry().event(EventCode.RUN_UNKNOWN, "item=" + status.item() + " run=" + status.run());
+            context.telemetry()
+                    .event(
+                            EventCode.RUN_UNKNOWN,
+                            "item=" + status.item() + " run=" + status.run() + " server="
+                                    + tracked.incarnation().serverId());
             tracked.listing()
                     .ifPresent(
                             server -> context.serverCommands().stop(server, fencingToken, status.item(), status.run()));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
@@ -159,6 +159,13 @@
         return lastReportNanos != Long.MIN_VALUE && nowNanos - lastReportNanos <= duration.toNanos();
     }
 
+    /** Returns the time since the last report; empty before the first one. */
+    Optional<Duration> reportAge(long nowNanos) {
+        return lastReportNanos == Long.MIN_VALUE
+                ? Optional.empty()
+                : Optional.of(Duration.ofNanos(nowNanos - lastReportNanos));
+    }
+
     /** Registers the end of a run and returns whether it is new. */
     boolean addEnd(long number) {
         if (number <= lastEnd) {
