Tell in SCHEDULER_STARTED how many runs were recovered and how long they are held

After a takeover an operator could not tell how many runs the new leader took over, nor from when on it gives up those whose servers do not report. As printed by a run of JobFleet:

SCHEDULER_STARTED fence=7 jobs=1 ended=0 recoveredRuns=3 heldMs=4200

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -159,13 +159,18 @@
                 runSupervisor.recoverRuns(job, leaseExpiryNanos);
             }
         });
+        int recoveredRuns = runRegistry.servers().stream()
+                .mapToInt(server -> server.runs().size())
+                .sum();
+        Duration held = Duration.ofNanos(leaseExpiryNanos - context.clock().monotonicNanos());
         loaded = true;
         acceptedWhileLoading.forEach(this::addJob);
         cancelledWhileLoading.forEach(this::cancelJob);
         context.telemetry()
                 .event(
                         EventCode.SCHEDULER_STARTED,
-                        "fence=" + fencingToken + " jobs=" + jobs.size() + " ended=" + endedJobs.size());
+                        "fence=" + fencingToken + " jobs=" + jobs.size() + " ended=" + endedJobs.size()
+                                + " recoveredRuns=" + recoveredRuns + " heldMs=" + held.toMillis());
         context.liveServers()
                 .start(() -> runSupervisor.onServers(context.liveServers().servers()));
         runPeriodicTasks();
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobEventsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobEventsTest.java
@@ -69,7 +69,7 @@
     }
 
     @Test
-    public void recoveredRunOfSilentServerHasNoReport() {
+    public void takeoverTellsRecoveredRunsAndTheirHold() {
         JobFleet fleet = fleet(3, 1);
         JobNode leader = fleet.leader();
         fleet.answerAfter(1500, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(3, 1000, 0)));
@@ -77,6 +77,9 @@
         fleet.kill(leader);
         fleet.model.setUnreachable("s0", true);
         fleet.runFor(9000);
+        match(
+                onlyEvent(fleet, "SCHEDULER_STARTED"),
+                "SCHEDULER_STARTED fence=\\d+ jobs=1 ended=0 recoveredRuns=3 heldMs=4200");
         // The host that was cut off considers its runs lost as well, as runs of its own.
         List<String> lost = events(fleet, "RUN_LOST").stream()
                 .filter(event -> event.endsWith(" recovered=true"))
