--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import io.vavr.control.Either;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.event.CounterCode;
@@ -28,9 +29,12 @@
 import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.HostControl;
 import org.basilswitch.schedule.SchedulerOptions;
+import org.basilswitch.schedule.WaveStore;
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
+import org.basilswitch.store.StoreError;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.store.Transaction;
 import org.basilswitch.time.SimulatedTime;
@@ -46,6 +50,8 @@
     final FleetModel model = FleetModel.create(time, time);
     final List<JobNode> nodes = new ArrayList<>();
     final List<MemoryStoreClient> clients = new ArrayList<>();
+    final List<NodeTime> nodeTimes = new ArrayList<>();
+    final List<NodeServerCommands> serverCommands = new ArrayList<>();
     final List<String> events = new ArrayList<>();
     private final Map<String, JobNode> byAddress = new HashMap<>();
     private final Set<JobNode> killed = new HashSet<>();
@@ -122,21 +128,23 @@
 
     JobNode addNode() {
         String address = "node:" + nodes.size();
+        NodeTime nodeTime = NodeTime.on(time);
+        NodeServerCommands commands = new NodeServerCommands(model, nodeTime, time);
         MemoryStoreClient client =
-                MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(nodes.size()));
+                MemoryStoreClient.create(store, nodeTime, RandomSource.SPLIT_MIX_64.create(nodes.size()));
         JobNode node = JobNode.start(new JobNode.Dependencies(
                 address,
-                time,
-                time,
+                nodeTime,
+                nodeTime,
                 client,
                 new StoreKeys("test"),
                 "config",
                 bytes -> RecordCodec.decode(bytes, JobConfiguration.class),
-                model,
-                model.serverCommands(),
+                () -> delivered(nodeTime, model.read()),
+                commands,
                 (step, servers) -> CompletableFuture.completedFuture(Optional.empty()),
-                model,
-                model,
+                new NodeHostControl(nodeTime),
+                new NodeWaveStore(nodeTime),
                 new InProcessSchedulerClient(),
                 new RecordingTelemetry(),
                 SchedulerOptions.withMaxLease(Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofSeconds(240)),
@@ -144,6 +152,8 @@
                 Duration.ZERO));
         nodes.add(node);
         clients.add(client);
+        nodeTimes.add(nodeTime);
+        serverCommands.add(commands);
         byAddress.put(address, node);
         return node;
     }
@@ -155,6 +165,26 @@
         killed.add(node);
     }
 
+    /** Ends the process of an entry host without a shutdown: it sends nothing more, to servers either. */
+    void killProcess(JobNode node) {
+        kill(node);
+        timeOf(node).kill();
+    }
+
+    NodeTime timeOf(JobNode node) {
+        return nodeTimes.get(nodes.indexOf(node));
+    }
+
+    NodeServerCommands commandsOf(JobNode node) {
+        return serverCommands.get(nodes.indexOf(node));
+    }
+
+    private static <T> CompletionStage<T> delivered(NodeTime nodeTime, CompletionStage<T> stage) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        stage.thenAccept(result -> nodeTime.deliver(() -> answer.complete(result)));
+        return answer;
+    }
+
     /** Returns the first running entry host that is the scheduler leader. */
     JobNode leader() {
         return nodes.stream()
@@ -286,6 +316,49 @@
         }
     }
 
+    /** The control of hosts as one entry host uses it. */
+    private final class NodeHostControl implements HostControl {
+        private final NodeTime nodeTime;
+
+        private NodeHostControl(NodeTime nodeTime) {
+            this.nodeTime = nodeTime;
+        }
+
+        @Override
+        public CompletionStage<Optional<List<PlatformHost>>> listHosts() {
+            return delivered(nodeTime, model.listHosts());
+        }
+
+        @Override
+        public CompletionStage<HostCommandResult> move(String host, String pool, long fencingToken) {
+            return delivered(nodeTime, model.move(host, pool, fencingToken));
+        }
+
+        @Override
+        public CompletionStage<HostCommandResult> maintain(String host, long wave, long fencingToken) {
+            return delivered(nodeTime, model.maintain(host, wave, fencingToken));
+        }
+    }
+
+    /** The operator's waves as one entry host reads them. */
+    private final class NodeWaveStore implements WaveStore {
+        private final NodeTime nodeTime;
+
+        private NodeWaveStore(NodeTime nodeTime) {
+            this.nodeTime = nodeTime;
+        }
+
+        @Override
+        public CompletionStage<Either<StoreError, List<WaveRequest>>> readWaves() {
+            return delivered(nodeTime, model.readWaves());
+        }
+
+        @Override
+        public Transaction.Builder writeState(Transaction.Builder transaction, WaveRequest wave, boolean completed) {
+            return model.writeState(transaction, wave, completed);
+        }
+    }
+
     /** Records events and counts as lines with the time in ms. */
     private final class RecordingTelemetry implements Telemetry {
         @Override
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
@@ -0,0 +1,138 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.basilswitch.job.ItemId;
+import org.basilswitch.schedule.BackendServer;
+import org.basilswitch.schedule.ServerCommands;
+import org.basilswitch.time.Scheduler;
+
+/** The connections of one entry host to the backend servers, with faults that concern this host alone. */
+final class NodeServerCommands implements ServerCommands {
+    private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(700);
+
+    private final FleetModel model;
+    private final ServerCommands commands;
+    private final NodeTime nodeTime;
+    private final Scheduler network;
+    private final Set<String> cutServers = new HashSet<>();
+    private final Map<String, Duration> orderDelays = new HashMap<>();
+    private final List<LeaseGrant> leaseGrants = new ArrayList<>();
+
+    /**
+     * A lease end that was sent to a server.
+     *
+     * @param fencingToken fencing token of the command
+     * @param leaseMs time from the sending to the lease end, on the server's clock
+     */
+    record LeaseGrant(long fencingToken, long leaseMs) {}
+
+    NodeServerCommands(FleetModel model, NodeTime nodeTime, Scheduler network) {
+        this.model = model;
+        this.commands = model.serverCommands();
+        this.nodeTime = nodeTime;
+        this.network = network;
+    }
+
+    /** Cuts the connection to a server, also for answers that are on their way, or restores it. */
+    void setCut(String server, boolean cut) {
+        if (cut) {
+            cutServers.add(server);
+        } else {
+            cutServers.remove(server);
+        }
+    }
+
+    /** Leaves the next start or stop on a server without an answer; it is carried out after the delay. */
+    void delayNextOrder(String server, Duration delay) {
+        orderDelays.put(server, delay);
+    }
+
+    /** Takes back the delays of orders that were not sent yet. */
+    void clearOrderDelays() {
+        orderDelays.clear();
+    }
+
+    /** Returns the lease ends that were sent so far, in order. */
+    List<LeaseGrant> leaseGrants() {
+        return List.copyOf(leaseGrants);
+    }
+
+    @Override
+    public CompletionStage<CommandResult> start(BackendServer server, long fencingToken, StartCommand command) {
+        recordGrant(server, fencingToken, Optional.of(command.leaseEndMs()));
+        return order(server, () -> commands.start(server, fencingToken, command));
+    }
+
+    @Override
+    public CompletionStage<CommandResult> stop(BackendServer server, long fencingToken, ItemId item, int run) {
+        return order(server, () -> commands.stop(server, fencingToken, item, run));
+    }
+
+    @Override
+    public CompletionStage<CommandResult> setPace(
+            BackendServer server, long fencingToken, ItemId item, int run, int percent) {
+        return call(
+                server,
+                COMMAND_TIMEOUT,
+                new NoAnswer("cut"),
+                () -> commands.setPace(server, fencingToken, item, run, percent));
+    }
+
+    @Override
+    public CompletionStage<RenewalResult> renewLease(BackendServer server, long fencingToken, LeaseRenewal renewal) {
+        recordGrant(server, fencingToken, renewal.leaseEndMs());
+        return call(
+                server,
+                COMMAND_TIMEOUT.plus(renewal.maxWait()),
+                new RenewalUnanswered("cut"),
+                () -> commands.renewLease(server, fencingToken, renewal));
+    }
+
+    private void recordGrant(BackendServer server, long fencingToken, Optional<Long> leaseEndMs) {
+        ServerModel target = model.server(server.id());
+        if (target != null && target.entry().incarnation().equals(server.incarnation())) {
+            leaseEndMs.ifPresent(endMs -> leaseGrants.add(new LeaseGrant(fencingToken, endMs - target.clockMs())));
+        }
+    }
+
+    private CompletionStage<CommandResult> order(BackendServer server, Supplier<CompletionStage<CommandResult>> order) {
+        Duration delay = orderDelays.remove(server.id());
+        if (delay == null) {
+            return call(server, COMMAND_TIMEOUT, new NoAnswer("cut"), order);
+        }
+        network.schedule(delay, order::get);
+        return answerAfterTimeout(COMMAND_TIMEOUT, new NoAnswer("delayed"));
+    }
+
+    private <T> CompletionStage<T> call(
+            BackendServer server, Duration timeout, T unanswered, Supplier<CompletionStage<T>> call) {
+        if (cutServers.contains(server.id())) {
+            return answerAfterTimeout(timeout, unanswered);
+        }
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        network.schedule(timeout, () -> nodeTime.deliver(() -> answer.complete(unanswered)));
+        call.get().thenAccept(result -> {
+            if (!cutServers.contains(server.id())) {
+                nodeTime.deliver(() -> answer.complete(result));
+            }
+        });
+        return answer;
+    }
+
+    private <T> CompletionStage<T> answerAfterTimeout(Duration timeout, T result) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        network.schedule(timeout, () -> nodeTime.deliver(() -> answer.complete(result)));
+        return answer;
+    }
+}
