Wait for the leases of others on a clock that never runs ahead

SuspendAwareClock counts each forward step of the host's wall clock as a suspension, so that its monotonic time runs ahead of real time. That is safe for what the host itself holds, which then ends early. The scheduler leader used the same time to wait for the end of what others hold: after a step of 6 s the reports of the last second looked 6 s old and the leases of all runs looked over. It recorded all runs as lost and started them elsewhere; the runs whose servers had not reported within the 0.6 s until then overlapped with the new ones. The false belief was stored, so a next leader would have inherited it.

SchedulerContext has a second clock, the plain monotonic one, which stands still in a suspension and never runs ahead. It is used for each wait for others: the lease expiry of runs, also recovered ones and those blocked on a next incarnation, the pause of a new leader before host commands and the retention of ended jobs. After a suspension these waits are longer than needed, which costs time and breaks nothing. What this host holds stays on SuspendAwareClock.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -138,6 +138,7 @@
         }
         SchedulerContext context = new SchedulerContext(
                 clock,
+                dependencies.clock(),
                 dependencies.timers(),
                 dependencies.store(),
                 dependencies.keys(),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
@@ -26,7 +26,7 @@
     private final Deque<Ended> byTime = new ArrayDeque<>();
     private boolean deleting;
 
-    private record Ended(String id, long atNanos) {}
+    private record Ended(String id, long atSteadyNanos) {}
 
     EndedJobs(SchedulerContext context, long fencingToken) {
         this.context = context;
@@ -36,7 +36,7 @@
     /** Adds a job. The retention of a job that ended under an earlier leader starts now. */
     void add(String id, JobState state) {
         if (states.putIfAbsent(id, state) == null) {
-            byTime.add(new Ended(id, context.clock().monotonicNanos()));
+            byTime.add(new Ended(id, context.steadyClock().monotonicNanos()));
         }
     }
 
@@ -55,13 +55,15 @@
     /** Deletes the records of jobs whose retention has ended, a limited number at a time. */
     void deleteExpired() {
         Duration retention = context.options().retention();
-        long beforeNanos = context.clock().monotonicNanos() - retention.toNanos();
-        if (deleting || byTime.isEmpty() || byTime.peek().atNanos > beforeNanos) {
+        long beforeSteadyNanos = context.steadyClock().monotonicNanos() - retention.toNanos();
+        if (deleting || byTime.isEmpty() || byTime.peek().atSteadyNanos > beforeSteadyNanos) {
             return;
         }
         Transaction.Builder builder =
                 Transaction.builder().compare(context.keys().schedulerLeadership(), fencingToken);
-        for (int i = 0; i < JOBS_PER_COMMIT && !byTime.isEmpty() && byTime.peek().atNanos <= beforeNanos; i++) {
+        for (int i = 0;
+                i < JOBS_PER_COMMIT && !byTime.isEmpty() && byTime.peek().atSteadyNanos <= beforeSteadyNanos;
+                i++) {
             String id = byTime.poll().id();
             states.remove(id);
             builder.delete(context.keys().jobAccepted(id));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
@@ -43,7 +43,7 @@
     private final SchedulerContext context;
     private final long fencingToken;
     private final Supplier<Boolean> maySendCommands;
-    private final long firstCommandNanos;
+    private final long firstCommandSteadyNanos;
     private Map<String, HostControl.PlatformHost> hosts = Map.of();
     private Map<String, String> hostOfServer = Map.of();
     private long listRequestedNanos = Long.MIN_VALUE;
@@ -71,7 +71,7 @@
         this.context = context;
         this.fencingToken = fencingToken;
         this.maySendCommands = () -> isLeaderFor.test(COMMAND_LEASE_MARGIN);
-        this.firstCommandNanos = context.clock().monotonicNanos()
+        this.firstCommandSteadyNanos = context.steadyClock().monotonicNanos()
                 + context.options().hostCommandPause().toNanos();
     }
 
@@ -193,7 +193,7 @@
 
     /** Returns whether host commands may be sent now. */
     boolean maySendCommands() {
-        return !closed && maySendCommands.get() && context.clock().monotonicNanos() >= firstCommandNanos;
+        return !closed && maySendCommands.get() && context.steadyClock().monotonicNanos() >= firstCommandSteadyNanos;
     }
 
     /**
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -144,8 +144,8 @@
             return;
         }
         // 5 % more than the lease, to cover a server clock that is 2 % slow.
-        long leaseExpiryNanos =
-                context.clock().monotonicNanos() + context.options().lease().toNanos() * 21 / 20;
+        long leaseExpirySteadyNanos = context.steadyClock().monotonicNanos()
+                + context.options().lease().toNanos() * 21 / 20;
         records.ended(context.keys().jobsEnded()).forEach(endedJobs::add);
         records.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
             if (!endedJobs.contains(submission.id()) && !jobs.containsKey(submission.id())) {
@@ -156,13 +156,14 @@
                     job.cancel();
                 }
                 jobs.put(job.id(), job);
-                runSupervisor.recoverRuns(job, leaseExpiryNanos);
+                runSupervisor.recoverRuns(job, leaseExpirySteadyNanos);
             }
         });
         int recoveredRuns = runRegistry.servers().stream()
                 .mapToInt(server -> server.runs().size())
                 .sum();
-        Duration held = Duration.ofNanos(leaseExpiryNanos - context.clock().monotonicNanos());
+        Duration held =
+                Duration.ofNanos(leaseExpirySteadyNanos - context.steadyClock().monotonicNanos());
         loaded = true;
         acceptedWhileLoading.forEach(this::addJob);
         cancelledWhileLoading.forEach(this::cancelJob);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -35,6 +35,7 @@
     private final ServerCommands serverCommands;
     private final Telemetry telemetry;
     private final Clock clock;
+    private final Clock steadyClock;
     private final Scheduler scheduler;
     private final long fencingToken;
     private final Duration lease;
@@ -59,6 +60,7 @@
             ServerCommands serverCommands,
             Telemetry telemetry,
             Clock clock,
+            Clock steadyClock,
             Scheduler scheduler,
             long fencingToken,
             Duration lease,
@@ -69,6 +71,7 @@
         this.serverCommands = serverCommands;
         this.telemetry = telemetry;
         this.clock = clock;
+        this.steadyClock = steadyClock;
         this.scheduler = scheduler;
         this.fencingToken = fencingToken;
         this.lease = lease;
@@ -104,8 +107,9 @@
                 : PaceController.isShared(tracked) ? SHARED_WAIT : MAX_WAIT;
         // After an unanswered call the lease is not extended, so that its end is known while the server stays silent. A
         // leader whose leadership has expired does not extend it either, as the next leader waits for its end.
-        Optional<Long> leaseEnd =
-                lastCallUnanswered || !mayExtend.getAsBoolean() ? Optional.empty() : tracked.leaseEnd(lease, sentNanos);
+        Optional<Long> leaseEnd = lastCallUnanswered || !mayExtend.getAsBoolean()
+                ? Optional.empty()
+                : tracked.leaseEnd(lease, steadyClock.monotonicNanos());
         ServerCommands.LeaseRenewal command = new ServerCommands.LeaseRenewal(
                 leaseEnd, tracked.lastStoredEnd(), lastCallUnanswered ? Duration.ZERO : wait);
         Completions.thenAcceptOrLog(
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -116,6 +116,7 @@
                         context.serverCommands(),
                         context.telemetry(),
                         context.clock(),
+                        context.steadyClock(),
                         context.timers(),
                         fencingToken,
                         context.options().lease(),
@@ -141,12 +142,13 @@
     /** Ends the runs whose leases have expired even on the slowest clock, and removes servers that have left. */
     void expireLeases() {
         long nowNanos = context.clock().monotonicNanos();
+        long nowSteadyNanos = context.steadyClock().monotonicNanos();
         for (TrackedServer tracked : new ArrayList<>(runRegistry.servers())) {
             boolean silent = !tracked.answeredWithin(context.options().lease(), nowNanos);
-            if (silent && nowNanos > tracked.leaseExpiryNanos()) {
+            if (silent && nowSteadyNanos > tracked.leaseExpirySteadyNanos()) {
                 for (Run run : tracked.runs()) {
                     if (run.phase() != Run.Phase.RECORDING) {
-                        loseRun(run, "lease expired " + leaseDetail(tracked, nowNanos));
+                        loseRun(run, "lease expired " + leaseDetail(tracked, nowNanos, nowSteadyNanos));
                     }
                 }
                 if (tracked.listing().isEmpty() && tracked.runs().isEmpty()) {
@@ -156,11 +158,11 @@
         }
     }
 
-    private static String leaseDetail(TrackedServer tracked, long nowNanos) {
+    private static String leaseDetail(TrackedServer tracked, long nowNanos, long nowSteadyNanos) {
         String reportAgeMs = tracked.reportAge(nowNanos)
                 .map(age -> Long.toString(age.toMillis()))
                 .orElse("none");
-        Duration overdue = Duration.ofNanos(nowNanos - tracked.leaseExpiryNanos());
+        Duration overdue = Duration.ofNanos(nowSteadyNanos - tracked.leaseExpirySteadyNanos());
         return "reportAgeMs=" + reportAgeMs + " overdueMs=" + overdue.toMillis();
     }
 
@@ -183,7 +185,8 @@
         }
         TrackedServer tracked = runRegistry.getOrCreateServer(run.incarnation());
         long nowNanos = context.clock().monotonicNanos();
-        Optional<Long> leaseEnd = tracked.leaseEnd(context.options().lease(), nowNanos);
+        Optional<Long> leaseEnd = tracked.leaseEnd(
+                context.options().lease(), context.steadyClock().monotonicNanos());
         boolean listed = tracked.listing().filter(server -> !server.draining()).isPresent();
         if (!owner.maySendCommands()
                 || !run.item().job().isOpen()
@@ -390,7 +393,9 @@
         Run.Phase phase = run.phase() == Run.Phase.RECOVERED ? Run.Phase.RECOVERED : Run.Phase.UNCONFIRMED;
         Run moved = run.item().beginRun(run.number(), next, phase);
         runRegistry.add(moved);
-        runRegistry.getOrCreateServer(next).extendLeaseExpiry(context.clock().monotonicNanos() + maxLeaseNanos());
+        runRegistry
+                .getOrCreateServer(next)
+                .extendLeaseExpiry(context.steadyClock().monotonicNanos() + maxLeaseNanos());
         run.item().job().markDirty();
         if (phase == Run.Phase.UNCONFIRMED) {
             stop(moved);
@@ -432,7 +437,7 @@
         }
         long nowNanos = context.clock().monotonicNanos();
         boolean placementChanged = !tracked.answeredWithin(TrackedServer.MAX_ANSWER_AGE, nowNanos);
-        tracked.recordClock(report.clockMs(), nowNanos);
+        tracked.recordClock(report.clockMs(), nowNanos, context.steadyClock().monotonicNanos());
         for (ServerCommands.RunEnd end : report.ended()) {
             if (tracked.addEnd(end.number())) {
                 placementChanged = true;
@@ -638,15 +643,15 @@
         runs.forEach(action);
     }
 
-    /** Adds the runs of a job that was read from the store, with the time at which their leases have expired. */
-    void recoverRuns(ActiveJob job, long leaseExpiryNanos) {
+    /** Adds the runs of a job that was read from the store, with the steady time at which their leases have expired. */
+    void recoverRuns(ActiveJob job, long leaseExpirySteadyNanos) {
         // An earlier leader stores failures immediately, but the final state only after all runs of the job have ended.
         if (!job.isCancelled() && job.items().stream().anyMatch(this::hasNoAttemptLeft)) {
             job.fail();
         }
         forEachRun(job, run -> {
             runRegistry.add(run);
-            runRegistry.getOrCreateServer(run.incarnation()).extendLeaseExpiry(leaseExpiryNanos);
+            runRegistry.getOrCreateServer(run.incarnation()).extendLeaseExpiry(leaseExpirySteadyNanos);
         });
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
@@ -11,7 +11,10 @@
 /**
  * Dependencies of a job scheduler.
  *
- * @param clock clock whose monotonic time includes suspensions
+ * @param clock clock whose monotonic time never lags behind real time, as it includes suspensions; for the end of what
+ *     this host holds and for the age of what it knows
+ * @param steadyClock clock whose monotonic time never runs ahead of real time; for waiting until the end of what others
+ *     hold, such as the leases of runs that an earlier leader started
  * @param timers timers of the event loop
  * @param store key-value store
  * @param keys key layout of the store
@@ -26,6 +29,7 @@
  */
 public record SchedulerContext(
         Clock clock,
+        Clock steadyClock,
         Scheduler timers,
         PlatformStore store,
         StoreKeys keys,
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
@@ -36,8 +36,8 @@
     private long longRunningCpuMillis;
     private boolean clockKnown;
     private long clockMs;
-    private long clockReadNanos;
-    private long leaseExpiryNanos;
+    private long clockReadSteadyNanos;
+    private long leaseExpirySteadyNanos;
     private long lastEnd;
     private long lastReportNanos = Long.MIN_VALUE;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -120,39 +120,45 @@
         return spec.longRunning() ? spec.reserved().cpuMillis() : 0;
     }
 
-    /** Records the server's clock from a report that arrived now. */
-    void recordClock(long serverClockMs, long nowNanos) {
+    /**
+     * Records the server's clock from a report that arrived now.
+     *
+     * @param serverClockMs the server's clock, ms
+     * @param nowNanos monotonic time that includes suspensions, ns
+     * @param nowSteadyNanos steady time, ns
+     */
+    void recordClock(long serverClockMs, long nowNanos, long nowSteadyNanos) {
         clockKnown = true;
         clockMs = serverClockMs;
-        clockReadNanos = nowNanos;
+        clockReadSteadyNanos = nowSteadyNanos;
         lastReportNanos = nowNanos;
     }
 
     /**
      * Returns the end, on the server's clock, of a lease given now; empty while the clock is not known. Extends the
      * expected lease expiry accordingly.
+     *
+     * <p>The steady time never runs ahead, so that the lease is never longer than the next leader assumes.
      */
-    Optional<Long> leaseEnd(Duration lease, long nowNanos) {
+    Optional<Long> leaseEnd(Duration lease, long nowSteadyNanos) {
         if (!clockKnown) {
             return Optional.empty();
         }
-        long sinceReadMs = (nowNanos - clockReadNanos) / NANOS_PER_MS;
+        long sinceReadMs = (nowSteadyNanos - clockReadSteadyNanos) / NANOS_PER_MS;
         long endMs = clockMs + sinceReadMs + lease.toMillis();
         long longestMs = (long) Math.ceil((endMs - clockMs) / SLOWEST_CLOCK_RATE);
-        leaseExpiryNanos = Math.max(leaseExpiryNanos, clockReadNanos + longestMs * NANOS_PER_MS);
+        extendLeaseExpiry(clockReadSteadyNanos + longestMs * NANOS_PER_MS);
         return Optional.of(endMs);
     }
 
-    /**
-     * Returns the monotonic time from which no run of this incarnation is in progress, unless its lease is extended.
-     */
-    long leaseExpiryNanos() {
-        return leaseExpiryNanos;
+    /** Returns the steady time from which no run of this incarnation is in progress, unless its lease is extended. */
+    long leaseExpirySteadyNanos() {
+        return leaseExpirySteadyNanos;
     }
 
-    /** Extends the lease expiry to a monotonic time; an earlier time has no effect. */
-    void extendLeaseExpiry(long nanos) {
-        leaseExpiryNanos = Math.max(leaseExpiryNanos, nanos);
+    /** Extends the lease expiry to a steady time; an earlier time has no effect. */
+    void extendLeaseExpiry(long steadyNanos) {
+        leaseExpirySteadyNanos = Math.max(leaseExpirySteadyNanos, steadyNanos);
     }
 
     boolean answeredWithin(Duration duration, long nowNanos) {
--- a/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
@@ -7,8 +7,9 @@
  * A clock whose monotonic time includes the time during which the host was suspended.
  *
  * <p>On Linux the monotonic clock does not advance during a suspension (clock_gettime(2), CLOCK_MONOTONIC) but the
- * wall clock does. A forward step of the wall clock can't be distinguished from a suspension and is counted as one; it
- * makes leases expire early, never late.
+ * wall clock does. A forward step of the wall clock can't be distinguished from a suspension and is counted as one, so
+ * this time may run ahead of real time. It is for leases that this host holds, which then end early. The end of a lease
+ * that another process holds is waited for on a clock that never runs ahead.
  */
 public final class SuspendAwareClock implements Clock {
     /** Differences up to this are taken as gradual adjustments of the wall clock and not as a suspension. */
