Hold a start that the next incarnation may carry out for its longest lease

Two runs of one work item were possible without any clock step. A start command without an answer may be carried out by the next incarnation of its server. The leader kept the item for one lease time, 4.08 s. But the lease end in the command is a time on the clock of the earlier incarnation; the next one's clock starts anew, so the lease lasts up to the maximum that servers grant (10 s or 6 s on the users' sites), and begins only when the command is carried out.

Evidence: ClockStepTest.delayedStartOnNextIncarnationIsWaitedForUntilItsLeaseEnd failed: ordered elsewhere at 6422 ms while the delayed start held its lease until 8080 ms, "expected [0] but found [1]" violations.

The leader now waits for the longest delay of a command and the maximum lease, unless the server answers the stop before, as it does unless it is cut off.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -49,6 +49,9 @@
      */
     private static final int UNKNOWN_PACE_PERCENT = 99;
 
+    /** Time within which a command without an answer may still be carried out; the platform speaks of seconds. */
+    private static final Duration MAX_COMMAND_DELAY = Duration.ofSeconds(12);
+
     private final SchedulerContext context;
     private final long fencingToken;
     private final RunRegistry runRegistry;
@@ -383,7 +386,8 @@
 
     /**
      * Moves a run whose start command may be delayed to the next incarnation of its server. That incarnation has the
-     * same identifier, has not seen a fencing token and starts its clock anew, so it would carry out the start.
+     * same identifier, has not seen a fencing token and starts its clock anew, so it would carry out the start, and the
+     * lease end that the command names on the earlier clock does not limit the lease.
      */
     private void blockOnNextIncarnation(Run run, BackendServer.Incarnation next) {
         runRegistry.remove(run);
@@ -395,7 +399,7 @@
         runRegistry.add(moved);
         runRegistry
                 .getOrCreateServer(next)
-                .extendLeaseExpiry(context.steadyClock().monotonicNanos() + maxLeaseNanos());
+                .extendLeaseExpiry(context.steadyClock().monotonicNanos() + maxDelayedRunNanos());
         run.item().job().markDirty();
         if (phase == Run.Phase.UNCONFIRMED) {
             stop(moved);
@@ -403,9 +407,10 @@
         owner.schedulePlacement();
     }
 
-    /** Returns the maximum duration of a lease given now, on a server whose clock is slow. */
-    private long maxLeaseNanos() {
-        return (long) (context.options().lease().toNanos() / TrackedServer.SLOWEST_CLOCK_RATE);
+    /** Returns the time after which a run whose start command is delayed has ended, on a server whose clock is slow. */
+    private long maxDelayedRunNanos() {
+        Duration maxLease = context.options().maxLease();
+        return MAX_COMMAND_DELAY.toNanos() + (long) (maxLease.toNanos() / TrackedServer.SLOWEST_CLOCK_RATE);
     }
 
     private void onRenewalResult(TrackedServer tracked, long sentNanos, ServerCommands.RenewalResult result) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
@@ -6,11 +6,13 @@
  * Scheduler timeouts that depend on the deployment.
  *
  * @param lease lease of the runs on a backend server, extended with each renewal
+ * @param maxLease longest lease that a backend server grants, whatever end a command names
  * @param leaderLease lease of the scheduler leadership
  * @param hostCommandPause time that a new leader waits before its first host command
  * @param retention time for which the final state of a job is reported
  */
-public record SchedulerOptions(Duration lease, Duration leaderLease, Duration hostCommandPause, Duration retention) {
+public record SchedulerOptions(
+        Duration lease, Duration maxLease, Duration leaderLease, Duration hostCommandPause, Duration retention) {
     /**
      * Preferred lease of the runs; long enough for a change of leader within the leadership lease plus one renewal
      * interval.
@@ -26,6 +28,6 @@
         // The earlier leader sent no command while its lease ran out, or it would still be the leader.
         Duration pause =
                 hostOrderPause.compareTo(LEADER_LEASE) > 0 ? hostOrderPause.minus(LEADER_LEASE) : Duration.ZERO;
-        return new SchedulerOptions(lease, LEADER_LEASE, pause, retention);
+        return new SchedulerOptions(lease, maxLease, LEADER_LEASE, pause, retention);
     }
 }
