Run the actions that are added while a job's final record is written

The end of a run that arrived while the final record of its job was being written was never acknowledged to the backend server: its acknowledgement waited for a next commit of the job, and an ended job has none. As ends are acknowledged up to the first one that is not stored, all later ends of that server stayed unacknowledged too, until the leader changed. Callers do not see it at once; a server lists 500 ends at a time, and the ends beyond would be taken for lost runs. Copies that are stopped when their work item is done end within 200 ms, which a commit takes in a slow store.

The writer now runs such actions when the final record is stored. ProgressWriterTest.actionAddedDuringFinalWriteRuns failed before: "lists don't have the same size expected [1] but found [0]".

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -159,8 +159,12 @@
         ActiveJob job = write.job;
         job.setProgressRevision(revision);
         job.setWriting(false);
-        write.finalState.ifPresent(state -> job.markEnded());
         write.actions.forEach(Runnable::run);
+        if (write.finalState.isPresent()) {
+            job.markEnded();
+            // No later commit follows, and the final state covers what these actions wait for.
+            job.takeCommitActions().forEach(Runnable::run);
+        }
         listener.onWriteFinished(job);
     }
 
