Read both clocks without a pause between the readings

A pause of the process between the readings of the monotonic clock and of the wall clock (garbage collection, an overloaded host) was counted as a suspension of the host, and the opposite jump of the next reading is not taken back.

SuspendAwareClockTest.pauseBetweenReadingsIsNoSuspension failed before: "expected [700] but found [1200]". A reading that takes longer than 20 ms is repeated, three times at most.

--- a/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
@@ -15,6 +15,12 @@
     /** Differences up to this are taken as gradual adjustments of the wall clock and not as a suspension. */
     private static final long TOLERANCE_NANOS = Duration.ofMillis(150).toNanos();
 
+    /** Time within which both clocks are read; a reading that takes longer is repeated. */
+    private static final long MAX_READING_NANOS = Duration.ofMillis(20).toNanos();
+
+    /** Number of repeated readings, so that a host that stalls again and again still gets a time. */
+    private static final int MAX_REPEATS = 3;
+
     private final Clock clock;
     private final JumpObserver jumpObserver;
     private long lastMonotonicNanos;
@@ -53,6 +59,15 @@
     public long monotonicNanos() {
         long monotonicNanos = clock.monotonicNanos();
         long wallMs = clock.millis();
+        // A pause between the two readings would look like a suspension.
+        for (int i = 0; i < MAX_REPEATS; i++) {
+            long againNanos = clock.monotonicNanos();
+            if (againNanos - monotonicNanos <= MAX_READING_NANOS) {
+                break;
+            }
+            monotonicNanos = againNanos;
+            wallMs = clock.millis();
+        }
         long elapsedNanos = monotonicNanos - lastMonotonicNanos;
         long missingNanos = Duration.ofMillis(wallMs - lastWallMs).toNanos() - elapsedNanos;
         if (missingNanos > TOLERANCE_NANOS) {
--- a/basilswitch-core/src/test/java/org/basilswitch/time/SuspendAwareClockTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/time/SuspendAwareClockTest.java
@@ -21,12 +21,21 @@
     private static final class HostClock implements Clock {
         private Instant wall = Instant.parse("2026-02-21T03:20:25Z");
         private long monotonicNanos = 7_000_000_000L;
+        private long pauseMs;
 
         @Override
         public Instant instant() {
+            long ms = pauseMs;
+            pauseMs = 0;
+            advance(ms);
             return wall;
         }
 
+        /** Pauses the process, not the host, just before the next reading of the wall clock. */
+        void pauseBeforeNextWallReading(long ms) {
+            pauseMs = ms;
+        }
+
         @Override
         public long monotonicNanos() {
             return monotonicNanos;
@@ -91,6 +100,17 @@
         assertEquals(jumps, List.of(Duration.ofMillis(-6000)));
     }
 
+    /** Guards against taking a pause of the process between the readings of the two clocks for a suspension. */
+    @Test
+    public void pauseBetweenReadingsIsNoSuspension() {
+        hostClock.advance(100);
+        hostClock.pauseBeforeNextWallReading(500);
+        assertEquals(elapsedMs(), 600);
+        hostClock.advance(100);
+        assertEquals(elapsedMs(), 700);
+        assertEquals(jumps, List.of());
+    }
+
     @Test
     public void differencesWithinToleranceAreIgnored() {
         hostClock.moveWall(150);
