Keep a claim for its claim time whatever the holder's wall clock says

A non-idempotent request with an idempotency key could run twice within its claim time: the caller's second request was granted and sent while the first had run. It took a holder of the bucket whose wall clock was wrong, or was stepped, by more than what was left of the claim time and a minute, or a claim made on a clock more than a minute behind that was then set right. After a step the holder also deleted the records of claims that lasted, so that a later holder didn't know them either.

Cause: a claim ended by the holder's wall clock alone, a minute late. The claim may have been made by another host's.

Seen by ClaimClockTest on the code before, all five tests of a wrong clock, e.g. claimOutlastsStepOfHoldersWallClock: "3 s after the claim: Lists differ at element [0]: DUPLICATE != GRANTED expected [DUPLICATE] but found [GRANTED]"; the same at a successor 4 s after the claim (its clock ahead, or the earlier holder's behind), and 7 s after it when the holder had deleted the record.

A claim is now over only when the monotonic clock of its holder says so too. It counts the whole claim time from the claim, or from the reading of its record, so no wall clock can end a claim early. A key may stay claimed for one claim time more after its bucket has moved.

--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
@@ -119,8 +119,8 @@
                     "serves a claim bucket without loading its stored claims",
                     "AT_MOST_ONCE",
                     BUCKET,
-                    "table = ClaimTable.load(range.entries().stream()",
-                    "table = ClaimTable.load(range.entries().stream().limit(0)"),
+                    "groups = range.entries().stream()",
+                    "groups = range.entries().stream().limit(0)"),
             new Mutation(
                     "releases a claim that another request made for the same key",
                     "AT_MOST_ONCE",
--- a/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimBucket.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimBucket.java
@@ -152,9 +152,11 @@
     }
 
     private void startServing(PlatformStore.Range range) {
-        table = ClaimTable.load(range.entries().stream()
-                .map(entry -> ClaimGroup.decode(entry.key(), entry.value()))
-                .toList());
+        ClaimInstant now = ClaimInstant.of(clock);
+        List<ClaimGroup> groups = range.entries().stream()
+                .map(entry -> ClaimGroup.decode(entry.key(), entry.value(), now))
+                .toList();
+        table = ClaimTable.load(groups, table);
         state = State.SERVING;
         telemetry.event(EventCode.CLAIM_BUCKET_TAKEN, "bucket=" + bucket + " claims=" + table.size());
         resolveInFlightCommit();
@@ -193,8 +195,9 @@
             existing.get().addReply(correlation, reply);
             return;
         }
+        ClaimInstant now = ClaimInstant.of(clock);
         if (state == State.SERVING) {
-            Optional<Claim> committed = table.find(id, clock.millis());
+            Optional<Claim> committed = table.find(id, now);
             if (committed.isPresent()) {
                 boolean isRepeat = committed.get().correlation() == correlation;
                 reply.accept(isRepeat ? ClaimVerdict.GRANTED : ClaimVerdict.DUPLICATE);
@@ -205,8 +208,8 @@
             reply.accept(state == State.LOST ? ClaimVerdict.NOT_HOLDER : ClaimVerdict.UNAVAILABLE);
             return;
         }
-        Claim claim = new Claim(id, correlation, clock.millis() + claimTime.toMillis(), false);
-        pending.put(id, new PendingClaim(claim, clock.monotonicNanos(), reply));
+        Claim claim = Claim.starting(id, correlation, claimTime, now);
+        pending.put(id, new PendingClaim(claim, now.monotonicNanos(), reply));
         scheduleCommit();
     }
 
@@ -263,8 +266,9 @@
         pendingReleases.clear();
         batch.forEach(claim -> pending.remove(claim.claim().id()));
         List<ClaimGroup> mergeSources = table.groupsToMerge();
-        claims.addAll(table.mergeClaims(mergeSources, clock.millis()));
-        List<String> deletes = new ArrayList<>(table.expiredGroups(clock.millis()));
+        ClaimInstant now = ClaimInstant.of(clock);
+        claims.addAll(table.mergeClaims(mergeSources, now));
+        List<String> deletes = new ArrayList<>(table.endedGroups(now));
         mergeSources.stream()
                 .map(ClaimGroup::key)
                 .filter(key -> !deletes.contains(key))
@@ -274,8 +278,9 @@
 
     /** Answers pending claims whose id is already claimed in the groups that were read from the store. */
     private void answerAlreadyClaimed() {
+        ClaimInstant now = ClaimInstant.of(clock);
         for (PendingClaim claim : List.copyOf(pending.values())) {
-            Optional<Claim> committed = table.find(claim.claim().id(), clock.millis());
+            Optional<Claim> committed = table.find(claim.claim().id(), now);
             if (committed.isPresent()) {
                 pending.remove(claim.claim().id());
                 boolean isRepeat =
@@ -313,7 +318,7 @@
             telemetry.count(CounterCode.CLAIM_COMMITS, "committed");
             inFlight = Optional.empty();
             table.add(commit.group);
-            table.removeGroups(commit.deletes, clock.millis());
+            table.removeGroups(commit.deletes, ClaimInstant.of(clock));
             grantClaims(commit);
             scheduleCommit();
         } else if (result.isRight()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimTable.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/claim/ClaimTable.java
@@ -10,9 +10,6 @@
 
 /** A bucket's committed claims and the groups that contain them in the store. */
 final class ClaimTable {
-    /** Time for which a claim is kept after it expires, to allow for different wall clocks on two hosts. */
-    static final long EXPIRY_MARGIN_MS = 60_000;
-
     /** Number of small groups that are replaced by one group. */
     private static final int GROUPS_PER_MERGE = 64;
     /** Number of claims from which on a group is not merged any more. */
@@ -23,34 +20,34 @@
     private final Map<ClaimId, Claim> claims = new HashMap<>();
     private final Map<String, ClaimGroup> groups = new HashMap<>();
 
-    /** Creates a table of groups in any order; a tombstone applies to its claim in any of the groups. */
-    static ClaimTable load(List<ClaimGroup> groups) {
+    /**
+     * Creates a table of groups in any order; a tombstone applies to its claim in any of the groups. Groups that this
+     * host's earlier table contains keep the times at which their claims are over.
+     */
+    static ClaimTable load(List<ClaimGroup> groups, ClaimTable earlier) {
         ClaimTable table = new ClaimTable();
         Set<Long> released = new HashSet<>();
-        for (ClaimGroup group : groups) {
+        for (ClaimGroup read : groups) {
+            ClaimGroup group = earlier.groups.getOrDefault(read.key(), read);
             table.groups.put(group.key(), group);
             group.claims().stream().filter(Claim::released).forEach(claim -> released.add(claim.correlation()));
         }
-        for (ClaimGroup group : groups) {
+        for (ClaimGroup group : table.groups.values()) {
             group.claims().stream()
                     .filter(claim -> !released.contains(claim.correlation()))
-                    .forEach(claim -> table.claims.merge(claim.id(), claim, ClaimTable::laterExpiring));
+                    .forEach(claim -> table.claims.merge(claim.id(), claim, ClaimTable::laterClaim));
         }
         return table;
     }
 
-    private static Claim laterExpiring(Claim a, Claim b) {
-        return a.expiresMs() >= b.expiresMs() ? a : b;
-    }
-
-    /** Returns the unexpired claim of an id; empty when there is none. */
-    Optional<Claim> find(ClaimId id, long nowMs) {
-        Claim claim = claims.get(id);
-        return claim == null || expired(claim.expiresMs(), nowMs) ? Optional.empty() : Optional.of(claim);
+    /** Returns the later of two claims of an id by the wall clock, which may err; it is kept as long as either. */
+    private static Claim laterClaim(Claim a, Claim b) {
+        return a.expiresMs() >= b.expiresMs() ? a.keptAsLongAs(b) : b.keptAsLongAs(a);
     }
 
-    private static boolean expired(long expiresMs, long nowMs) {
-        return nowMs > expiresMs + EXPIRY_MARGIN_MS;
+    /** Returns the claim of an id; empty when there is none or it is over. */
+    Optional<Claim> find(ClaimId id, ClaimInstant now) {
+        return Optional.ofNullable(claims.get(id)).filter(claim -> !claim.isOver(now));
     }
 
     /** Adds a committed group. */
@@ -77,10 +74,10 @@
         return groups.containsKey(key);
     }
 
-    /** Returns keys of groups whose claims have all expired, up to the number that one commit deletes. */
-    List<String> expiredGroups(long nowMs) {
+    /** Returns keys of groups whose claims are all over, up to the number that one commit deletes. */
+    List<String> endedGroups(ClaimInstant now) {
         return groups.values().stream()
-                .filter(group -> expired(group.expiresMs(), nowMs))
+                .filter(group -> group.isOver(now))
                 .limit(MAX_GROUP_DELETES)
                 .map(ClaimGroup::key)
                 .toList();
@@ -95,8 +92,8 @@
         return small.size() < GROUPS_PER_MERGE ? List.of() : small;
     }
 
-    /** Returns the unexpired claims of some groups; a claim and its tombstone are both dropped if both are in them. */
-    List<Claim> mergeClaims(List<ClaimGroup> sources, long nowMs) {
+    /** Returns the lasting claims of some groups; a claim and its tombstone are both dropped if both are in them. */
+    List<Claim> mergeClaims(List<ClaimGroup> sources, ClaimInstant now) {
         Map<Long, Integer> kinds = new HashMap<>();
         List<Claim> kept = new ArrayList<>();
         for (ClaimGroup group : sources) {
@@ -106,17 +103,17 @@
         }
         for (ClaimGroup group : sources) {
             group.claims().stream()
-                    .filter(claim -> !expired(claim.expiresMs(), nowMs))
+                    .filter(claim -> !claim.isOver(now))
                     .filter(claim -> kinds.get(claim.correlation()) != (1 | 2))
                     .forEach(kept::add);
         }
         return kept;
     }
 
-    /** Removes groups that were deleted from the store, and all expired claims. */
-    void removeGroups(List<String> keys, long nowMs) {
+    /** Removes groups that were deleted from the store, and all claims that are over. */
+    void removeGroups(List<String> keys, ClaimInstant now) {
         keys.forEach(groups::remove);
-        claims.values().removeIf(claim -> expired(claim.expiresMs(), nowMs));
+        claims.values().removeIf(claim -> claim.isOver(now));
     }
 
     int size() {
