End a host's lease to serve by a clock that counts suspensions

A host whose machine was suspended went on as if its promises held: after it was resumed it started requests with keys withdrawn meanwhile, and on units that the others had taken back, until its next heartbeat was answered. What the callers would see: a withdrawn key that still works, a team above its limit.

Cause: the holder of promises counted them by System.nanoTime(), which stands still while a host is suspended (CLOCK_MONOTONIC); the granters' clocks went on.

Seen by PeerLeasesTest on the code before: suspensionEndsHeldPromises: "starts work PT9S after the promise expected [false] but found [true]"; answerFromBeforeSuspensionGivesNoPromise: "expected [false] but found [true]".

The holder now uses SuspendAwareClock, which adds forward jumps of the wall clock: a step that is no suspension ends its promises early, and the next heartbeat renews them. The granter keeps the plain monotonic clock, since it waits for another host's promise and must not judge early; stepOfWallClockEndsNoGivenPromise holds this and passed before too. A suspension that the wall clock doesn't show yet is still not seen.

The mutation "measures a promise from the arrival of its answer" names the holder's clock and breaks the same step. SteppedClock moves to the test package of the clocks.

--- a/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
+++ b/basilswitch-bench/src/test/java/org/basilswitch/bench/faults/Mutation.java
@@ -48,7 +48,7 @@
                     "CONFIGURATION_IN_FORCE",
                     LEASES,
                     "Math.max(peer.heldUntilNanos, sentNanos + times.holderNanos())",
-                    "clock.monotonicNanos() + times.holderNanos()"),
+                    "holderClock.monotonicNanos() + times.holderNanos()"),
             new Mutation(
                     "restarted process does not wait until its predecessor's promises expire",
                     "CONFIGURATION_IN_FORCE",
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -31,6 +31,7 @@
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.Clock;
 import org.basilswitch.time.Scheduler;
+import org.basilswitch.time.SuspendAwareClock;
 
 /** One entry host: its services connected to a store, peers, a clock and timers. All calls run on one event loop. */
 public final class EntryHost implements AutoCloseable {
@@ -92,6 +93,7 @@
         StoreKeys keys = new StoreKeys(options.site());
         MemberId self = options.self().id();
         ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
+        Clock holderClock = SuspendAwareClock.of(clock);
         Membership membership = Membership.create(
                 new Membership.MembershipOptions(
                         options.self(),
@@ -99,6 +101,7 @@
                         PromiseTimes.of(options.promiseTime(), options.clockDriftRatio()),
                         options.heartbeatInterval()),
                 clock,
+                holderClock,
                 scheduler,
                 store,
                 follower,
--- a/basilswitch-core/src/main/java/org/basilswitch/membership/Membership.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/membership/Membership.java
@@ -62,6 +62,7 @@
     private Membership(
             MembershipOptions options,
             Clock clock,
+            Clock holderClock,
             Scheduler scheduler,
             PlatformStore store,
             ConfigurationFollower follower,
@@ -74,7 +75,7 @@
         this.link = link;
         this.telemetry = telemetry;
         MemberId self = options.self.id();
-        this.leases = PeerLeases.create(self, options.times, clock, follower, this::view);
+        this.leases = PeerLeases.create(self, options.times, clock, holderClock, follower, this::view);
         this.inForceWaiters = new InForceWaiters(leases, this::view, scheduler);
         this.editor = new MembersEditor(options.self, options.keys, store, follower, leases, telemetry);
     }
@@ -89,16 +90,17 @@
      */
     public record MembershipOptions(Member self, StoreKeys keys, PromiseTimes times, Duration heartbeatInterval) {}
 
-    /** Creates a membership that is inactive until {@link #start}. */
+    /** Creates a membership that is inactive until {@link #start}; {@link PeerLeases#create} explains the two clocks. */
     public static Membership create(
             MembershipOptions options,
             Clock clock,
+            Clock holderClock,
             Scheduler scheduler,
             PlatformStore store,
             ConfigurationFollower follower,
             PeerLink link,
             Telemetry telemetry) {
-        return new Membership(options, clock, scheduler, store, follower, link, telemetry);
+        return new Membership(options, clock, holderClock, scheduler, store, follower, link, telemetry);
     }
 
     /** Starts joining and sending heartbeats. */
--- a/basilswitch-core/src/main/java/org/basilswitch/membership/PeerLeases.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/membership/PeerLeases.java
@@ -29,6 +29,9 @@
     private final MemberId self;
     private final PromiseTimes times;
     private final Clock clock;
+    /** Counts suspensions of this host, and ends held promises early after a step of the wall clock. */
+    private final Clock holderClock;
+
     private final ConfigurationFollower follower;
     private final Supplier<MembersRecord> members;
     private final Map<MemberId, Peer> peers = new HashMap<>();
@@ -40,24 +43,36 @@
             MemberId self,
             PromiseTimes times,
             Clock clock,
+            Clock holderClock,
             ConfigurationFollower follower,
             Supplier<MembersRecord> members) {
         this.self = self;
         this.times = times;
         this.clock = clock;
+        this.holderClock = holderClock;
         this.follower = follower;
         this.members = members;
         this.suspendedUntilNanos = clock.monotonicNanos();
     }
 
-    /** Creates the leases of a host that has neither given nor received a promise. */
+    /**
+     * Creates the leases of a host that has neither given nor received a promise.
+     *
+     * @param self this host
+     * @param times durations of a promise at its holder and its granter
+     * @param clock measures the promises that this host gives; must not run ahead of real time
+     * @param holderClock measures the promises that this host holds; must not fall behind real time
+     * @param follower this host's view of the configuration
+     * @param members the members record in this view
+     */
     public static PeerLeases create(
             MemberId self,
             PromiseTimes times,
             Clock clock,
+            Clock holderClock,
             ConfigurationFollower follower,
             Supplier<MembersRecord> members) {
-        return new PeerLeases(self, times, clock, follower, members);
+        return new PeerLeases(self, times, clock, holderClock, follower, members);
     }
 
     /** Stops granting and acknowledging until the promises of the earlier incarnation at this address have lapsed. */
@@ -69,8 +84,9 @@
     public Heartbeat createHeartbeat(MemberId to, List<TeamUsage> usages) {
         Peer peer = peers.computeIfAbsent(to, id -> new Peer());
         long sequence = nextSequence++;
-        peer.sentNanos.put(sequence, clock.monotonicNanos());
-        peer.sentNanos.values().removeIf(sent -> clock.monotonicNanos() - sent > times.holderNanos());
+        long now = holderClock.monotonicNanos();
+        peer.sentNanos.put(sequence, now);
+        peer.sentNanos.values().removeIf(sent -> now - sent > times.holderNanos());
         return new Heartbeat(sequence, follower.revision(), follower.knownRevision(), acknowledgedRevision(), usages);
     }
 
@@ -191,7 +207,7 @@
         if (size < view.majority()) {
             return 0;
         }
-        long now = clock.monotonicNanos();
+        long now = holderClock.monotonicNanos();
         long[] remainingNanos = new long[size];
         for (int i = 0; i < size; i++) {
             MemberId id = view.members().get(i).id();
--- a/basilswitch-core/src/test/java/org/basilswitch/claim/ClaimClockTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/claim/ClaimClockTest.java
@@ -12,6 +12,7 @@
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.StoreKeys;
 import org.basilswitch.time.SimulatedTime;
+import org.basilswitch.time.SteppedClock;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
