Don't send a request whose deadline passed while the host was suspended

A non-idempotent request with an idempotency key could run twice: an entry host claimed it and was suspended before sending it, for longer than the claim time and a minute. The caller's second request was claimed and run through another host. After the resumption the first host still had time left by its own clock, and sent the first.

Cause: the sender judged its deadline, which is never longer than its claim, by System.nanoTime(), which stands still while a host is suspended.

Seen by BrokerTest.requestIsNotSentAfterSuspensionBeyondDeadline on the code before: "sent 15 min after its claim expected [false] but found [true]".

The last check before the first byte now also asks SuspendAwareClock, and refuses as not run. All else, above all the time after which the unit of a sent request is given back, stays on the plain clock, as it waits for a server that may still run the request (unitOfSentRequestOutlastsStepOfWallClock; it passed before too). The price: after a forward step of the wall clock, requests that are not sent yet and had less time left than the step are refused as not run.

--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualEntryHost.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/workload/VirtualEntryHost.java
@@ -53,6 +53,7 @@
                 variant.placement(),
                 fleet.time(),
                 fleet.time(),
+                fleet.time(),
                 random,
                 fleet.counters()));
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/AttemptRunner.java
@@ -156,7 +156,8 @@
         if (!context.servingLease().mayStartWork()) {
             return Either.left(Refusal.Code.STALE);
         }
-        if (remaining(request).isZero()) {
+        boolean maySend = request.maySendAt(context.holderClock().monotonicNanos());
+        if (!maySend || remaining(request).isZero()) {
             return Either.left(Refusal.Code.DEADLINE);
         }
         if (request.cancelled()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/Broker.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/Broker.java
@@ -48,7 +48,8 @@
                 spec,
                 KeyAuthenticator.hash(spec.keySecret()),
                 observer,
-                context.clock().monotonicNanos());
+                context.clock().monotonicNanos(),
+                context.holderClock().monotonicNanos());
         requestCompleter.countOpened();
         boolean drainingAtSubmit = draining;
         context.scheduler().schedule(Duration.ZERO, () -> admit(request, drainingAtSubmit));
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/BrokerContext.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/BrokerContext.java
@@ -30,7 +30,8 @@
  * @param backgroundPreemptor frees capacity for urgent requests
  * @param sharePolicy order in which waiting requests of different teams start
  * @param placementPolicy choice of the backend server
- * @param clock clock
+ * @param clock measures what the servers do with this host's requests; must not run ahead of real time
+ * @param holderClock measures how long requests may be sent; must not fall behind real time
  * @param scheduler timers of the event loop
  * @param random random number generator
  * @param telemetry log events and counters
@@ -48,6 +49,7 @@
         SharePolicy sharePolicy,
         PlacementPolicy placementPolicy,
         Clock clock,
+        Clock holderClock,
         Scheduler scheduler,
         UniformRandomProvider random,
         Telemetry telemetry) {}
--- a/basilswitch-core/src/main/java/org/basilswitch/dispatch/Request.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/dispatch/Request.java
@@ -16,10 +16,12 @@
     private final Optional<String> keyHash;
     private final RequestBroker.RequestObserver observer;
     private final long arrivedNanos;
+    private final long arrivedHolderNanos;
     private State state = State.ARRIVED;
     private Queue queue;
     private String team;
     private long deadlineNanos;
+    private long sendUntilNanos;
     private Optional<Scheduler.Timer> expiryTimer = Optional.empty();
     private final Set<String> failedServers = new HashSet<>();
     private final Set<String> serversThatMayHaveRun = new HashSet<>();
@@ -34,12 +36,14 @@
             RequestSpec spec,
             Optional<String> keyHash,
             RequestBroker.RequestObserver observer,
-            long arrivedNanos) {
+            long arrivedNanos,
+            long arrivedHolderNanos) {
         this.id = id;
         this.spec = spec;
         this.keyHash = keyHash;
         this.observer = observer;
         this.arrivedNanos = arrivedNanos;
+        this.arrivedHolderNanos = arrivedHolderNanos;
     }
 
     /** Sets queue, team and deadline after the request's key has been checked. */
@@ -48,6 +52,7 @@
         team = acceptedTeam;
         Duration deadline = spec.deadline().orElse(Duration.ofMillis(acceptedQueue.deadlineMs()));
         deadlineNanos = arrivedNanos + deadline.toNanos();
+        sendUntilNanos = arrivedHolderNanos + deadline.toNanos();
     }
 
     String id() {
@@ -96,6 +101,14 @@
         return state == State.ENDED;
     }
 
+    /**
+     * Returns whether the request may be sent, by the clock that counts suspensions of this host. After its deadline its
+     * claim may be over, and another host may have run a repetition of it.
+     */
+    boolean maySendAt(long holderNanos) {
+        return holderNanos - sendUntilNanos < 0;
+    }
+
     Duration remaining(long nowNanos) {
         return Duration.ofNanos(Math.max(0, deadlineNanos - nowNanos));
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -134,6 +134,7 @@
                 new SharePolicy.Weighted(),
                 PlacementPolicy.defaultPolicy(),
                 clock,
+                holderClock,
                 scheduler,
                 random,
                 telemetry));
--- a/basilswitch-core/src/test/java/org/basilswitch/dispatch/BrokerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/BrokerTest.java
@@ -69,6 +69,37 @@
         assertEquals(site.unitsHeld(), 0);
     }
 
+    /**
+     * A request is not sent when its deadline has passed while the host was suspended: its claim may be over, and another
+     * host may have run the caller's second request with the same id.
+     */
+    @Test
+    public void requestIsNotSentAfterSuspensionBeyondDeadline() {
+        DispatchTestSite site = DispatchTestSite.create(1, 1);
+        TestCaller caller = site.submit(DispatchTestSite.withId(DispatchTestSite.NON_IDEMPOTENT_QUEUE, "a", "id-1"));
+        site.run(20);
+        Attempt claimed = caller.lastAttempt();
+        site.clock.setWallOffset(Duration.ofMinutes(15));
+        assertFalse(claimed.tryBeginSend(), "sent 15 min after its claim");
+        assertEquals(refusalOf(site, caller).outcome(), Outcome.NOT_RUN);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
+    /** A step of the wall clock does not give back the unit of a sent request, which may still run, before its deadline. */
+    @Test
+    public void unitOfSentRequestOutlastsStepOfWallClock() {
+        DispatchTestSite site = DispatchTestSite.create(1, 1);
+        TestCaller caller = site.submit(DispatchTestSite.NON_IDEMPOTENT_QUEUE, "a");
+        site.run(1);
+        assertTrue(caller.lastAttempt().tryBeginSend());
+        site.clock.setWallOffset(Duration.ofMinutes(15));
+        caller.lastAttempt().fail(Attempt.Failure.RESET);
+        site.run(5_000);
+        assertEquals(site.unitsHeld(), 1);
+        site.run(6_000);
+        assertEquals(site.unitsHeld(), 0);
+    }
+
     /** A non-idempotent request is not retried after its first byte may have been sent. */
     @Test
     public void sentNonIdempotentRequestIsNotRetried() {
--- a/basilswitch-core/src/test/java/org/basilswitch/dispatch/DispatchTestSite.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/dispatch/DispatchTestSite.java
@@ -33,6 +33,8 @@
 import org.basilswitch.placement.LiveHosts;
 import org.basilswitch.placement.PlacementPolicy;
 import org.basilswitch.time.SimulatedTime;
+import org.basilswitch.time.SteppedClock;
+import org.basilswitch.time.SuspendAwareClock;
 
 /** Runs one broker on simulated time with configurable fakes of its dependencies. */
 final class DispatchTestSite implements TeamLimits, RequestClaims, ServingLease, Telemetry {
@@ -42,6 +44,7 @@
     static final String POOL = "pool";
 
     final SimulatedTime time = SimulatedTime.create();
+    final SteppedClock clock = new SteppedClock(time, Duration.ZERO);
     final Member self = new Member(new MemberId("e1"), "e1", "127.0.0.1:1", "z1");
     final Map<String, ConfigurationRecord> records = new HashMap<>();
     final Map<String, Integer> counts = new HashMap<>();
@@ -96,7 +99,8 @@
                 (pool, requests) -> site.preemptedPools.add(pool),
                 new SharePolicy.Weighted(),
                 placementPolicy,
-                site.time,
+                site.clock,
+                SuspendAwareClock.of(site.clock),
                 site.time,
                 random,
                 site));
