Reboot a drained host only on a report that is new by the controller's own clock

A wave rebooted a host under a running request when the host's wall clock was more than half a second ahead (or the controller's behind). The caller of that request would be told "unknown"; no request runs twice by it.

Cause: a report of nothing running counted when its wall time at the host was half a second later than the wall time at the controller at which the drain came into force. With a host 6 s ahead, a report from before the drain passed.

Seen by DrainReportClockTest.hostAheadIsRebootedAfterItsLastRequest on the code before: "requests cut by the reboot expected [0] but found [1]".

Now the report also has to be asked for 2 s or more after the drain came into force, by the controller's monotonic clock: a report is not older than that when it is read (0.4 s at the stand-in worker, 0.5 s in the simulated fleet), so it was measured after the last request could start. The wall times are compared as before, so that an older report passes neither. A new controller counts anew. A host is drained for up to about a second longer.

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/FleetOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/FleetOptions.java
@@ -11,7 +11,8 @@
  * @param rebootRetryInterval interval between two reboot calls for a host that has not rebooted yet
  * @param returnTimeout upper limit of the time after which a rebooting host is marked faulty
  * @param faultyReturnRatio multiple of the observed reboot time after which a rebooting host is marked faulty
- * @param clockSkew largest difference between the wall clocks of two hosts
+ * @param clockSkew usual difference between the wall clocks of two hosts; safety does not depend on it alone
+ * @param maxReportAge bound on the age of a host's usage report when it is read
  * @param missingListsThreshold consecutive live-host lists without a host after which it is probed as down
  * @param healthyProbes consecutive healthy probes after which a returning host becomes active
  * @param lending policy for lending hosts of the spare pool
@@ -25,6 +26,7 @@
         Duration returnTimeout,
         double faultyReturnRatio,
         Duration clockSkew,
+        Duration maxReportAge,
         int missingListsThreshold,
         int healthyProbes,
         LendingPolicy lending,
@@ -40,6 +42,7 @@
                 Duration.ofMinutes(10),
                 2.0,
                 Duration.ofMillis(500),
+                Duration.ofSeconds(2),
                 3,
                 2,
                 LendingPolicy.defaultPolicy(),
@@ -56,6 +59,7 @@
                 returnTimeout,
                 faultyReturnRatio,
                 clockSkew,
+                maxReportAge,
                 missingListsThreshold,
                 healthyProbes,
                 policy,
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLifecycleController.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/HostLifecycleController.java
@@ -102,6 +102,7 @@
         if (trackedHost.inForceAt.isEmpty()) {
             if (context.gate().isInForce(trackedHost.recordRevision)) {
                 trackedHost.inForceAt = Optional.of(context.clock().instant());
+                trackedHost.inForceNanos = context.clock().monotonicNanos();
             }
             return;
         }
@@ -110,8 +111,13 @@
         }
         Instant reportValidAfter =
                 trackedHost.inForceAt.get().plus(context.options().clockSkew());
+        // The host's wall clock may be ahead. A report that is asked for after the bound on its age is newer than the
+        // drain.
+        boolean asksLateEnough = context.clock().monotonicNanos() - trackedHost.inForceNanos
+                >= context.options().maxReportAge().toNanos();
         probe(host, usage -> {
-            if (usage.measuredAt().isAfter(reportValidAfter) && usage.runningTasks() == 0) {
+            boolean newer = asksLateEnough && usage.measuredAt().isAfter(reportValidAfter);
+            if (newer && usage.runningTasks() == 0) {
                 onDrained(host, trackedHost, usage);
             }
         });
@@ -283,6 +289,7 @@
         private final HostProgress progress;
         private final long recordRevision;
         private Optional<Instant> inForceAt = Optional.empty();
+        private long inForceNanos;
         private long nextRebootNanos = Long.MIN_VALUE;
         private int healthyProbes;
 
