Stop a stand-in worker's task whose lease passed during a suspension

A task went on beyond its lease after the worker's machine had been suspended, while the scheduler could have started it elsewhere: two runs at the same time.

Cause: the lease was judged at its holder by a clock that stands still during a suspension.

Seen by TaskTableTest.suspensionBeyondLeaseStopsTask on the code before: "expected [LEASE_LAPSED] but found [RUNNING]".

The lease is now judged by SuspendAwareClock. Progress and the age of reports stay on the plain clock.

--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/TaskTable.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/worker/TaskTable.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 
 import org.basilswitch.time.Clock;
+import org.basilswitch.time.SuspendAwareClock;
 
 /**
  * Tasks that run on a worker under leases. Each task progresses at its throttled speed, saves its progress at a
@@ -21,12 +22,16 @@
     private static final Duration REPORT_LAG = Duration.ofSeconds(3);
 
     private final Clock clock;
+    /** Counts suspensions of the host, during which the leases go on. */
+    private final Clock leaseClock;
+
     private final Map<String, Task> tasks = new TreeMap<>();
     private final Deque<TimedUsage> history = new ArrayDeque<>();
     private long lastTickNanos;
 
     private TaskTable(Clock clock) {
         this.clock = clock;
+        this.leaseClock = SuspendAwareClock.of(clock);
         this.lastTickNanos = clock.monotonicNanos();
     }
 
@@ -116,7 +121,7 @@
     }
 
     private long leaseEnd(TaskSpec spec) {
-        return clock.monotonicNanos() + Duration.ofMillis(spec.leaseMs()).toNanos();
+        return leaseClock.monotonicNanos() + Duration.ofMillis(spec.leaseMs()).toNanos();
     }
 
     /** Returns the task with an identifier; empty if there is none. */
@@ -187,18 +192,19 @@
     /** Advances the running tasks to the current time and records their usage. */
     public void tick() {
         long nowNanos = clock.monotonicNanos();
+        long leaseNanos = leaseClock.monotonicNanos();
         double elapsedMs =
                 (double) (nowNanos - lastTickNanos) / Duration.ofMillis(1).toNanos();
         lastTickNanos = nowNanos;
-        tasks.replaceAll((id, task) -> task.phase() == Phase.RUNNING ? advance(task, nowNanos, elapsedMs) : task);
+        tasks.replaceAll((id, task) -> task.phase() == Phase.RUNNING ? advance(task, leaseNanos, elapsedMs) : task);
         history.addLast(new TimedUsage(nowNanos, measureUsage()));
         while (history.size() > 1 && nowNanos - history.peekFirst().takenNanos() > REPORT_LAG.toNanos()) {
             history.removeFirst();
         }
     }
 
-    private static Task advance(Task task, long nowNanos, double elapsedMs) {
-        if (nowNanos - task.leaseEndNanos() > 0) {
+    private static Task advance(Task task, long leaseNanos, double elapsedMs) {
+        if (leaseNanos - task.leaseEndNanos() > 0) {
             return task.withPhase(Phase.LEASE_LAPSED);
         }
         Task worked = task.withProgress(task.progressMs() + elapsedMs * task.speedRatio());
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/TaskTableTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/worker/TaskTableTest.java
@@ -1,10 +1,12 @@
 package org.basilswitch.standin.worker;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 
 import org.basilswitch.standin.worker.TaskTable.Phase;
 import org.basilswitch.standin.worker.TaskTable.TaskSpec;
+import org.basilswitch.time.Clock;
 import org.basilswitch.time.SimulatedTime;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -53,6 +55,29 @@
         assertEquals(phase("slow"), Phase.COMPLETED);
     }
 
+    /** After a suspension, during which only the wall clock advanced, a task whose lease has passed does not go on. */
+    @Test
+    public void suspensionBeyondLeaseStopsTask() {
+        Duration[] wallOffset = {Duration.ZERO};
+        Clock host = new Clock() {
+            @Override
+            public Instant instant() {
+                return time.instant().plus(wallOffset[0]);
+            }
+
+            @Override
+            public long monotonicNanos() {
+                return time.monotonicNanos();
+            }
+        };
+        tasks = TaskTable.create(host);
+        tasks.start(spec("suspended", 0, 4000, 0));
+        advance(Duration.ofSeconds(1));
+        wallOffset[0] = Duration.ofSeconds(9);
+        advance(TaskTable.TICK);
+        assertEquals(phase("suspended"), Phase.LEASE_LAPSED);
+    }
+
     /** A task whose lease is not renewed is stopped for good; a renewed task continues. */
     @Test
     public void expiredLeaseStopsTask() {
