Report clock jumps of both programs in one place

The request path's host logs jumps of its wall clock as the job service does (CLOCK_JUMPED, counter of jumps); a clock without an observer serves the stand-in worker.

--- a/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/entry/EntryHost.java
@@ -15,6 +15,7 @@
 import org.basilswitch.dispatch.Broker;
 import org.basilswitch.dispatch.BrokerContext;
 import org.basilswitch.dispatch.RequestBroker;
+import org.basilswitch.event.ClockJumps;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.limit.AllotmentService;
 import org.basilswitch.limit.TeamLimits;
@@ -93,7 +94,7 @@
         StoreKeys keys = new StoreKeys(options.site());
         MemberId self = options.self().id();
         ConfigurationFollower follower = ConfigurationFollower.create(keys, store, scheduler, telemetry);
-        Clock holderClock = SuspendAwareClock.of(clock);
+        Clock holderClock = SuspendAwareClock.of(clock, ClockJumps.reportTo(telemetry));
         Membership membership = Membership.create(
                 new Membership.MembershipOptions(
                         options.self(),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
-import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.ClockJumps;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.fleet.LeaderElector;
@@ -76,7 +76,7 @@
 
     private JobNode(Dependencies dependencies) {
         this.dependencies = dependencies;
-        this.clock = SuspendAwareClock.of(dependencies.clock(), this::onClockJump);
+        this.clock = SuspendAwareClock.of(dependencies.clock(), ClockJumps.reportTo(dependencies.telemetry()));
         this.configurationFollower = JobConfigurationFollower.start(
                 dependencies.store(),
                 dependencies.configurationKey(),
@@ -113,12 +113,6 @@
         return node;
     }
 
-    private void onClockJump(Duration jump) {
-        Telemetry telemetry = dependencies.telemetry();
-        telemetry.count(CounterCode.CLOCK_JUMPS, jump.isNegative() ? "backward" : "forward");
-        telemetry.event(EventCode.CLOCK_JUMPED, "jumpMs=" + jump.toMillis());
-    }
-
     private void onLeadershipChange() {
         scheduler.ifPresent(JobScheduler::close);
         scheduler = Optional.empty();
--- a/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/time/SuspendAwareClock.java
@@ -46,6 +46,11 @@
     }
 
     /** Creates a clock that corrects another clock, whose monotonic time may exclude suspensions. */
+    public static SuspendAwareClock of(Clock clock) {
+        return of(clock, jump -> {});
+    }
+
+    /** Creates a clock that also reports jumps of the wall clock. */
     public static SuspendAwareClock of(Clock clock, JumpObserver jumpObserver) {
         return new SuspendAwareClock(clock, jumpObserver);
     }
