Don't average a reboot that ended before its start

After one such reboot a pool's controller could mark every rebooting host faulty at its first look, so that waves lose hosts to repair and may halt. The start is a wall time in the record, perhaps of an earlier controller whose clock was ahead; the end is of this one.

Cause: the negative time went into the moving average, which made the timeout negative.

Seen by RebootTimesTest on the code before: "expected [600000] but found [-960000]" (ms).

Times that are not positive are now left out. A wrong positive time is bounded by the longest timeout as before.

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/RebootTimes.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/RebootTimes.java
@@ -11,7 +11,11 @@
         this.options = options;
     }
 
+    /** Adds a reboot's time; ignored unless positive, since its start may be from the wall clock of another host. */
     void add(long rebootMs) {
+        if (rebootMs <= 0) {
+            return;
+        }
         smoothedMs = smoothedMs == 0 ? rebootMs : smoothedMs + NEW_SAMPLE_WEIGHT * (rebootMs - smoothedMs);
     }
 
