Go on with a periodic read after one of its calls threw

Operators saw a host that no longer followed the list of backend servers: work went to no server that was added later, and nothing in the log told why after the first line.

Cause: LiveServers, JobConfigurationFollower, JobDirectory, LeaseRenewer, HostOperations, WaveCoordinator and TicketCache scheduled the next call, or reset their "call in progress" mark, in the action on the result. When the call, its stage or the action threw, neither happened, so that one exception ended the reads for good. Completions logged the exception at most, and nothing at all when the call itself threw.

Completions.thenAcceptOrLog has a second form, which also catches what the call itself throws and runs an action after each logged failure. The periodic callers schedule their next call there.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobConfigurationFollower.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobConfigurationFollower.java
@@ -105,17 +105,28 @@
         long requestedAtNanos = clock.monotonicNanos();
         boolean conditional =
                 snapshot.isPresent() && recordBytes >= CONDITIONAL_READ_MIN_BYTES && !conditionalReadFailed;
-        CompletionStage<Either<StoreError, Optional<PlatformStore.Entry>>> read =
-                conditional ? readIfChanged() : store.get(key);
-        Completions.thenAcceptOrLog(read, telemetry, "configuration", result -> {
-            reading = false;
-            conditionalReadFailed = conditional && result.isLeft();
-            result.peek(entry -> onEntry(entry, requestedAtNanos)).peekLeft(error -> onFailure(error.detail()));
-            completing.forEach(done -> done.complete(null));
-            if (!pendingRefreshes.isEmpty() && !reading) {
-                read();
-            }
-        });
+        Completions.thenAcceptOrLog(
+                () -> conditional ? readIfChanged() : store.get(key),
+                telemetry,
+                "configuration",
+                result -> {
+                    conditionalReadFailed = conditional && result.isLeft();
+                    result.peek(entry -> onEntry(entry, requestedAtNanos)).peekLeft(error -> onFailure(error.detail()));
+                    complete(completing);
+                },
+                () -> {
+                    conditionalReadFailed = conditional;
+                    onFailure("reading the configuration failed with an exception");
+                    complete(completing);
+                });
+    }
+
+    private void complete(List<CompletableFuture<Void>> completing) {
+        reading = false;
+        completing.forEach(done -> done.complete(null));
+        if (!pendingRefreshes.isEmpty() && !reading) {
+            read();
+        }
     }
 
     /**
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -69,17 +69,24 @@
         if (closed) {
             return;
         }
-        Completions.thenAcceptOrLog(store.range(keys.jobs()), telemetry, "job directory", result -> {
-            if (result.isLeft()) {
-                telemetry.event(EventCode.JOBS_READ_FAILED, result.getLeft().detail());
-                scheduler.schedule(RETRY_DELAY, this::load);
-                return;
-            }
-            replaceAll(result.get().entries());
-            if (!closed) {
-                watch = Optional.of(store.watch(keys.jobs(), result.get().revision() + 1, this));
-            }
-        });
+        Completions.thenAcceptOrLog(
+                () -> store.range(keys.jobs()),
+                telemetry,
+                "job directory",
+                result -> {
+                    if (result.isLeft()) {
+                        telemetry.event(
+                                EventCode.JOBS_READ_FAILED, result.getLeft().detail());
+                        scheduler.schedule(RETRY_DELAY, this::load);
+                        return;
+                    }
+                    replaceAll(result.get().entries());
+                    if (!closed) {
+                        watch = Optional.of(
+                                store.watch(keys.jobs(), result.get().revision() + 1, this));
+                    }
+                },
+                () -> scheduler.schedule(RETRY_DELAY, this::load));
     }
 
     private void replaceAll(List<PlatformStore.Entry> entries) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
@@ -89,10 +89,15 @@
         }
         listing = true;
         listRequestedNanos = nowNanos;
-        Completions.thenAcceptOrLog(context.hostControl().listHosts(), context.telemetry(), "list of hosts", result -> {
-            listing = false;
-            result.ifPresent(list -> onList(nowNanos, list));
-        });
+        Completions.thenAcceptOrLog(
+                () -> context.hostControl().listHosts(),
+                context.telemetry(),
+                "list of hosts",
+                result -> {
+                    listing = false;
+                    result.ifPresent(list -> onList(nowNanos, list));
+                },
+                () -> listing = false);
     }
 
     private void onList(long requestedNanos, List<HostControl.PlatformHost> list) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -109,10 +109,20 @@
         ServerCommands.LeaseRenewal command = new ServerCommands.LeaseRenewal(
                 leaseEnd, tracked.lastStoredEnd(), lastCallUnanswered ? Duration.ZERO : wait);
         Completions.thenAcceptOrLog(
-                serverCommands.renewLease(server, fencingToken, command),
+                () -> serverCommands.renewLease(server, fencingToken, command),
                 telemetry,
                 "hold",
-                result -> onResult(sentNanos, command, result));
+                result -> onResult(sentNanos, command, result),
+                this::onFailure);
+    }
+
+    private void onFailure() {
+        calling = false;
+        lastCallUnanswered = true;
+        if (!closed && !tracked.isEnded()) {
+            timer.ifPresent(Scheduler.Timer::cancel);
+            timer = Optional.of(scheduler.schedule(RETRY_INTERVAL, this::send));
+        }
     }
 
     private void onResult(long sentNanos, ServerCommands.LeaseRenewal command, ServerCommands.RenewalResult result) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LiveServers.java
@@ -90,10 +90,15 @@
             return;
         }
         long requestedNanos = clock.monotonicNanos();
-        Completions.thenAcceptOrLog(list.read(), telemetry, "list of live servers", result -> {
-            onResult(requestedNanos, result);
-            scheduler.schedule(result.isRight() ? READ_INTERVAL : RETRY_INTERVAL, this::read);
-        });
+        Completions.thenAcceptOrLog(
+                list::read,
+                telemetry,
+                "list of live servers",
+                result -> {
+                    onResult(requestedNanos, result);
+                    scheduler.schedule(result.isRight() ? READ_INTERVAL : RETRY_INTERVAL, this::read);
+                },
+                () -> scheduler.schedule(RETRY_INTERVAL, this::read));
     }
 
     private void onResult(long requestedNanos, Either<StoreError, List<BackendServer>> result) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -63,7 +63,10 @@
                 .toList();
         requestedSteps.add(step);
         Completions.thenAcceptOrLog(
-                context.adviceService().requestTickets(step, ids), context.telemetry(), "advice", answer -> {
+                () -> context.adviceService().requestTickets(step, ids),
+                context.telemetry(),
+                "advice",
+                answer -> {
                     requestedSteps.remove(step);
                     long answeredNanos = context.clock().monotonicNanos();
                     if (answer.isPresent()) {
@@ -74,6 +77,11 @@
                         pausedUntilNanos.put(step, answeredNanos + RETRY_DELAY.toNanos());
                     }
                     onTicketsChanged.run();
+                },
+                () -> {
+                    requestedSteps.remove(step);
+                    pausedUntilNanos.put(step, context.clock().monotonicNanos() + RETRY_DELAY.toNanos());
+                    onTicketsChanged.run();
                 });
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
@@ -97,10 +97,15 @@
         }
         reading = true;
         readNanos = nowNanos;
-        Completions.thenAcceptOrLog(context.waveStore().readWaves(), context.telemetry(), "waves", result -> {
-            reading = false;
-            result.peek(list -> list.forEach(request -> onRequest(request, nowNanos)));
-        });
+        Completions.thenAcceptOrLog(
+                () -> context.waveStore().readWaves(),
+                context.telemetry(),
+                "waves",
+                result -> {
+                    reading = false;
+                    result.peek(list -> list.forEach(request -> onRequest(request, nowNanos)));
+                },
+                () -> reading = false);
     }
 
     private void onRequest(WaveStore.WaveRequest request, long nowNanos) {
@@ -125,16 +130,21 @@
 
     private void readProgress(Wave wave) {
         String key = context.keys().waveProgress(wave.request.number());
-        Completions.thenAcceptOrLog(context.store().get(key), context.telemetry(), "progress of a wave", result -> {
-            if (result.isLeft()) {
-                context.timers().schedule(READ_INTERVAL, () -> readProgress(wave));
-                return;
-            }
-            result.get()
-                    .flatMap(entry -> RecordCodec.decode(entry.value(), WaveProgress.class))
-                    .ifPresent(progress -> wave.done.addAll(progress.done()));
-            wave.progressRead = true;
-        });
+        Completions.thenAcceptOrLog(
+                () -> context.store().get(key),
+                context.telemetry(),
+                "progress of a wave",
+                result -> {
+                    if (result.isLeft()) {
+                        context.timers().schedule(READ_INTERVAL, () -> readProgress(wave));
+                        return;
+                    }
+                    result.get()
+                            .flatMap(entry -> RecordCodec.decode(entry.value(), WaveProgress.class))
+                            .ifPresent(progress -> wave.done.addAll(progress.done()));
+                    wave.progressRead = true;
+                },
+                () -> context.timers().schedule(READ_INTERVAL, () -> readProgress(wave)));
     }
 
     private void advance(Wave wave) {
@@ -249,7 +259,10 @@
         Transaction transaction =
                 context.waveStore().writeState(builder, wave.request, completed).build();
         Completions.thenAcceptOrLog(
-                context.store().commit(transaction), context.telemetry(), "state of a wave", result -> {
+                () -> context.store().commit(transaction),
+                context.telemetry(),
+                "state of a wave",
+                result -> {
                     wave.writing = false;
                     boolean written = result.isRight() && result.get() instanceof CommitResult.Committed;
                     if (!written) {
@@ -259,6 +272,10 @@
                         context.telemetry()
                                 .event(EventCode.WAVE_COMPLETED, "wave=" + wave.request.number() + " tookMs=" + tookMs);
                     }
+                },
+                () -> {
+                    wave.writing = false;
+                    wave.dirty = true;
                 });
     }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
@@ -71,6 +71,30 @@
         assertEquals(reads.get(), 1, "the conditional read returns the changed record");
     }
 
+    /** An exception of the decoder must end neither the reads nor the refreshes that wait for one. */
+    @Test
+    public void recordIsFollowedAfterFailureOfDecoder() {
+        SimulatedTime clock = SimulatedTime.create();
+        MemoryStore memory = MemoryStore.create(clock, clock);
+        AtomicInteger decoded = new AtomicInteger();
+        memory.commit(Transaction.builder().put("config", new byte[] {1}).build());
+        JobConfigurationFollower follower = JobConfigurationFollower.start(
+                MemoryStoreClient.create(memory, clock, RandomSource.SPLIT_MIX_64.create(1)),
+                "config",
+                bytes -> {
+                    if (decoded.getAndIncrement() == 0) {
+                        throw new IllegalStateException("odd configuration");
+                    }
+                    return Optional.of(JobConfiguration.of(7, List.of(), List.of(), List.of(), 1, 1));
+                },
+                clock,
+                clock,
+                Telemetry.none());
+        clock.runFor(Duration.ofSeconds(5));
+        assertEquals(follower.snapshot().map(view -> view.configuration().version()), Optional.of(7L));
+        assertTrue(follower.confirmedWithin(Duration.ofSeconds(1)));
+    }
+
     @Test
     public void smallRecordIsReadAtEachInterval() {
         reads.set(0);
