Show a start that the next incarnation answers and that is taken for lost

A failing test of the review; the product is not changed. A server restarts under its identifier just before a start reaches it. The start's answer does not name the incarnation, so the run counts as RUNNING on the ended one, and endIncarnation drops it while it is in progress.

--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -0,0 +1,66 @@
+package org.basilswitch.standin.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.basilswitch.job.ItemId;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Faults that a review of the work on the incident TWICE has found; the product is not changed. */
+final class ReviewFindingsTest {
+    private static final int SHOWN_EVENTS = 30;
+
+    private static JobFleet fleet(int nodes, int servers) {
+        JobFleet fleet = new JobFleet();
+        fleet.addServers(servers);
+        for (int i = 0; i < nodes; i++) {
+            fleet.addNode();
+        }
+        fleet.runFor(2000);
+        return fleet;
+    }
+
+    private static String lastEvents(JobFleet fleet) {
+        List<String> events = fleet.events.stream()
+                .filter(event -> !event.contains(" count "))
+                .toList();
+        return events.stream().skip(Math.max(0, events.size() - SHOWN_EVENTS)).collect(Collectors.joining("\n"));
+    }
+
+    private static String serverOf(JobFleet fleet, ItemId item) {
+        for (int i = 0; fleet.model.server("s" + i) != null; i++) {
+            if (fleet.model.server("s" + i).isRunning(item)) {
+                return "s" + i;
+            }
+        }
+        throw new AssertionError(item + " does not run\n" + lastEvents(fleet));
+    }
+
+    /**
+     * Guards against two runs where a server restarts under its identifier just before a start reaches it. The answer
+     * to a start does not name the incarnation, so that the run is taken for one of the ended incarnation.
+     */
+    @Test
+    public void startAnsweredByNextIncarnationIsNotLost() {
+        List<String> faults = new ArrayList<>();
+        for (int beforeMs = 0; beforeMs <= 60; beforeMs += 5) {
+            JobFleet fleet = fleet(1, 3);
+            ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+            fleet.submit(fleet.leader(), item.job(), JobFleet.longRunning(1, 6000, 0));
+            fleet.runFor(beforeMs);
+            for (int i = 0; i < 3; i++) {
+                fleet.model.restart("s" + i);
+            }
+            fleet.runFor(12_000);
+            if (!fleet.model.invariants().violations().isEmpty()) {
+                faults.add("restart " + beforeMs + " ms after the submission: "
+                        + fleet.model.invariants().violations() + "\n" + lastEvents(fleet));
+            }
+        }
+        assertEquals(faults, List.of(), String.join("\n", faults));
+    }
+
+}
