Show an end that arrives during the final write and stops acknowledgements

A failing test of the review; the product is not changed. The end of a copy that arrives while its job's final record is written waits for a next commit, which an ended job does not get. ReviewFindingsTest.endThatArrivesDuringFinalWriteIsAcknowledged: one end is listed 3 s later, with 100 ms to the store one way.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -1,10 +1,14 @@
 package org.basilswitch.standin.jobs;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.ItemId;
+import org.basilswitch.schedule.ServerCommands;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -63,4 +67,36 @@
         assertEquals(faults, List.of(), String.join("\n", faults));
     }
 
+    /** Guards against acknowledgements that stop because an end arrived while the job's final record was written. */
+    @Test
+    public void endThatArrivesDuringFinalWriteIsAcknowledged() {
+        JobFleet fleet = fleet(1, 2);
+        JobNode leader = fleet.leader();
+        ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+        // The second run, a copy, ends while the final record of the job is being written.
+        fleet.answerAfter(300, fleet.submit(leader, item.job(), JobFleet.speculative(1, 20_000, 3000)));
+        String first = serverOf(fleet, item);
+        fleet.model.setUnreachable(first, true);
+        fleet.runFor(1900);
+        fleet.model.setUnreachable(first, false);
+        fleet.runFor(500);
+        assertEquals(fleet.model.invariants().startCount(), 2, lastEvents(fleet));
+        fleet.clients.get(0).setOneWayDelay(Duration.ofMillis(100));
+        fleet.runFor(6000);
+        fleet.clients.get(0).setOneWayDelay(Duration.ZERO);
+        fleet.runFor(3000);
+        List<String> listed = new ArrayList<>();
+        String events = lastEvents(fleet);
+        for (String id : List.of("s0", "s1")) {
+            ServerCommands.LeaseRenewal query = new ServerCommands.LeaseRenewal(Optional.empty(), 0, Duration.ZERO);
+            fleet.model
+                    .serverCommands()
+                    .renewLease(fleet.model.server(id).entry(), Long.MAX_VALUE, query)
+                    .thenAccept(result ->
+                            ((ServerCommands.Report) result).ended().forEach(end -> listed.add(id + " " + end)));
+        }
+        fleet.runFor(10);
+        assertEquals(listed, List.of(), "ends not acknowledged 3 s later\n" + events);
+    }
+
 }
