Show a failure that is acknowledged and not counted

A failing test of the review; the product is not changed. The failure of a run that was taken for lost is acknowledged while the item has another run, and not counted.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** Faults that a review of the work on the incident TWICE has found; the product is not changed. */
 final class ReviewFindingsTest {
@@ -99,4 +100,26 @@
         assertEquals(listed, List.of(), "ends not acknowledged 3 s later\n" + events);
     }
 
+    /** Guards against an attempt too many: a failure on a server that was silent is acknowledged and not counted. */
+    @Test
+    public void failureOfRunThatWasTakenForLostCounts() {
+        JobFleet fleet = fleet(1, 3);
+        ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+        fleet.model.setFailurePolicy((failing, run, server) -> true);
+        fleet.model.setWorkTimes((work, server) -> Duration.ofMillis(2000));
+        fleet.answerAfter(300, fleet.submit(fleet.leader(), item.job(), JobFleet.step(1, 20_000, 2000)));
+        String first = serverOf(fleet, item);
+        fleet.model.setUnreachable(first, true);
+        for (int i = 0; i < 8000 && fleet.model.invariants().startCount() < 2; i += 10) {
+            fleet.runFor(10);
+        }
+        assertEquals(fleet.model.invariants().startCount(), 2, lastEvents(fleet));
+        fleet.model.setUnreachable(first, false);
+        fleet.runFor(20_000);
+        assertTrue(
+                fleet.model.invariants().failures(item) <= 3,
+                "failed runs with at most 3 attempts: "
+                        + fleet.model.invariants().failures(item) + "\n" + lastEvents(fleet));
+    }
+
 }
