Show a start held on the next incarnation that the next leader does not hold

A failing test of the review; the product is not changed. ReviewFindingsTest.nextLeaderHoldsDelayedStartOnNextIncarnation: one violation, "two runs at once".

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -122,4 +122,32 @@
                         + fleet.model.invariants().failures(item) + "\n" + lastEvents(fleet));
     }
 
+    /**
+     * Guards against two runs after a second loss: the time for which a start is held on the next incarnation is not
+     * stored, and the next leader waits for one lease time only.
+     */
+    @Test
+    public void nextLeaderHoldsDelayedStartOnNextIncarnation() {
+        JobFleet fleet = fleet(2, 2);
+        fleet.runFor(8000);
+        JobNode leader = fleet.leader();
+        NodeServerCommands commands = fleet.commandsOf(leader);
+        commands.delayNextOrder("s0", Duration.ofMillis(9000));
+        commands.delayNextOrder("s1", Duration.ofMillis(9000));
+        ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+        fleet.answerAfter(50, fleet.submit(leader, item.job(), JobFleet.longRunning(1, 20_000, 0)));
+        commands.clearOrderDelays();
+        String ordered = fleet.events.stream()
+                .filter(event -> event.contains(" RUN_ORDERED "))
+                .findFirst()
+                .orElseThrow();
+        String server = ordered.contains("@s0") ? "s0" : "s1";
+        fleet.serverCommands.forEach(cut -> cut.setCut(server, true));
+        fleet.model.restart(server);
+        fleet.runFor(1500);
+        fleet.killProcess(leader);
+        fleet.runFor(25_000);
+        assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
+    }
+
 }
