Show ends beyond the first page that are taken for lost runs

A failing test of the review; the product is not changed. A server lists its ends a page at a time; runs whose ends are beyond it are in neither list and count as lost.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
@@ -27,7 +27,9 @@
     private final Scheduler network;
     private final Set<String> cutServers = new HashSet<>();
     private final Map<String, Duration> orderDelays = new HashMap<>();
+    private final Map<String, Duration> renewalDelays = new HashMap<>();
     private final List<LeaseGrant> leaseGrants = new ArrayList<>();
+    private int maxEndsPerReport = Integer.MAX_VALUE;
 
     /**
      * A lease end that was sent to a server.
@@ -63,6 +65,21 @@
         orderDelays.clear();
     }
 
+    /** Leaves the next renewal on a server without an answer; it is carried out after the delay. */
+    void delayNextRenewal(String server, Duration delay) {
+        renewalDelays.put(server, delay);
+    }
+
+    /** Returns whether the renewal that is to be delayed has not been sent yet. */
+    boolean hasRenewalDelay(String server) {
+        return renewalDelays.containsKey(server);
+    }
+
+    /** Limits the ends in one report, as the platform does. */
+    void limitEndsPerReport(int ends) {
+        maxEndsPerReport = ends;
+    }
+
     /** Returns the lease ends that were sent so far, in order. */
     List<LeaseGrant> leaseGrants() {
         return List.copyOf(leaseGrants);
@@ -92,11 +109,27 @@
     @Override
     public CompletionStage<RenewalResult> renewLease(BackendServer server, long fencingToken, LeaseRenewal renewal) {
         recordGrant(server, fencingToken, renewal.leaseEndMs());
+        Duration timeout = COMMAND_TIMEOUT.plus(renewal.maxWait());
+        Duration delay = renewalDelays.remove(server.id());
+        if (delay != null) {
+            network.schedule(delay, () -> commands.renewLease(server, fencingToken, renewal));
+            return answerAfterTimeout(timeout, new RenewalUnanswered("delayed"));
+        }
         return call(
                 server,
-                COMMAND_TIMEOUT.plus(renewal.maxWait()),
+                timeout,
                 new RenewalUnanswered("cut"),
-                () -> commands.renewLease(server, fencingToken, renewal));
+                () -> commands.renewLease(server, fencingToken, renewal).thenApply(this::firstPage));
+    }
+
+    private RenewalResult firstPage(RenewalResult result) {
+        return result instanceof Report report && report.ended().size() > maxEndsPerReport
+                ? new Report(
+                        report.startedAtMs(),
+                        report.clockMs(),
+                        report.running(),
+                        report.ended().subList(0, maxEndsPerReport))
+                : result;
     }
 
     private void recordGrant(BackendServer server, long fencingToken, Optional<Long> leaseEndMs) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -150,4 +150,19 @@
         assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
     }
 
+    /**
+     * Guards against repeating completed work whose ends do not fit into one report: the platform returns 500 ends at a
+     * time, 100 in this model, and a run that is in neither list counts as not running.
+     */
+    @Test
+    public void endBeyondFirstPageIsNotTakenForLost() {
+        JobFleet fleet = fleet(1, 1);
+        fleet.commandsOf(fleet.leader()).limitEndsPerReport(100);
+        fleet.answerAfter(1000, fleet.submit(fleet.leader(), JobFleet.id(1), JobFleet.step(200, 100, 2500)));
+        assertEquals(fleet.model.invariants().startCount(), 200);
+        fleet.runFor(8000);
+        assertEquals(fleet.model.invariants().startCount(), 200, lastEvents(fleet));
+        assertEquals(fleet.model.invariants().violations(), List.of());
+    }
+
 }
