Show a delayed renewal that extends the lease of the next incarnation

A failing test of the review; the product is not changed. A renewal without an answer is carried out by the next incarnation, whose clock starts anew; its runs are held for longer than the leader waits. ReviewFindingsTest.delayedRenewalOnNextIncarnationIsWaitedFor: one violation, "two runs at once".

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
@@ -165,4 +165,27 @@
         assertEquals(fleet.model.invariants().violations(), List.of());
     }
 
+    /**
+     * Guards against two runs where a renewal without an answer is carried out by the next incarnation, whose clock
+     * starts anew, so that it holds its runs for longer than the leader waits.
+     */
+    @Test
+    public void delayedRenewalOnNextIncarnationIsWaitedFor() {
+        JobFleet fleet = fleet(1, 2);
+        fleet.runFor(4000);
+        JobNode leader = fleet.leader();
+        NodeServerCommands commands = fleet.commandsOf(leader);
+        commands.delayNextRenewal("s0", Duration.ofMillis(3000));
+        for (int i = 0; i < 2000 && commands.hasRenewalDelay("s0"); i++) {
+            fleet.runFor(1);
+        }
+        fleet.model.restart("s0");
+        fleet.runFor(1500);
+        fleet.answerAfter(1000, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(2, 20_000, 0)));
+        assertTrue(fleet.model.server("s0").activeRunCount() > 0, "no run on s0\n" + lastEvents(fleet));
+        fleet.runFor(1000);
+        commands.setCut("s0", true);
+        fleet.runFor(12_000);
+        assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
+    }
 }
