Don't take runs for lost whose ends don't fit into a report

Completed work could run again. A server lists its unacknowledged ends 500 at a time; a run whose end is beyond them is neither in progress nor listed, and the leader took it for lost.

A report now tells whether it lists all ends; a run that is missing from one that does not is kept until the next. RunLossTest.endBeyondFirstPageIsNotTakenForLost failed before: 99 of 200 completed items ran again, with pages of 100 ends.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -460,7 +460,7 @@
             if (listed.contains(new TrackedServer.RunKey(run.id(), run.number()))) {
                 continue;
             }
-            if (covered) {
+            if (covered && report.listsAllEnds()) {
                 loseRun(run, "not running on the server");
             } else if (run.isUnconfirmedSince(sentNanos)) {
                 stop(run);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
@@ -91,8 +91,9 @@
      * @param clockMs the server's clock, ms
      * @param running runs in progress
      * @param ended run ends that are not acknowledged yet, oldest first
+     * @param listsAllEnds whether {@code ended} is complete; otherwise later ends follow once these are acknowledged
      */
-    record Report(long startedAtMs, long clockMs, List<RunStatus> running, List<RunEnd> ended)
+    record Report(long startedAtMs, long clockMs, List<RunStatus> running, List<RunEnd> ended, boolean listsAllEnds)
             implements RenewalResult {}
 
     /** The server rejected the renewal. */
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -237,6 +237,7 @@
         List<ServerCommands.RunStatus> statuses = new ArrayList<>();
         activeRuns.forEach((item, run) -> statuses.add(
                 new ServerCommands.RunStatus(item, run.runNumber, "", run.percent(clock.monotonicNanos()), 0)));
-        return new ServerCommands.Report(entry.startedAtMs(), clockMs(), statuses, List.copyOf(unacknowledgedEnds));
+        return new ServerCommands.Report(
+                entry.startedAtMs(), clockMs(), statuses, List.copyOf(unacknowledgedEnds), true);
     }
 }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
@@ -128,7 +128,8 @@
                         report.startedAtMs(),
                         report.clockMs(),
                         report.running(),
-                        report.ended().subList(0, maxEndsPerReport))
+                        report.ended().subList(0, maxEndsPerReport),
+                        false)
                 : result;
     }
 
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ReviewFindingsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -14,8 +14,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-/** Faults that a review of the work on the incident TWICE has found; the product is not changed. */
-final class ReviewFindingsTest {
+/** Runs that a leader could take for lost while they are in progress, and ends of runs that it could lose. */
+final class RunLossTest {
     private static final int SHOWN_EVENTS = 30;
 
     private static JobFleet fleet(int nodes, int servers) {
