Hold a run whose start the next incarnation may have answered

Two runs of one work item at the same time. A server restarted under its identifier just before a start reached it. Its answer names no incarnation, so the leader took the run for one of the earlier incarnation, which it dropped with that incarnation when the next report told of the restart: started elsewhere while the new incarnation ran it.

A run that no report has listed yet is now moved to the next incarnation like one without an answer, and stopped there.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -35,6 +35,7 @@
     private int progressSincePercent;
     private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent = 100;
+    private boolean reported;
     private boolean stopping;
     private long unconfirmedNanos;
     private long startedNanos;
@@ -132,6 +133,11 @@
         return load;
     }
 
+    /** Returns whether a report of this incarnation has listed the run; the answer to a start names no incarnation. */
+    boolean isReported() {
+        return reported;
+    }
+
     /**
      * Records a report of progress and load.
      *
@@ -140,6 +146,7 @@
      * @param serverClockMs the server's clock at the report, so that transmission delays do not count, ms
      */
     void observe(int percent, long load, long serverClockMs) {
+        this.reported = true;
         this.percent = percent;
         this.load = load;
         if (!progressKnown) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -365,7 +365,7 @@
                         EventCode.SERVER_LIFETIME_ENDED,
                         "server=" + tracked.incarnation().serverId() + " " + reason);
         for (Run run : tracked.runs()) {
-            if (next.isPresent() && mayStillStart(run)) {
+            if (next.isPresent() && mayRunOnNextIncarnation(run)) {
                 blockOnNextIncarnation(run, next.get());
             } else {
                 loseRun(run, reason);
@@ -376,11 +376,12 @@
         }
     }
 
-    /** Returns whether the start command of this run may still be carried out. */
-    private static boolean mayStillStart(Run run) {
+    /** Returns whether the next incarnation may carry out the start command of this run, or has already done so. */
+    private static boolean mayRunOnNextIncarnation(Run run) {
         return switch (run.phase()) {
             case START_SENT, UNCONFIRMED, RECOVERED -> true;
-            case RECORDING, RUNNING -> false;
+            case RUNNING -> !run.isReported();
+            case RECORDING -> false;
         };
     }
 
