Count the failure of a run that the leader no longer follows

A work item could be attempted more often than its queue allows (rule BUDGET). The failure of a run that was taken for lost was acknowledged and not counted while the item had another current run.

It is counted once by its run number, as that of the current run. RunLossTest.failureOfRunThatWasTakenForLostCounts failed before: 4 failed runs with 3 attempts.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -537,8 +537,12 @@
             // A copy, or a run that was taken for lost or that only an earlier leader followed, has completed the item.
             supersedeRun(item);
         } else if (!current && item.run().isPresent()) {
-            if (copy && end.kind() == ServerCommands.RunEndKind.FAILED) {
-                item.countFailureOfCopy(tracked.incarnation().serverId());
+            if (end.kind() == ServerCommands.RunEndKind.FAILED) {
+                if (copy) {
+                    item.countFailureOfCopy(tracked.incarnation().serverId());
+                } else {
+                    item.countFailure(end.run(), tracked.incarnation().serverId());
+                }
                 onFailure(tracked, item);
             }
             job.get().runAfterCommit(() -> tracked.markEndStored(end.number()));
