Store how long a start may be held by the next incarnation of its server

The progress row of a work item has an eleventh element, the time for which a next leader keeps the current run of a server that does not answer. Earlier versions ignore it, and its absence means the usual time (ProgressRecordTest). RunLossTest.nextLeaderHoldsDelayedStartOnNextIncarnation failed before: one violation, "two runs at once".

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
@@ -26,6 +26,8 @@
      * @param checkpoint latest checkpoint; empty for none
      * @param serverId server of the current run; null for none
      * @param serverBornMs start of that server's incarnation, Unix milliseconds
+     * @param holdMs time for which the next leader keeps the current run if its server does not answer, ms; 0 for the
+     *     usual time. Records of earlier versions do not have it.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record ItemRow(
@@ -38,5 +40,6 @@
             int lastFailedRun,
             String checkpoint,
             String serverId,
-            long serverBornMs) {}
+            long serverBornMs,
+            long holdMs) {}
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -36,6 +36,7 @@
     private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent = 100;
     private boolean reported;
+    private Duration hold = Duration.ZERO;
     private boolean stopping;
     private long unconfirmedNanos;
     private long startedNanos;
@@ -133,6 +134,18 @@
         return load;
     }
 
+    /**
+     * Returns the time for which this run may be in progress without a report of its server, if that is longer than its
+     * lease; zero otherwise.
+     */
+    Duration hold() {
+        return hold;
+    }
+
+    void setHold(Duration time) {
+        hold = time;
+    }
+
     /** Returns whether a report of this incarnation has listed the run; the answer to a start names no incarnation. */
     boolean isReported() {
         return reported;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -400,7 +400,9 @@
         runRegistry.add(moved);
         runRegistry
                 .getOrCreateServer(next)
-                .extendLeaseExpiry(context.steadyClock().monotonicNanos() + maxDelayedRunNanos());
+                .extendLeaseExpiry(
+                        context.steadyClock().monotonicNanos() + maxDelayedRun().toNanos());
+        moved.setHold(maxDelayedRun());
         run.item().job().markDirty();
         if (phase == Run.Phase.UNCONFIRMED) {
             stop(moved);
@@ -409,9 +411,9 @@
     }
 
     /** Returns the time after which a run whose start command is delayed has ended, on a server whose clock is slow. */
-    private long maxDelayedRunNanos() {
-        Duration maxLease = context.options().maxLease();
-        return MAX_COMMAND_DELAY.toNanos() + (long) (maxLease.toNanos() / TrackedServer.SLOWEST_CLOCK_RATE);
+    private Duration maxDelayedRun() {
+        double maxLeaseNanos = context.options().maxLease().toNanos() / TrackedServer.SLOWEST_CLOCK_RATE;
+        return MAX_COMMAND_DELAY.plusNanos((long) maxLeaseNanos);
     }
 
     private void onRenewalResult(TrackedServer tracked, long sentNanos, ServerCommands.RenewalResult result) {
@@ -671,7 +673,10 @@
         }
         forEachRun(job, run -> {
             runRegistry.add(run);
-            runRegistry.getOrCreateServer(run.incarnation()).extendLeaseExpiry(leaseExpirySteadyNanos);
+            TrackedServer server = runRegistry.getOrCreateServer(run.incarnation());
+            server.extendLeaseExpiry(leaseExpirySteadyNanos);
+            server.extendLeaseExpiry(
+                    context.steadyClock().monotonicNanos() + run.hold().toNanos());
         });
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -1,5 +1,6 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -163,7 +164,8 @@
                 lastFailedRun,
                 checkpoint,
                 run.map(r -> r.incarnation().serverId()).orElse(null),
-                run.map(r -> r.incarnation().startedAtMs()).orElse(0L));
+                run.map(r -> r.incarnation().startedAtMs()).orElse(0L),
+                run.map(r -> r.hold().toMillis()).orElse(0L));
     }
 
     void restore(ProgressRecord.ItemRow row) {
@@ -174,7 +176,8 @@
         lastFailedRun = row.lastFailedRun();
         checkpoint = row.checkpoint();
         if (!done && row.serverId() != null) {
-            beginRun(lastRun, new BackendServer.Incarnation(row.serverId(), row.serverBornMs()), Run.Phase.RECOVERED);
+            BackendServer.Incarnation incarnation = new BackendServer.Incarnation(row.serverId(), row.serverBornMs());
+            beginRun(lastRun, incarnation, Run.Phase.RECOVERED).setHold(Duration.ofMillis(row.holdMs()));
         }
     }
 }
