--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -6,8 +6,12 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobSubmission;
+import org.basilswitch.job.Recurrence;
+import org.basilswitch.job.StepSpec;
 import org.basilswitch.schedule.ServerCommands;
 import org.testng.annotations.Test;
 
@@ -188,4 +192,28 @@
         fleet.runFor(12_000);
         assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
     }
+
+    /**
+     * Guards against starting scheduled work early after a step of the leader's wall clock. The platform allows 250 ms,
+     * and 5 s more on days on which clocks jump; the step of the incident was 6 s.
+     */
+    @Test
+    public void scheduledWorkStartsNoEarlierThanAllowedAfterStep() {
+        JobFleet fleet = fleet(1, 2);
+        JobNode leader = fleet.leader();
+        long dueMs = fleet.time.millis() + 20_000;
+        String id = JobFleet.id(1);
+        List<StepSpec> steps = List.of(JobFleet.step(1, 1000, 500));
+        Recurrence recurrence = new Recurrence(1, dueMs, 1000);
+        fleet.model.registerJob(new JobSubmission(id, "queue", "team", "spec", steps, recurrence, 0));
+        fleet.answerAfter(
+                500,
+                leader.service().answer(JobFleet.call(id, new JobCall.Submit("spec", steps, Optional.of(recurrence)))));
+        fleet.timeOf(leader).stepWallClock(Duration.ofMillis(6000));
+        for (int i = 0; i < 30_000 && fleet.model.invariants().startCount() == 0; i += 10) {
+            fleet.runFor(10);
+        }
+        long earlyMs = dueMs - fleet.time.millis();
+        assertTrue(earlyMs <= 5250, "started " + earlyMs + " ms early\n" + lastEvents(fleet));
+    }
 }
