Show a stale list of servers that ends the next incarnation

A list that was read before a restart, 900 ms earlier, arrives after a report of the next incarnation, which onServers takes for replaced by the older one; its work is held for 22 s.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -53,6 +53,9 @@
     final List<NodeTime> nodeTimes = new ArrayList<>();
     final List<NodeServerCommands> serverCommands = new ArrayList<>();
     final List<String> events = new ArrayList<>();
+    /** Time that the answer with the list of live servers takes in addition. */
+    Duration listDelay = Duration.ZERO;
+
     private final Map<String, JobNode> byAddress = new HashMap<>();
     private final Set<JobNode> killed = new HashSet<>();
     private JobConfiguration configuration;
@@ -140,7 +143,7 @@
                 new StoreKeys("test"),
                 "config",
                 bytes -> RecordCodec.decode(bytes, JobConfiguration.class),
-                () -> delivered(nodeTime, model.read()),
+                () -> delivered(nodeTime, afterListDelay(model.read())),
                 commands,
                 (step, servers) -> CompletableFuture.completedFuture(Optional.empty()),
                 new NodeHostControl(nodeTime),
@@ -179,6 +182,15 @@
         return serverCommands.get(nodes.indexOf(node));
     }
 
+    private <T> CompletionStage<T> afterListDelay(CompletionStage<T> list) {
+        if (listDelay.isZero()) {
+            return list;
+        }
+        CompletableFuture<T> delayed = new CompletableFuture<>();
+        list.thenAccept(result -> time.schedule(listDelay, () -> delayed.complete(result)));
+        return delayed;
+    }
+
     private static <T> CompletionStage<T> delivered(NodeTime nodeTime, CompletionStage<T> stage) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         stage.thenAccept(result -> nodeTime.deliver(() -> answer.complete(result)));
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -216,4 +216,31 @@
         long earlyMs = dueMs - fleet.time.millis();
         assertTrue(earlyMs <= 5250, "started " + earlyMs + " ms early\n" + lastEvents(fleet));
     }
+
+    /**
+     * Guards against holding work for the longest wait although its server answers: a list that was read before the
+     * server's restart arrives after a report of the next incarnation, which is then taken for ended.
+     */
+    @Test
+    public void staleListDoesNotEndNextIncarnation() {
+        List<String> faults = new ArrayList<>();
+        for (int phaseMs = 0; phaseMs < 1500; phaseMs += 25) {
+            JobFleet fleet = fleet(1, 2);
+            fleet.listDelay = Duration.ofMillis(900);
+            fleet.runFor(1000 + phaseMs);
+            JobNode leader = fleet.leader();
+            fleet.commandsOf(leader).delayNextOrder("s0", Duration.ofMillis(5000));
+            fleet.commandsOf(leader).delayNextOrder("s1", Duration.ofMillis(5000));
+            fleet.answerAfter(50, fleet.submit(leader, JobFleet.id(1), JobFleet.step(2, 40_000, 1000)));
+            fleet.commandsOf(leader).clearOrderDelays();
+            fleet.model.restart("s0");
+            fleet.model.restart("s1");
+            fleet.runFor(10_000);
+            if (fleet.model.invariants().startCount() < 2) {
+                faults.add(phaseMs + " ms: " + fleet.model.invariants().startCount() + " of 2 items started in 10 s\n"
+                        + lastEvents(fleet));
+            }
+        }
+        assertEquals(faults, List.of(), String.join("\n", faults));
+    }
 }
