Don't end a server's incarnation by a list that is older than it

Work on a server that had restarted waited for up to 22 s. A list of servers that was read before the restart arrived after a report of the next incarnation; the leader took that one for replaced by the older one. Had the next one had running work, it would have been dropped and started elsewhere.

A list now ends an incarnation only for a later one.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -134,7 +134,8 @@
                 runRegistry.setListing(tracked, Optional.empty());
                 BackendServer.Incarnation next =
                         incarnationByServerId.get(tracked.incarnation().serverId());
-                if (next != null) {
+                // A report may have told of a restart that this list, which was read before, does not know.
+                if (next != null && next.startedAtMs() > tracked.incarnation().startedAtMs()) {
                     endIncarnation(tracked, Optional.of(next), "server restarted");
                 }
             }
