--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
@@ -81,7 +81,7 @@
 
     /** Reads the list of hosts if the interval has passed. */
     void refresh() {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         if (listing
                 || closed
                 || listRequestedNanos != Long.MIN_VALUE && nowNanos - listRequestedNanos < LIST_INTERVAL.toNanos()) {
@@ -114,7 +114,7 @@
                             || previous.state() != HostControl.PlatformHostState.UP
                             || !previous.pool().equals(host.pool()));
             if (cameUp) {
-                upSinceNanos.put(name, context.clock().monotonicNanos());
+                upSinceNanos.put(name, context.holderClock().monotonicNanos());
             }
         });
         hosts = next;
@@ -164,7 +164,7 @@
     /** Returns whether a host has come up within the given time, so that its backend server may not be known yet. */
     boolean cameUpWithin(String host, Duration duration) {
         Long since = upSinceNanos.get(host);
-        return since != null && context.clock().monotonicNanos() - since <= duration.toNanos();
+        return since != null && context.holderClock().monotonicNanos() - since <= duration.toNanos();
     }
 
     /** Returns the pool that a host is in or moving to. */
@@ -214,11 +214,11 @@
             Optional<String> pool,
             Supplier<CompletionStage<HostControl.HostCommandResult>> call,
             String detail) {
-        PendingCommand command = new PendingCommand(context.clock().monotonicNanos(), pool);
+        PendingCommand command = new PendingCommand(context.holderClock().monotonicNanos(), pool);
         pendingCommands.put(host, command);
         return call.get().thenApply(result -> {
             command.answered = true;
-            command.answeredNanos = context.clock().monotonicNanos();
+            command.answeredNanos = context.holderClock().monotonicNanos();
             context.telemetry()
                     .event(
                             result == HostControl.HostCommandResult.DONE
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobOrder.java
@@ -59,7 +59,7 @@
         JobTeam team = configuration().teams().get(job.submission().team());
         boolean exceedsShare = team != null
                 && teamRates.countAndCheckExceeded(
-                        team.name(), team.weight(), context.clock().monotonicNanos());
+                        team.name(), team.weight(), context.holderClock().monotonicNanos());
         if (exceedsShare) {
             job.markExceedsShare();
         }
@@ -99,7 +99,7 @@
     List<ActiveJob> sorted(Collection<ActiveJob> jobs, Map<String, Double> coresByPool) {
         List<ActiveJob> ordered = new ArrayList<>();
         Map<String, List<DeadlineOrder.Entry<ActiveJob>>> byPool = new HashMap<>();
-        long nowMs = context.clock().millis();
+        long nowMs = context.holderClock().millis();
         for (ActiveJob job : jobs) {
             JobQueue queue = configuration().queues().get(job.submission().queue());
             if (queue == null || !job.isOpen()) {
@@ -128,7 +128,7 @@
     }
 
     private DeadlineOrder.Entry<ActiveJob> estimate(ActiveJob job, JobQueue queue) {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         Estimate cached = estimates.get(job.id());
         if (cached == null || cached.changeCount != job.changeCount() || nowNanos > cached.untilNanos) {
             cached = new Estimate(entry(job, queue), job.changeCount(), nowNanos + MAX_ESTIMATE_AGE.toNanos());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -195,7 +195,7 @@
 
     private void restartStragglers() {
         if (maySendCommands()) {
-            long nowNanos = context.clock().monotonicNanos();
+            long nowNanos = context.holderClock().monotonicNanos();
             stragglerRestarter.restart(server -> isUsable(server, nowNanos));
         }
     }
@@ -270,7 +270,7 @@
 
     @Override
     public void onServerReport(TrackedServer server) {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         if (slowServerDetector.updateSlowness(server, nowNanos)) {
             context.telemetry()
                     .event(
@@ -293,8 +293,8 @@
 
     @Override
     public boolean maySendCommands() {
-        long configurationAgeNanos =
-                context.clock().monotonicNanos() - context.configuration().get().confirmedNanos();
+        long configurationAgeNanos = context.holderClock().monotonicNanos()
+                - context.configuration().get().confirmedNanos();
         return !closed
                 && isLeaderFor.test(COMMAND_LEASE_MARGIN)
                 && configurationAgeNanos <= MAX_CONFIGURATION_AGE.toNanos()
@@ -344,7 +344,7 @@
                     .event(
                             EventCode.JOB_ENDED,
                             "job=" + job.id() + " state=" + job.state() + " "
-                                    + job.summary(context.clock().millis()) + " targetMs="
+                                    + job.summary(context.holderClock().millis()) + " targetMs="
                                     + Math.round(jobOrder.targetMs(job)));
         }
         schedulePlacement();
@@ -358,11 +358,11 @@
         if (closed) {
             return;
         }
-        long nowMs = context.clock().millis();
+        long nowMs = context.holderClock().millis();
         jobs.values().forEach(job -> job.createDueOccurrences(nowMs));
         JobConfigurationSnapshot snapshot = context.configuration().get();
         if (maySendCommands() && context.liveServers().confirmedWithin(MAX_SERVER_LIST_AGE)) {
-            long nowNanos = context.clock().monotonicNanos();
+            long nowNanos = context.holderClock().monotonicNanos();
             List<ActiveJob> orderedJobs = jobOrder.sorted(jobs.values(), usableCores(nowNanos));
             new PlacementRound(
                             snapshot.configuration(),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -34,7 +34,7 @@
     private final TrackedServer tracked;
     private final ServerCommands serverCommands;
     private final Telemetry telemetry;
-    private final Clock clock;
+    private final Clock holderClock;
     private final Clock steadyClock;
     private final Scheduler scheduler;
     private final long fencingToken;
@@ -59,7 +59,7 @@
             BackendServer server,
             ServerCommands serverCommands,
             Telemetry telemetry,
-            Clock clock,
+            Clock holderClock,
             Clock steadyClock,
             Scheduler scheduler,
             long fencingToken,
@@ -70,7 +70,7 @@
         this.server = server;
         this.serverCommands = serverCommands;
         this.telemetry = telemetry;
-        this.clock = clock;
+        this.holderClock = holderClock;
         this.steadyClock = steadyClock;
         this.scheduler = scheduler;
         this.fencingToken = fencingToken;
@@ -101,7 +101,7 @@
         calling = true;
         callAgain = false;
         server = tracked.listing().orElse(server);
-        long sentNanos = clock.monotonicNanos();
+        long sentNanos = holderClock.monotonicNanos();
         Duration wait = tracked.runs().isEmpty() || !tracked.answeredWithin(lease, sentNanos)
                 ? Duration.ZERO
                 : PaceController.isShared(tracked) ? SHARED_WAIT : MAX_WAIT;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PoolBalancer.java
@@ -82,7 +82,9 @@
         if (!submission.isLongRunning()) {
             poolOf(submission)
                     .ifPresent(pool -> offeredLoad.add(
-                            pool, expectedCoreMs(submission), context.clock().monotonicNanos()));
+                            pool,
+                            expectedCoreMs(submission),
+                            context.holderClock().monotonicNanos()));
         }
     }
 
@@ -99,7 +101,7 @@
     /** Plans moves of hosts and sends them, if there is a standby pool and the hosts are known. */
     void rebalance(Iterable<ActiveJob> jobs) {
         Optional<JobPool> standby = configuration().standbyPool();
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         if (standby.isEmpty() || !hostOperations.hasHosts()) {
             return;
         }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -118,7 +118,7 @@
                         server,
                         context.serverCommands(),
                         context.telemetry(),
-                        context.clock(),
+                        context.holderClock(),
                         context.steadyClock(),
                         context.timers(),
                         fencingToken,
@@ -145,7 +145,7 @@
 
     /** Ends the runs whose leases have expired even on the slowest clock, and removes servers that have left. */
     void expireLeases() {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         long nowSteadyNanos = context.steadyClock().monotonicNanos();
         for (TrackedServer tracked : new ArrayList<>(runRegistry.servers())) {
             boolean silent = !tracked.answeredWithin(context.options().lease(), nowNanos);
@@ -188,7 +188,7 @@
             return;
         }
         TrackedServer tracked = runRegistry.getOrCreateServer(run.incarnation());
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         Optional<Long> leaseEnd = tracked.leaseEnd(
                 context.options().lease(), context.steadyClock().monotonicNanos());
         boolean listed = tracked.listing().filter(server -> !server.draining()).isPresent();
@@ -204,7 +204,7 @@
         run.setStarted(nowNanos, leaseEnd.get() - context.options().lease().toMillis());
         context.telemetry()
                 .count(CounterCode.RUNS_STARTED, tracked.listing().get().pool());
-        run.item().job().countStart(context.clock().millis());
+        run.item().job().countStart(context.holderClock().millis());
         context.telemetry().event(EventCode.RUN_ORDERED, "run=" + run + " leaseEndMs=" + leaseEnd.get());
         ServerCommands.StartCommand command = new ServerCommands.StartCommand(
                 run.id(),
@@ -224,7 +224,7 @@
         if (closed) {
             return;
         }
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         switch (result) {
             case ServerCommands.Done done -> {
                 run.confirm(nowNanos);
@@ -252,7 +252,7 @@
      * run is kept, as it may be in progress.
      */
     private void queryUnconfirmedStart(Run run, TrackedServer tracked) {
-        long sentNanos = context.clock().monotonicNanos();
+        long sentNanos = context.holderClock().monotonicNanos();
         run.markUnconfirmed(sentNanos);
         tracked.listing().ifPresent(server -> {
             ServerCommands.LeaseRenewal query =
@@ -326,7 +326,7 @@
     }
 
     private void onStopConfirmed(Run run, TrackedServer tracked) {
-        run.confirm(context.clock().monotonicNanos());
+        run.confirm(context.holderClock().monotonicNanos());
         wakeLeaseRenewer(tracked);
     }
 
@@ -444,7 +444,7 @@
             endIncarnation(tracked, Optional.of(next), "report of an incarnation started at " + report.startedAtMs());
             return;
         }
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         boolean placementChanged = !tracked.answeredWithin(TrackedServer.MAX_ANSWER_AGE, nowNanos);
         tracked.recordClock(report.clockMs(), nowNanos, context.steadyClock().monotonicNanos());
         for (ServerCommands.RunEnd end : report.ended()) {
@@ -481,7 +481,7 @@
     private void adjustPace(TrackedServer tracked) {
         Optional<BackendServer> server = tracked.listing();
         for (PaceController.PaceChange change :
-                paceController.changes(tracked, context.clock().monotonicNanos())) {
+                paceController.changes(tracked, context.holderClock().monotonicNanos())) {
             change.run().setPacePercent(change.percent());
             server.ifPresent(listing -> sendPace(listing, change));
         }
@@ -518,7 +518,7 @@
         run.item().saveCheckpoint(status.checkpoint());
         if (run.phase() != Run.Phase.RUNNING && !run.isStopping()) {
             run.setPhase(Run.Phase.RUNNING);
-            run.confirm(context.clock().monotonicNanos());
+            run.confirm(context.holderClock().monotonicNanos());
         }
         if (!run.item().job().isOpen()) {
             stop(run);
@@ -574,9 +574,9 @@
         context.telemetry().count(CounterCode.RUNS_ENDED, end.kind().name());
         switch (end.kind()) {
             case DONE -> {
-                tracked.countSuccess(context.clock().monotonicNanos());
+                tracked.countSuccess(context.holderClock().monotonicNanos());
                 item.run().filter(run -> run.startedNanos() > 0).ifPresent(run -> {
-                    double tookMs = (context.clock().monotonicNanos() - run.startedNanos()) / 1e6;
+                    double tookMs = (context.holderClock().monotonicNanos() - run.startedNanos()) / 1e6;
                     item.setDurationMs(tookMs);
                     owner.onRunCompleted(item, tookMs);
                 });
@@ -616,7 +616,9 @@
                     .forEach(server -> server.clearFailure(item.id().job()));
         } else if (tracked.countFailure(item.id().job()) >= FAILED_JOBS_BEFORE_AVOIDANCE) {
             Duration pause = tracked.markFailing(
-                    INITIAL_FAILING_PAUSE, MAX_FAILING_PAUSE, context.clock().monotonicNanos());
+                    INITIAL_FAILING_PAUSE,
+                    MAX_FAILING_PAUSE,
+                    context.holderClock().monotonicNanos());
             context.telemetry()
                     .event(
                             EventCode.SERVER_FAILING,
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
@@ -11,7 +11,7 @@
 /**
  * Dependencies of a job scheduler.
  *
- * @param clock clock whose monotonic time never lags behind real time, as it includes suspensions; for the end of what
+ * @param holderClock clock whose monotonic time never lags behind real time, as it includes suspensions; for the end of what
  *     this host holds and for the age of what it knows
  * @param steadyClock clock whose monotonic time never runs ahead of real time; for waiting until the end of what others
  *     hold, such as the leases of runs that an earlier leader started
@@ -28,7 +28,7 @@
  * @param options timeouts and limits
  */
 public record SchedulerContext(
-        Clock clock,
+        Clock holderClock,
         Clock steadyClock,
         Scheduler timers,
         PlatformStore store,
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StragglerRestarter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StragglerRestarter.java
@@ -48,7 +48,7 @@
      * @param usable returns whether a server may get new work
      */
     void restart(Predicate<TrackedServer> usable) {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         Map<TrackedServer, Resources> reserved = new HashMap<>();
         for (TrackedServer server : runRegistry.servers()) {
             boolean isSilent = !server.answeredWithin(MAX_SILENCE, nowNanos);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -39,13 +39,13 @@
     /** Returns the ticket for a step on a server, if there is one that is valid for long enough. */
     Optional<String> ticket(String step, String serverId) {
         Tickets tickets = byStep.get(step);
-        boolean valid = tickets != null && context.clock().monotonicNanos() < tickets.untilNanos();
+        boolean valid = tickets != null && context.holderClock().monotonicNanos() < tickets.untilNanos();
         return valid ? Optional.ofNullable(tickets.byServer().get(serverId)) : Optional.empty();
     }
 
     /** Requests a step's tickets unless they are cached or already requested. */
     void request(String step, List<TrackedServer> servers) {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         Tickets tickets = byStep.get(step);
         boolean valid = tickets != null && nowNanos < tickets.untilNanos();
         boolean paused = pausedUntilNanos.getOrDefault(step, Long.MIN_VALUE) > nowNanos;
@@ -68,7 +68,7 @@
                 "advice",
                 answer -> {
                     requestedSteps.remove(step);
-                    long answeredNanos = context.clock().monotonicNanos();
+                    long answeredNanos = context.holderClock().monotonicNanos();
                     if (answer.isPresent()) {
                         long validNanos =
                                 answer.get().validity().minus(START_ALLOWANCE).toNanos();
@@ -80,7 +80,7 @@
                 },
                 () -> {
                     requestedSteps.remove(step);
-                    pausedUntilNanos.put(step, context.clock().monotonicNanos() + RETRY_DELAY.toNanos());
+                    pausedUntilNanos.put(step, context.holderClock().monotonicNanos() + RETRY_DELAY.toNanos());
                     onTicketsChanged.run();
                 });
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
@@ -91,7 +91,7 @@
     }
 
     private void readWaves() {
-        long nowNanos = context.clock().monotonicNanos();
+        long nowNanos = context.holderClock().monotonicNanos();
         if (reading || readNanos != Long.MIN_VALUE && nowNanos - readNanos < READ_INTERVAL.toNanos()) {
             return;
         }
@@ -268,7 +268,7 @@
                     if (!written) {
                         wave.dirty = true;
                     } else if (completed) {
-                        long tookMs = (context.clock().monotonicNanos() - wave.seenNanos) / 1_000_000;
+                        long tookMs = (context.holderClock().monotonicNanos() - wave.seenNanos) / 1_000_000;
                         context.telemetry()
                                 .event(EventCode.WAVE_COMPLETED, "wave=" + wave.request.number() + " tookMs=" + tookMs);
                     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -69,7 +69,7 @@
         return run;
     }
 
-    /** Returns further runs that may be in progress beside the current one, if the step allows copies. */
+    /** Returns further runs that may be in progress beside the current one: copies and runs that are being stopped. */
     List<Run> copies() {
         return List.copyOf(copies);
     }
