Keep the last configuration in force while the stored one can't be read

Operators saw every host become not ready 2.8 s after one odd value under op/config: callers were refused, because a submission compares the revision of the configuration it was decided with, and the leader sent no command any more. The log had one SITE_UNREADABLE for each read.

The follower neither confirmed the last configuration nor took over the revision of the record that it can't decode, and cleared its mark of a failed read before it logged.

It now keeps the last configuration under the new revision and confirms it at each read, so that calls and runs go on; the event comes once for a revision. Without an earlier configuration the host stays not ready. What the odd record would have withdrawn, such as a key, stays in force until a readable one is stored.

Failed before the change: JobConfigurationFollowerTest .lastConfigurationStaysInForceWhileRecordCannotBeDecoded, "one event for the first record: [SITE_UNREADABLE configuration revision 2 can't be decoded, SITE_UNREADABLE ...".

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobConfigurationFollower.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobConfigurationFollower.java
@@ -50,6 +50,7 @@
     private boolean conditionalReadFailed;
     private boolean reading;
     private boolean lastReadFailed;
+    private long undecodableRevision;
 
     private JobConfigurationFollower(
             PlatformStore store,
@@ -160,7 +161,7 @@
         recordBytes = entry.get().value().length;
         Optional<JobConfiguration> configuration = decoder.apply(entry.get().value());
         if (configuration.isEmpty()) {
-            onFailure("configuration revision " + revision + " can't be decoded");
+            onUndecodable(revision, requestedAtNanos);
             return;
         }
         snapshot = Optional.of(new JobConfigurationSnapshot(configuration.get(), revision, requestedAtNanos));
@@ -170,6 +171,20 @@
                         + configuration.get().queues().size());
     }
 
+    /** Keeps the last configuration in force under the new revision, so that calls and runs go on. */
+    private void onUndecodable(long revision, long requestedAtNanos) {
+        snapshot = snapshot.map(last -> new JobConfigurationSnapshot(last.configuration(), revision, requestedAtNanos));
+        if (undecodableRevision != revision) {
+            undecodableRevision = revision;
+            telemetry.event(
+                    EventCode.SITE_UNREADABLE,
+                    "configuration revision " + revision + " can't be decoded; "
+                            + snapshot.map(last -> "keeping version "
+                                            + last.configuration().version())
+                                    .orElse("there is no earlier one"));
+        }
+    }
+
     private void onFailure(String detail) {
         if (!lastReadFailed) {
             lastReadFailed = true;
--- a/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
@@ -1,12 +1,15 @@
 package org.basilswitch.intake;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.CounterCode;
+import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobQueue;
@@ -95,6 +98,51 @@
         assertTrue(follower.confirmedWithin(Duration.ofSeconds(1)));
     }
 
+    /** An odd record must neither stop the calls, which need a confirmed configuration, nor fill the log. */
+    @Test
+    public void lastConfigurationStaysInForceWhileRecordCannotBeDecoded() {
+        SimulatedTime clock = SimulatedTime.create();
+        MemoryStore memory = MemoryStore.create(clock, clock);
+        List<String> events = new ArrayList<>();
+        memory.commit(Transaction.builder().put("config", new byte[] {0}).build());
+        JobConfigurationFollower follower = JobConfigurationFollower.start(
+                MemoryStoreClient.create(memory, clock, RandomSource.SPLIT_MIX_64.create(1)),
+                "config",
+                bytes -> Optional.of(bytes[0])
+                        .filter(version -> version > 0)
+                        .map(version -> JobConfiguration.of(version, List.of(), List.of(), List.of(), 1, 1)),
+                clock,
+                clock,
+                recording(events));
+        clock.runFor(Duration.ofSeconds(5));
+        assertEquals(events.size(), 1, "one event for the first record: " + events);
+        assertEquals(follower.snapshot(), Optional.empty());
+        for (byte version : new byte[] {7, 0, 8}) {
+            memory.commit(
+                    Transaction.builder().put("config", new byte[] {version}).build());
+            clock.runFor(Duration.ofSeconds(5));
+            assertTrue(follower.confirmedWithin(Duration.ofSeconds(1)), "record " + version);
+            assertEquals(follower.snapshot().orElseThrow().configuration().version(), version == 0 ? 7 : version);
+            assertEquals(
+                    follower.snapshot().orElseThrow().revision(),
+                    memory.range("config").entries().get(0).modRevision(),
+                    "the revision that a submission compares");
+        }
+        assertEquals(events.size(), 4, "one event for each record: " + events);
+    }
+
+    private static Telemetry recording(List<String> events) {
+        return new Telemetry() {
+            @Override
+            public void event(EventCode code, String detail) {
+                events.add(code + " " + detail);
+            }
+
+            @Override
+            public void count(CounterCode counter, String tag) {}
+        };
+    }
+
     @Test
     public void smallRecordIsReadAtEachInterval() {
         reads.set(0);
