Don't decode jobs that the scheduler could not run

A stored or notified job whose step had no resources, no work items, an amount below zero or a reference to a later step was accepted: it would throw in the placement round, which ends the rounds for all jobs. 2^31-1 work items or occurrences would exhaust the memory, and an identifier other than that of the key stood for another job.

StepSpec, JobSubmission and Recurrence refuse such values in their constructors, which makes RecordCodec return empty, so that the directory and a new leader log JOB_RECORD_INVALID and a peer gets 400. The ranges are those of SubmissionDecoder. A job's record counts only under the key of its identifier.

That the placement round throws is read from the code.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -123,6 +123,7 @@
     private void applyPut(String key, byte[] value) {
         if (key.startsWith(keys.jobsAccepted())) {
             RecordCodec.decode(value, JobSubmission.class)
+                    .filter(job -> key.equals(keys.jobsAccepted() + job.id()))
                     .ifPresentOrElse(
                             this::addAccepted, () -> telemetry.event(EventCode.JOB_RECORD_INVALID, "key=" + key));
         } else if (key.startsWith(keys.jobsCancelled())) {
--- a/basilswitch-core/src/main/java/org/basilswitch/job/JobSubmission.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/JobSubmission.java
@@ -24,9 +24,28 @@
         Recurrence recurrence,
         long acceptedMs) {
 
-    /** Makes a defensive copy of the steps. */
+    /**
+     * Makes a defensive copy of the steps. Throws {@link IllegalArgumentException} when the scheduler could not run the
+     * job; records of the store and messages of peers are not decoded then.
+     */
     public JobSubmission {
         steps = List.copyOf(steps);
+        // The parts of a work item's identifier are separated by dots.
+        boolean named = id != null && !id.isEmpty() && !id.contains(".") && queue != null && team != null;
+        if (!named || spec == null || !dependOnEarlierSteps(steps)) {
+            throw new IllegalArgumentException("job " + id + " of queue " + queue);
+        }
+    }
+
+    private static boolean dependOnEarlierSteps(List<StepSpec> steps) {
+        for (int i = 0; i < steps.size(); i++) {
+            for (int earlier : steps.get(i).after()) {
+                if (earlier < 0 || earlier >= i) {
+                    return false;
+                }
+            }
+        }
+        return true;
     }
 
     /** Returns the number of times that the steps run. */
--- a/basilswitch-core/src/main/java/org/basilswitch/job/Recurrence.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/Recurrence.java
@@ -9,6 +9,15 @@
  */
 public record Recurrence(int count, long firstMs, long intervalMs) {
 
+    private static final int MAX_COUNT = 100_000;
+
+    /** Throws {@link IllegalArgumentException} when the number of occurrences is out of range. */
+    public Recurrence {
+        if (count < 1 || count > MAX_COUNT) {
+            throw new IllegalArgumentException("recurrence with " + count + " occurrences");
+        }
+    }
+
     /** Returns the time at which an occurrence is due, Unix milliseconds. */
     public long dueMs(int occurrence) {
         return firstMs + occurrence * intervalMs;
--- a/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
@@ -44,9 +44,29 @@
         boolean usesSpareCapacity,
         int maxUnavailable) {
 
-    /** Makes a defensive copy of the list of preceding steps. */
+    private static final int MAX_COUNT = 10_000;
+    private static final long MAX_AMOUNT = 1L << 42;
+
+    /**
+     * Makes a defensive copy of the list of preceding steps. Throws {@link IllegalArgumentException} when the scheduler
+     * could not place the work items; records of the store and messages of peers are not decoded then.
+     */
     public StepSpec {
         after = List.copyOf(after);
+        boolean placeable = resources != null
+                && isAmount(resources.cpuMillis())
+                && isAmount(resources.memoryMb())
+                && isAmount(resources.gpus())
+                && isAmount(estimateMs)
+                && isAmount(tailTargetMs);
+        if (!placeable || count < 1 || count > MAX_COUNT || maxPerServer < 0) {
+            throw new IllegalArgumentException(
+                    "step with count " + count + ", resources " + resources + ", estimate " + estimateMs + " ms");
+        }
+    }
+
+    private static boolean isAmount(long value) {
+        return value >= 0 && value <= MAX_AMOUNT;
     }
 
     /** Returns the resources reserved on a backend server for a work item; no processor time on spare capacity. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
@@ -36,7 +36,8 @@
     List<JobSubmission> accepted(String prefix, Telemetry telemetry) {
         List<JobSubmission> submissions = new ArrayList<>();
         for (PlatformStore.Entry entry : byPrefix.getOrDefault(prefix, List.of())) {
-            Optional<JobSubmission> submission = RecordCodec.decode(entry.value(), JobSubmission.class);
+            Optional<JobSubmission> submission = RecordCodec.decode(entry.value(), JobSubmission.class)
+                    .filter(job -> entry.key().equals(prefix + job.id()));
             submission.ifPresentOrElse(
                     submissions::add, () -> telemetry.event(EventCode.JOB_RECORD_INVALID, "key=" + entry.key()));
         }
