Answer odd messages of peers, and survive an odd record of the leader

A forwarded call without action, host or path was never answered: its exception ended the handler. An answer without kind or state threw in the host that had asked. While the record of the leader was not an address, such as "x", each call that asked the leader threw.

For a holder that is no address HttpSchedulerClient gives no answer, after which the host decides the call itself (CALL_HANDED_OVER with answer=none).

The answer 500 has no test.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
@@ -85,6 +85,23 @@
 
     private CompletionStage<Optional<Buffer>> call(
             HttpMethod method, String holder, String uri, Buffer body, int timeoutMs) {
+        CompletableFuture<Optional<Buffer>> answer = new CompletableFuture<>();
+        try {
+            send(method, holder, uri, body, timeoutMs, answer);
+        } catch (RuntimeException e) {
+            // The holder, which is read from the store, is not an address.
+            answer.complete(Optional.empty());
+        }
+        return answer;
+    }
+
+    private void send(
+            HttpMethod method,
+            String holder,
+            String uri,
+            Buffer body,
+            int timeoutMs,
+            CompletableFuture<Optional<Buffer>> answer) {
         int colon = holder.lastIndexOf(':');
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
@@ -93,12 +110,10 @@
                 .setURI(uri)
                 .setConnectTimeout(TIMEOUT_MS)
                 .setIdleTimeout(timeoutMs);
-        CompletableFuture<Optional<Buffer>> answer = new CompletableFuture<>();
         client.request(options)
                 .compose(request -> request.send(body))
                 .compose(response -> response.body()
                         .map(buffer -> response.statusCode() == 200 ? Optional.of(buffer) : Optional.<Buffer>empty()))
                 .onComplete(result -> answer.complete(result.succeeded() ? result.result() : Optional.empty()));
-        return answer;
     }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
@@ -12,6 +12,9 @@
 
 /** JSON messages between entry hosts about jobs. */
 final class PeerDocument {
+    /** Keeps times within the range of durations in nanoseconds, ms. */
+    private static final long MAX_TIME_MS = 86_400_000;
+
     private PeerDocument() {}
 
     /** The state of a job; null when the job is unknown. */
@@ -49,6 +52,18 @@
             List<StepSpec> steps,
             Recurrence recurrence) {
 
+        /** Throws {@link IllegalArgumentException} when a field is missing that the action requires. */
+        Call {
+            steps = steps == null ? null : List.copyOf(steps);
+            boolean complete = host != null
+                    && path != null
+                    && action != null
+                    && (action != Action.SUBMIT || spec != null && steps != null);
+            if (!complete || Math.abs((double) timeoutMs) > MAX_TIME_MS) {
+                throw new IllegalArgumentException("call without a required field");
+            }
+        }
+
         static Call of(JobCall call) {
             String key = call.key().orElse(null);
             long timeoutMs = call.timeout().toMillis();
@@ -105,6 +120,18 @@
      */
     record Answer(Kind kind, JobState state, long jobs, String reason, long retryAfterMs) {
 
+        /** Throws {@link IllegalArgumentException} when a field is missing that the kind requires. */
+        Answer {
+            boolean complete = switch (kind) {
+                case STATE -> state != null;
+                case INVALID, REFUSED, UNDECIDED -> reason != null;
+                default -> true;
+            };
+            if (!complete || retryAfterMs < 0 || retryAfterMs > MAX_TIME_MS) {
+                throw new IllegalArgumentException("answer without a required field");
+            }
+        }
+
         static Answer of(JobAnswer answer) {
             return switch (answer) {
                 case JobAnswer.Accepted accepted -> ofKind(Kind.ACCEPTED);
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -58,7 +58,11 @@
                     return;
                 }
                 node.answerPeer(call.get().toCall())
-                        .thenAccept(result -> respond(request, PeerDocument.Answer.of(result)));
+                        .thenAccept(result -> respond(request, PeerDocument.Answer.of(result)))
+                        .exceptionally(cause -> {
+                            request.response().setStatusCode(500).end();
+                            return null;
+                        });
             });
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.onPeerCancelled(path.substring(CANCELLED.length()));
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
@@ -1,9 +1,12 @@
 package org.basilswitch.daemon.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.Vertx;
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
@@ -34,6 +37,23 @@
             0,
             false,
             0);
+    private static final StepSpec STEP_0 = new StepSpec(
+            2,
+            new Resources(1000, 500, 1),
+            800,
+            List.of(),
+            true,
+            false,
+            false,
+            "a",
+            "rack",
+            1,
+            true,
+            false,
+            "i",
+            0,
+            false,
+            0);
 
     @DataProvider
     public Object[][] calls() {
@@ -76,4 +96,82 @@
                 RecordCodec.decode(bytes, PeerDocument.Answer.class).map(PeerDocument.Answer::toAnswer),
                 Optional.of(answer));
     }
+
+    @DataProvider
+    public Object[][] oddCalls() {
+        String call = new String(
+                RecordCodec.encode(PeerDocument.Call.of(new JobCall(
+                        "host",
+                        "/q/1",
+                        Optional.of("key"),
+                        Duration.ofMillis(2900),
+                        new JobCall.Submit("text", List.of(STEP_0), Optional.of(new Recurrence(5, 10, 3)))))),
+                StandardCharsets.UTF_8);
+        return new Object[][] {
+            {"{}"},
+            {"null"},
+            {call.replace("\"SUBMIT\"", "null")},
+            {call.replace("\"SUBMIT\"", "\"ODD\"")},
+            {call.replace("\"host\":\"host\"", "\"host\":null")},
+            {call.replace("\"/q/1\"", "null")},
+            {call.replace("2900", "" + Long.MAX_VALUE)},
+            {call.replace("2900", "" + Long.MIN_VALUE)},
+            {call.replace("2900", "99999999999999999999")},
+            {call.replace("\"text\"", "null")},
+            {call.replaceFirst("\"steps\":.*\\}\\]", "\"steps\":null")},
+            {call.replaceFirst("\"steps\":.*\\}\\]", "\"steps\":[null]")},
+            {call.replaceFirst("\"resources\":\\{.*?\\}", "\"resources\":null")},
+            {call.replace("\"cpuMillis\":1000", "\"cpuMillis\":-1")},
+            {call.replace("\"cpuMillis\":1000", "\"cpuMillis\":" + Long.MAX_VALUE)},
+            {call.replace("\"count\":2", "\"count\":0")},
+            {call.replace("\"count\":2", "\"count\":" + Integer.MAX_VALUE)},
+            {call.replace("\"estimateMs\":800", "\"estimateMs\":-1")},
+            {call.replace("\"after\":[]", "\"after\":null")},
+            {call.replace("\"count\":5", "\"count\":" + Integer.MAX_VALUE)}
+        };
+    }
+
+    @Test(dataProvider = "oddCalls")
+    public void oddCallIsNotDecoded(String call) {
+        assertEquals(
+                RecordCodec.decode(call.getBytes(StandardCharsets.UTF_8), PeerDocument.Call.class), Optional.empty());
+    }
+
+    @DataProvider
+    public Object[][] oddAnswers() {
+        return new Object[][] {
+            {"{}"},
+            {"null"},
+            {"{\"kind\":\"STATE\"}"},
+            {"{\"kind\":\"ODD\"}"},
+            {"{\"kind\":\"INVALID\"}"},
+            {"{\"kind\":\"REFUSED\",\"reason\":\"r\",\"retryAfterMs\":-1}"},
+            {"{\"kind\":\"REFUSED\",\"reason\":\"r\",\"retryAfterMs\":" + Long.MAX_VALUE + "}"}
+        };
+    }
+
+    @Test(dataProvider = "oddAnswers")
+    public void oddAnswerIsNotDecoded(String answer) {
+        assertEquals(
+                RecordCodec.decode(answer.getBytes(StandardCharsets.UTF_8), PeerDocument.Answer.class),
+                Optional.empty());
+    }
+
+    /** A leader's record that another writer has stored; the caller then decides the call itself. */
+    @Test
+    public void holderThatIsNoAddressGivesNoAnswer() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try {
+            HttpSchedulerClient client = HttpSchedulerClient.create(vertx);
+            for (String holder : List.of("", "x", ":", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999", ":1", "a b:1")) {
+                assertEquals(
+                        client.queryState(holder, "1").toCompletableFuture().get(20, TimeUnit.SECONDS),
+                        Optional.empty(),
+                        holder);
+                client.notifyCancelled(holder, "1");
+            }
+        } finally {
+            vertx.close();
+        }
+    }
 }
