Start no job anew whose stored progress or final state can't be read

After a change of the leader, a job whose progress record another writer had overwritten ran again from its first step: the record counted as missing. A final state with an unknown name, or a row of a work item that can't exist, threw while the records were read, so that the new leader never loaded and no job ran any more.

RecoveredJobRecords reads final states without an exception, and progress only when its rows belong to work items of the job. A job with an invalid one is logged (JOB_RECORD_INVALID with the key) and kept out of the scheduler: JobScheduler.addJob must not take it from the directory, which reports accepted jobs again. Runs of it that go on are unknown to the leader, which stops them. Callers see the job as queued, and can cancel it, until the record is repaired and a leader loads it.

Failed before the change: the 15 cases of JobSchedulerTest .jobWithOddRecordIsNotStartedAnewAndHarmsNoOther, nine or more with "expected [7] but found [11]" starts and five with "NoSuchElement No value present" for the new leader's scheduler. That unknown runs are stopped is read from the code. A row with missing last fields is still read.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -66,6 +68,9 @@
     private final TicketCache ticketCache;
     private final SlowServerDetector slowServerDetector = new SlowServerDetector(durationModel);
     private final StragglerRestarter stragglerRestarter;
+    /** Jobs whose stored progress or final state can't be read; started anew, they might run twice. */
+    private final Set<String> unreadableJobs = new HashSet<>();
+
     private final List<JobSubmission> acceptedWhileLoading = new ArrayList<>();
     private final List<String> cancelledWhileLoading = new ArrayList<>();
     private boolean loaded;
@@ -146,12 +151,16 @@
         // 5 % more than the lease, to cover a server clock that is 2 % slow.
         long leaseExpiryNanos =
                 context.clock().monotonicNanos() + context.options().lease().toNanos() * 21 / 20;
-        records.ended(context.keys().jobsEnded()).forEach(endedJobs::add);
+        records.ended(context.keys().jobsEnded(), context.telemetry()).forEach(endedJobs::add);
         records.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
             if (!endedJobs.contains(submission.id()) && !jobs.containsKey(submission.id())) {
+                Optional<RecoveredJobRecords.Progress> stored =
+                        records.progress(submission, context.keys().jobProgress(submission.id()), context.telemetry());
+                if (records.unreadable().contains(submission.id())) {
+                    return;
+                }
                 ActiveJob job = new ActiveJob(submission);
-                records.progress(context.keys().jobProgress(submission.id()))
-                        .ifPresent(progress -> job.restore(progress.record(), progress.revision()));
+                stored.ifPresent(progress -> job.restore(progress.record(), progress.revision()));
                 if (records.isCancelled(context.keys().jobCancelled(submission.id()))) {
                     job.cancel();
                 }
@@ -159,6 +168,7 @@
                 runSupervisor.recoverRuns(job, leaseExpiryNanos);
             }
         });
+        unreadableJobs.addAll(records.unreadable());
         loaded = true;
         acceptedWhileLoading.forEach(this::addJob);
         cancelledWhileLoading.forEach(this::cancelJob);
@@ -208,7 +218,8 @@
             acceptedWhileLoading.add(submission);
             return;
         }
-        if (closed || endedJobs.contains(submission.id()) || jobs.containsKey(submission.id())) {
+        boolean known = endedJobs.contains(submission.id()) || jobs.containsKey(submission.id());
+        if (closed || known || unreadableJobs.contains(submission.id())) {
             return;
         }
         ActiveJob job = new ActiveJob(submission);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import org.basilswitch.job.JobSubmission;
 
 /**
  * Stored progress of a job, written before a start command is sent and before a run end is acknowledged.
@@ -13,6 +14,19 @@
  */
 record ProgressRecord(long fence, long sequence, List<ItemRow> items) {
 
+    /** Makes a defensive copy of the rows. */
+    ProgressRecord {
+        items = List.copyOf(items);
+    }
+
+    /** Returns whether each row belongs to a work item of a job. */
+    boolean fits(JobSubmission submission) {
+        return items.stream()
+                .allMatch(row -> row.occurrence() < submission.occurrences()
+                        && row.step() < submission.steps().size()
+                        && row.index() < submission.steps().get(row.step()).count());
+    }
+
     /**
      * Progress of one work item, written as a JSON array.
      *
@@ -38,5 +52,13 @@
             int lastFailedRun,
             String checkpoint,
             String serverId,
-            long serverBornMs) {}
+            long serverBornMs) {
+
+        /** Throws {@link IllegalArgumentException} when the row can't be that of a started work item. */
+        ItemRow {
+            if (occurrence < 0 || step < 0 || index < 0 || lastRun < 1 || failures < 0 || checkpoint == null) {
+                throw new IllegalArgumentException("row of " + occurrence + "." + step + "." + index);
+            }
+        }
+    }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
@@ -2,10 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.event.EventCode;
@@ -18,6 +21,7 @@
 final class RecoveredJobRecords {
     private final Map<String, PlatformStore.Entry> entries = new HashMap<>();
     private final Map<String, List<PlatformStore.Entry>> byPrefix = new HashMap<>();
+    private final Set<String> unreadable = new HashSet<>();
 
     /** Progress of one job and the revision of its record. */
     record Progress(ProgressRecord record, long revision) {}
@@ -44,21 +48,40 @@
         return submissions;
     }
 
-    /** Returns the final states under a prefix by job identifier. */
-    Map<String, JobState> ended(String prefix) {
+    /** Returns the final states under a prefix by job identifier and reports invalid ones. */
+    Map<String, JobState> ended(String prefix, Telemetry telemetry) {
         Map<String, JobState> states = new HashMap<>();
         for (PlatformStore.Entry entry : byPrefix.getOrDefault(prefix, List.of())) {
-            states.put(
-                    entry.key().substring(prefix.length()),
-                    JobState.valueOf(new String(entry.value(), StandardCharsets.UTF_8)));
+            String id = entry.key().substring(prefix.length());
+            String name = new String(entry.value(), StandardCharsets.UTF_8);
+            Arrays.stream(JobState.values())
+                    .filter(state -> state.isFinal() && state.name().equals(name))
+                    .findFirst()
+                    .ifPresentOrElse(state -> states.put(id, state), () -> addUnreadable(id, entry.key(), telemetry));
         }
         return states;
     }
 
-    Optional<Progress> progress(String key) {
-        return Optional.ofNullable(entries.get(key))
-                .flatMap(entry -> RecordCodec.decode(entry.value(), ProgressRecord.class)
-                        .map(record -> new Progress(record, entry.modRevision())));
+    /** Returns the progress of a job; empty when it has not started or its record is invalid, which is reported. */
+    Optional<Progress> progress(JobSubmission submission, String key, Telemetry telemetry) {
+        Optional<PlatformStore.Entry> entry = Optional.ofNullable(entries.get(key));
+        Optional<Progress> progress = entry.flatMap(found -> RecordCodec.decode(found.value(), ProgressRecord.class)
+                .filter(record -> record.fits(submission))
+                .map(record -> new Progress(record, found.modRevision())));
+        if (entry.isPresent() && progress.isEmpty()) {
+            addUnreadable(submission.id(), key, telemetry);
+        }
+        return progress;
+    }
+
+    private void addUnreadable(String id, String key, Telemetry telemetry) {
+        unreadable.add(id);
+        telemetry.event(EventCode.JOB_RECORD_INVALID, "key=" + key);
+    }
+
+    /** Returns the jobs with an invalid progress or final state; they may have run, so they must not start anew. */
+    Set<String> unreadable() {
+        return unreadable;
     }
 
     boolean isCancelled(String key) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -1,5 +1,6 @@
 package org.basilswitch.standin.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 
@@ -9,6 +10,7 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.Resources;
 import org.basilswitch.schedule.WaveStore;
+import org.basilswitch.store.Transaction;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -300,6 +302,55 @@
         assertNoViolations(fleet);
     }
 
+    /** Records of an open job that another writer overwrites before the leader ends. */
+    @DataProvider
+    public Object[][] oddRecords() {
+        String row = "[0,0,0,false,1,0,0,\"\",null,0]";
+        return new Object[][] {
+            {"progress/", ""},
+            {"progress/", "not json"},
+            {"progress/", "{}"},
+            {"progress/", "{\"items\":7}"},
+            {"progress/", "{\"items\":[null]}"},
+            {"progress/", "{\"items\":[" + row.replace("[0,0,0", "[0,0,-1") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("[0,0,0", "[0,0,9") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("[0,0,0", "[0,7,0") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("[0,0,0", "[2147483647,0,0") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("false,1", "false,0") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("false,1", "false,99999999999999999999") + "]}"},
+            {"progress/", "{\"items\":[" + row.replace("\"\"", "null") + "]}"},
+            {"jobs/ended/", ""},
+            {"jobs/ended/", "ODD"},
+            {"jobs/ended/", "RUNNING"}
+        };
+    }
+
+    @Test(dataProvider = "oddRecords")
+    public void jobWithOddRecordIsNotStartedAnewAndHarmsNoOther(String kind, String value) {
+        JobFleet fleet = fleet(2, 2);
+        String id = JobFleet.id(1);
+        JobNode leader = fleet.leader();
+        fleet.answerAfter(
+                300, fleet.submit(leader, id, JobFleet.step(2, 1000, 200), JobFleet.step(2, 1000, 60_000, 0)));
+        fleet.runFor(1500);
+        int starts = fleet.model.invariants().startCount();
+        fleet.kill(leader);
+        String key = "/basilswitch/test/" + kind + id;
+        fleet.store.commit(Transaction.builder()
+                .put(key, value.getBytes(StandardCharsets.UTF_8))
+                .build());
+        fleet.runFor(5000);
+        assertTrue(fleet.leader() != leader);
+        fleet.answerAfter(300, fleet.submit(fleet.leader(), JobFleet.id(2), JobFleet.step(3, 1000, 100)));
+        fleet.runFor(15_000);
+        assertEquals(state(fleet, fleet.leader(), JobFleet.id(2)), JobState.COMPLETED);
+        assertEquals(fleet.model.invariants().startCount(), starts + 3, String.join("\n", fleet.events));
+        assertTrue(
+                fleet.events.stream().anyMatch(event -> event.contains("JOB_RECORD_INVALID key=" + key)),
+                String.join("\n", fleet.events));
+        assertNoViolations(fleet);
+    }
+
     @Test
     public void restartedServerRunsNoEarlierWork() {
         JobFleet fleet = fleet(2, 2);
