--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -69,7 +69,7 @@
     SITE_UNREADABLE(
             1918,
             Severity.WARN,
-            "configuration of queues and teams can't be read; the last one stays in force, until it is too old if the store does not answer"),
+            "configuration of queues and teams can't be read; the last one stays in force, for a limited time without the store"),
     WAVE_STARTED(1919, Severity.INFO, "maintenance wave started"),
     HOST_ORDER_FAILED(1920, Severity.WARN, "command for a host was refused or not answered"),
     HOST_ORDERED(1921, Severity.INFO, "command to move or maintain a host was carried out"),
