--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerContext.java
@@ -11,8 +11,8 @@
 /**
  * Dependencies of a job scheduler.
  *
- * @param holderClock clock whose monotonic time never lags behind real time, as it includes suspensions; for the end of what
- *     this host holds and for the age of what it knows
+ * @param holderClock clock whose monotonic time never lags behind real time, as it includes suspensions; for the end of
+ *     what this host holds and for the age of what it knows
  * @param steadyClock clock whose monotonic time never runs ahead of real time; for waiting until the end of what others
  *     hold, such as the leases of runs that an earlier leader started
  * @param timers timers of the event loop
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ClockStepTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ClockStepTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Collectors;
 
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobNode;
@@ -25,28 +24,9 @@
 final class ClockStepTest {
     private static final long LEASE_MS = 4000;
     private static final long HOST_COMMAND_PAUSE_MS = 1000;
-    /** Last events that a failure message shows. */
-    private static final int SHOWN_EVENTS = 40;
-
-    private static JobFleet fleet(int nodes, int servers) {
-        JobFleet fleet = new JobFleet();
-        fleet.addServers(servers);
-        for (int i = 0; i < nodes; i++) {
-            fleet.addNode();
-        }
-        fleet.runFor(2000);
-        return fleet;
-    }
 
     private static void assertNoViolations(JobFleet fleet, String situation) {
-        assertEquals(fleet.model.invariants().violations(), List.of(), situation + "\n" + lastEvents(fleet));
-    }
-
-    private static String lastEvents(JobFleet fleet) {
-        List<String> events = fleet.events.stream()
-                .filter(event -> !event.contains(" count "))
-                .toList();
-        return events.stream().skip(Math.max(0, events.size() - SHOWN_EVENTS)).collect(Collectors.joining("\n"));
+        assertEquals(fleet.model.invariants().violations(), List.of(), situation + "\n" + fleet.lastEvents());
     }
 
     private static JobState state(JobFleet fleet, JobNode node, String id) {
@@ -78,16 +58,7 @@
             }
             fleet.runFor(1);
         }
-        throw new AssertionError("no new leader\n" + lastEvents(fleet));
-    }
-
-    private static String serverOf(JobFleet fleet, ItemId item) {
-        for (int i = 0; fleet.model.server("s" + i) != null; i++) {
-            if (fleet.model.server("s" + i).isRunning(item)) {
-                return "s" + i;
-            }
-        }
-        throw new AssertionError(item + " does not run\n" + lastEvents(fleet));
+        throw new AssertionError("no new leader\n" + fleet.lastEvents());
     }
 
     @DataProvider
@@ -105,7 +76,7 @@
     public void stepAtLeaderEndsNoRun(String name, List<Long> stepsMs) {
         List<String> faults = new ArrayList<>();
         for (int phaseMs = 0; phaseMs < 1000; phaseMs += 125) {
-            JobFleet fleet = fleet(2, 6);
+            JobFleet fleet = JobFleet.running(2, 6);
             JobNode leader = fleet.leader();
             // Ends of short work keep the servers' reports apart from each other.
             fleet.model.setWorkTimes((item, server) -> Duration.ofMillis(5000 + 370L * item.index()));
@@ -135,11 +106,11 @@
     /** Guards against restarting work of a cut-off server before the lease of the earlier leader has ended. */
     @Test(dataProvider = "stepsAfterTakeoverMs")
     public void newLeaderWaitsForWholeLeaseAfterStep(long stepMs) {
-        JobFleet fleet = fleet(2, 3);
+        JobFleet fleet = JobFleet.running(2, 3);
         JobNode previous = fleet.leader();
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         fleet.answerAfter(1500, fleet.submit(previous, item.job(), JobFleet.longRunning(1, 6000, 0)));
-        String server = serverOf(fleet, item);
+        String server = fleet.serverOf(item);
         fleet.serverCommands.stream()
                 .filter(commands -> commands != fleet.commandsOf(previous))
                 .forEach(commands -> commands.setCut(server, true));
@@ -160,7 +131,7 @@
     /** Guards against a lease that lasts longer than the lease time, which the next leader does not wait for. */
     @Test(dataProvider = "leaderStepsMs")
     public void leaseEndsWithinLeaseTimeAfterStep(long stepMs) {
-        JobFleet fleet = fleet(1, 4);
+        JobFleet fleet = JobFleet.running(1, 4);
         JobNode leader = fleet.leader();
         fleet.answerAfter(50, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(4, 6000, 0)));
         for (int i = 2; i < 400; i++) {
@@ -191,7 +162,7 @@
     public void workOfLostLeaderRestartsOnlyAfterItsLease(String loss, long stepMs) {
         List<String> faults = new ArrayList<>();
         for (int phaseMs = 0; phaseMs < 1500; phaseMs += 25) {
-            JobFleet fleet = fleet(2, 3);
+            JobFleet fleet = JobFleet.running(2, 3);
             JobNode previous = fleet.leader();
             JobNode other = fleet.nodes.stream()
                     .filter(node -> node != previous)
@@ -208,7 +179,7 @@
             for (int i = 0; i < 5000 && fleet.model.invariants().startCount() == 0; i++) {
                 fleet.runFor(1);
             }
-            String server = serverOf(fleet, item);
+            String server = fleet.serverOf(item);
             fleet.runFor(5);
             fleet.serverCommands.forEach(commands -> commands.setCut(server, true));
             if (loss.equals("killed")) {
@@ -234,7 +205,7 @@
     /** Guards against host commands of two leaders for one host, by too short a pause of the new leader. */
     @Test(dataProvider = "stepsBeforeHostCommandMs")
     public void newLeaderPausesBeforeFirstHostCommandAfterStep(long stepMs) {
-        JobFleet fleet = fleet(2, 4);
+        JobFleet fleet = JobFleet.running(2, 4);
         JobNode previous = fleet.leader();
         List<String> hosts = List.of("host-s0", "host-s1");
         fleet.model.addWave(new WaveStore.WaveRequest(1, hosts, Duration.ofSeconds(26), 1, false, false));
@@ -250,7 +221,7 @@
                 commandMs = fleet.time.monotonicNanos() / 1_000_000;
             }
         }
-        assertTrue(commandMs >= 0, "no host command\n" + lastEvents(fleet));
+        assertTrue(commandMs >= 0, "no host command\n" + fleet.lastEvents());
         long pauseMs = commandMs - acquiredMs;
         assertTrue(pauseMs >= HOST_COMMAND_PAUSE_MS, "first host command after " + pauseMs + " ms");
     }
@@ -263,14 +234,14 @@
     /** Guards against deleting the records of ended jobs, whose callers still ask for them. */
     @Test
     public void endedJobIsReadableAfterStep() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         JobNode leader = fleet.leader();
         fleet.answerAfter(300, fleet.submit(leader, JobFleet.id(1), JobFleet.step(2, 1000, 100)));
         fleet.runFor(2000);
         assertEquals(state(fleet, leader, JobFleet.id(1)), JobState.COMPLETED);
         stepWallClock(fleet, leader, 300_000);
         fleet.runFor(3000);
-        assertEquals(state(fleet, fleet.leader(), JobFleet.id(1)), JobState.COMPLETED, lastEvents(fleet));
+        assertEquals(state(fleet, fleet.leader(), JobFleet.id(1)), JobState.COMPLETED, fleet.lastEvents());
     }
 
     /**
@@ -279,7 +250,7 @@
      */
     @Test(dataProvider = "stepsAfterRestartMs")
     public void startBlockedOnNextIncarnationIsWaitedForAfterStep(long stepMs) {
-        JobFleet fleet = fleet(1, 2);
+        JobFleet fleet = JobFleet.running(1, 2);
         JobNode leader = fleet.leader();
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         String server = orderStartThatIsDelayed(fleet, leader, item, Duration.ofMillis(3000));
@@ -291,7 +262,7 @@
             fleet.runFor(10);
             assertFalse(
                     fleet.model.server(other).isRunning(item),
-                    "started elsewhere " + passedMs + " ms after the restart\n" + lastEvents(fleet));
+                    "started elsewhere " + passedMs + " ms after the restart\n" + fleet.lastEvents());
         }
         assertTrue(fleet.model.server(server).isRunning(item), "the delayed start was carried out");
     }
@@ -318,7 +289,7 @@
      */
     @Test
     public void delayedStartOnNextIncarnationIsWaitedForUntilItsLeaseEnd() {
-        JobFleet fleet = fleet(1, 2);
+        JobFleet fleet = JobFleet.running(1, 2);
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         String server = orderStartThatIsDelayed(fleet, fleet.leader(), item, Duration.ofMillis(3000));
         fleet.model.restart(server);
@@ -338,7 +309,7 @@
     @Test(dataProvider = "storeReachable")
     public void suspendedLeaderDoesNotActOnItsOldLeadership(boolean reachable) {
         for (int phaseMs = 0; phaseMs < 1000; phaseMs += 50) {
-            JobFleet fleet = fleet(2, 4);
+            JobFleet fleet = JobFleet.running(2, 4);
             JobNode previous = fleet.leader();
             fleet.answerAfter(50, fleet.submit(previous, JobFleet.id(1), JobFleet.longRunning(4, 6000, 0)));
             fleet.answerAfter(50, fleet.submit(previous, JobFleet.id(2), JobFleet.step(8, 3500, 7000)));
@@ -351,7 +322,7 @@
             JobNode next = awaitNextLeader(fleet, previous);
             fleet.answerAfter(3300, fleet.submit(next, JobFleet.id(3), JobFleet.step(4, 3500, 2000)));
             fleet.runFor(6000);
-            String situation = "suspension at " + phaseMs + " ms\n" + lastEvents(fleet);
+            String situation = "suspension at " + phaseMs + " ms\n" + fleet.lastEvents();
             assertEquals(commands.leaseGrants().size() - grantsBefore, 0, "lease ends sent after it, " + situation);
             assertNoViolations(fleet, situation);
             assertEquals(fleet.model.invariants().startCount(), 16, situation);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobEventsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobEventsTest.java
@@ -22,16 +22,6 @@
     /** Interval of the scheduler's check for expired leases, and the delay of a message. */
     private static final long CHECK_MS = 110;
 
-    private static JobFleet fleet(int nodes, int servers) {
-        JobFleet fleet = new JobFleet();
-        fleet.addServers(servers);
-        for (int i = 0; i < nodes; i++) {
-            fleet.addNode();
-        }
-        fleet.runFor(2000);
-        return fleet;
-    }
-
     private static List<String> events(JobFleet fleet, String code) {
         return fleet.events.stream()
                 .filter(event -> event.contains(" " + code + " "))
@@ -56,7 +46,7 @@
 
     @Test
     public void expiredLeaseTellsAgeOfReport() {
-        JobFleet fleet = fleet(1, 1);
+        JobFleet fleet = JobFleet.running(1, 1);
         fleet.answerAfter(1500, fleet.submit(fleet.nodes.getFirst(), JobFleet.id(1), JobFleet.longRunning(1, 1000, 0)));
         fleet.model.setUnreachable("s0", true);
         fleet.runFor(9000);
@@ -70,7 +60,7 @@
 
     @Test
     public void takeoverTellsRecoveredRunsAndTheirHold() {
-        JobFleet fleet = fleet(3, 1);
+        JobFleet fleet = JobFleet.running(3, 1);
         JobNode leader = fleet.leader();
         fleet.answerAfter(1500, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(3, 1000, 0)));
         fleet.events.clear();
@@ -94,7 +84,7 @@
     /** The incident fraser-inc1-twice: runs that were taken over and have been reported since are lost later. */
     @Test
     public void recoveredRunIsToldAfterItsReport() {
-        JobFleet fleet = fleet(3, 1);
+        JobFleet fleet = JobFleet.running(3, 1);
         JobNode leader = fleet.leader();
         fleet.answerAfter(1500, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(1, 1000, 0)));
         fleet.kill(leader);
@@ -111,7 +101,7 @@
     /** A run of a job that the scheduler doesn't know, like one that was considered lost and is still in progress. */
     @Test
     public void unknownRunTellsItsServer() {
-        JobFleet fleet = fleet(1, 1);
+        JobFleet fleet = JobFleet.running(1, 1);
         Matcher started = Pattern.compile(".* fence=(\\d+) .*").matcher(onlyEvent(fleet, "SCHEDULER_STARTED"));
         assertTrue(started.matches());
         StepSpec step = JobFleet.longRunning(1, 1000, 0);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -21,6 +21,7 @@
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.intake.SchedulerClient;
+import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobPool;
 import org.basilswitch.job.JobQueue;
@@ -41,6 +42,9 @@
 
 /** Runs entry hosts, a store and backend servers in one process on a virtual clock. */
 final class JobFleet {
+    /** Last events that a failure message shows. */
+    private static final int SHOWN_EVENTS = 40;
+
     static final String KEY = "key-of-team";
     static final String POOL = "pool";
     static final Resources SERVER_CAPACITY = new Resources(64_000, 262_144, 0);
@@ -64,6 +68,34 @@
         configure(new Resources(0, 0, 0), 3);
     }
 
+    /** Returns a fleet whose entry hosts have elected a leader. */
+    static JobFleet running(int nodes, int servers) {
+        JobFleet fleet = new JobFleet();
+        fleet.addServers(servers);
+        for (int i = 0; i < nodes; i++) {
+            fleet.addNode();
+        }
+        fleet.runFor(2000);
+        return fleet;
+    }
+
+    /** Returns the last events, for a failure message. */
+    String lastEvents() {
+        List<String> lines =
+                events.stream().filter(event -> !event.contains(" count ")).toList();
+        return String.join("\n", lines.subList(Math.max(0, lines.size() - SHOWN_EVENTS), lines.size()));
+    }
+
+    /** Returns the server on which a work item runs. */
+    String serverOf(ItemId item) {
+        for (int i = 0; model.server("s" + i) != null; i++) {
+            if (model.server("s" + i).isRunning(item)) {
+                return "s" + i;
+            }
+        }
+        throw new AssertionError(item + " does not run\n" + lastEvents());
+    }
+
     /** Stores a configuration with one queue, one team and two pools. */
     void configure(Resources teamLimit, int maxAttempts) {
         long version = configuration == null ? 1 : configuration.version() + 1;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobSchedulerTest.java
@@ -20,16 +20,6 @@
 
 final class JobSchedulerTest {
 
-    private static JobFleet fleet(int nodes, int servers) {
-        JobFleet fleet = new JobFleet();
-        fleet.addServers(servers);
-        for (int i = 0; i < nodes; i++) {
-            fleet.addNode();
-        }
-        fleet.runFor(2000);
-        return fleet;
-    }
-
     private static void assertNoViolations(JobFleet fleet) {
         assertEquals(fleet.model.invariants().violations(), List.of(), String.join("\n", fleet.events));
     }
@@ -41,7 +31,7 @@
 
     @Test
     public void stepsRunInDependencyOrder() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         String id = JobFleet.id(1);
         JobAnswer answer = fleet.answerAfter(
                 200, fleet.submit(fleet.nodes.get(1), id, JobFleet.step(6, 3500, 800), JobFleet.step(4, 2000, 500, 0)));
@@ -55,7 +45,7 @@
 
     @Test
     public void jobSubmittedTwiceRunsOnce() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         String id = JobFleet.id(1);
         fleet.answerAfter(100, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(2, 1000, 300)));
         JobAnswer again = fleet.answerAfter(100, fleet.submit(fleet.nodes.get(1), id, JobFleet.step(2, 1000, 300)));
@@ -67,7 +57,7 @@
 
     @Test
     public void killedLeaderIsReplacedAndRunsContinue() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         String id = JobFleet.id(1);
         JobNode leader = fleet.leader();
         fleet.answerAfter(300, fleet.submit(leader, id, JobFleet.step(6, 3500, 6000), JobFleet.step(2, 2000, 100, 0)));
@@ -83,7 +73,7 @@
     /** Load pattern: a change of leader while the store is slow. */
     @Test
     public void newLeaderReadsAllRecordsConcurrently() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         fleet.clients.forEach(client -> client.setOneWayDelay(Duration.ofMillis(150)));
         fleet.runFor(1000);
         fleet.events.clear();
@@ -103,7 +93,7 @@
 
     @Test
     public void jobAcceptedWhileNewLeaderLoadsIsRun() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         JobNode leader = fleet.leader();
         JobNode other =
                 fleet.nodes.stream().filter(node -> node != leader).findFirst().orElseThrow();
@@ -130,7 +120,7 @@
 
     @Test(dataProvider = "workDurationsMs")
     public void workOnUnreachableServerRestartsOnlyAfterLeaseExpiry(long workMs) {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         String id = JobFleet.id(1);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(8, 8000, workMs)));
         String server = fleet.model.server("s0").activeRunCount() > 0 ? "s0" : "s1";
@@ -145,7 +135,7 @@
 
     @Test
     public void delayedStartIsBlockedBeforeWorkRestartsElsewhere() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.model.loseNextStart("s0");
         fleet.model.loseNextStart("s1");
         String id = JobFleet.id(1);
@@ -157,7 +147,7 @@
 
     @Test
     public void unconfirmedRunOnSilentServerIsNotStopped() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.model.loseNextAnswer("s0");
         fleet.model.loseNextAnswer("s1");
         String id = JobFleet.id(1);
@@ -175,7 +165,7 @@
     /** Load pattern: a rack becomes unreachable while copies are allowed. */
     @Test
     public void speculativeItemOnSilentServerRestartsBeforeLeaseExpiry() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         String id = JobFleet.id(1);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.speculative(2, 20_000, 1500)));
         String server = fleet.model.server("s0").activeRunCount() > 0 ? "s0" : "s1";
@@ -191,7 +181,7 @@
     /** Guards against repeating a work item whose first run completed unseen, after a copy of it and a new leader. */
     @Test
     public void completionOfRunThatOnlyEarlierLeaderFollowedCounts() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         JobNode leader = fleet.leader();
         String id = JobFleet.id(1);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.speculative(1, 20_000, 1000)));
@@ -221,7 +211,7 @@
 
     @Test
     public void runWithLostStartAnswerContinues() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.model.loseNextAnswer("s0");
         fleet.model.loseNextAnswer("s1");
         String id = JobFleet.id(1);
@@ -234,7 +224,7 @@
 
     @Test
     public void cancelledJobIsStoppedAndNotRestarted() {
-        JobFleet fleet = fleet(3, 2);
+        JobFleet fleet = JobFleet.running(3, 2);
         String id = JobFleet.id(1);
         fleet.answerAfter(
                 300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(4, 8000, 4000), JobFleet.step(4, 8000, 10, 0)));
@@ -249,7 +239,7 @@
 
     @Test
     public void jobFailsAfterMaxAttempts() {
-        JobFleet fleet = fleet(2, 3);
+        JobFleet fleet = JobFleet.running(2, 3);
         String id = JobFleet.id(1);
         fleet.model.setFailurePolicy((item, run, server) -> item.index() == 1);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), id, JobFleet.step(3, 1000, 200)));
@@ -261,7 +251,7 @@
 
     @Test
     public void attemptsCountAcrossLeaderChange() {
-        JobFleet fleet = fleet(3, 2);
+        JobFleet fleet = JobFleet.running(3, 2);
         String id = JobFleet.id(1);
         fleet.model.setWorkTimes((item, server) -> Duration.ofMillis(item.index() == 0 ? 100 : 20_000));
         fleet.model.setFailurePolicy((item, run, server) -> item.index() == 0);
@@ -279,7 +269,7 @@
 
     @Test
     public void teamStaysWithinItsLimit() {
-        JobFleet fleet = fleet(2, 4);
+        JobFleet fleet = JobFleet.running(2, 4);
         fleet.configure(new Resources(10_000, 0, 0), 3);
         fleet.runFor(1000);
         fleet.answerAfter(100, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(10, 4000, 500)));
@@ -294,7 +284,7 @@
 
     @Test
     public void leaderCutOffFromStoreLosesLeadership() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         JobNode leader = fleet.leader();
         fleet.answerAfter(300, fleet.submit(leader, JobFleet.id(1), JobFleet.step(12, 3500, 2000)));
         fleet.clients.get(fleet.nodes.indexOf(leader)).setReachable(false);
@@ -314,7 +304,7 @@
 
     @Test
     public void lostStoreAnswersNeitherLoseNorRepeatWork() {
-        JobFleet fleet = fleet(3, 4);
+        JobFleet fleet = JobFleet.running(3, 4);
         fleet.clients.forEach(client -> client.setLostAnswerRatio(0.3));
         for (int i = 1; i <= 20; i++) {
             fleet.runFor(200);
@@ -359,7 +349,7 @@
 
     @Test(dataProvider = "oddRecords")
     public void jobWithOddRecordIsNotStartedAnewAndHarmsNoOther(String kind, String value) {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         String id = JobFleet.id(1);
         JobNode leader = fleet.leader();
         fleet.answerAfter(
@@ -385,7 +375,7 @@
 
     @Test
     public void restartedServerRunsNoEarlierWork() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(8, 8000, 2000)));
         fleet.model.restart("s0");
         fleet.runFor(6000);
@@ -396,7 +386,7 @@
     @Test
     public void delayedStartIsBlockedOnNextIncarnation() {
         for (int servers = 2; servers <= 6; servers++) {
-            JobFleet fleet = fleet(2, servers);
+            JobFleet fleet = JobFleet.running(2, servers);
             String id = JobFleet.id(1);
             for (int i = 0; i < servers; i++) {
                 fleet.model.loseNextStart("s" + i);
@@ -415,7 +405,7 @@
 
     @Test
     public void gangStartsAllMembersOrNone() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(10, 8000, 1000)));
         fleet.answerAfter(200, fleet.submit(fleet.nodes.get(0), JobFleet.id(2), JobFleet.gang(8, 8000, 500)));
         assertEquals(fleet.model.activeRunCount(), 10, "capacity for only six of the eight members");
@@ -444,7 +434,7 @@
 
     @Test
     public void endedJobRecordsAreDeletedAfterRetention() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.answerAfter(300, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(2, 1000, 100)));
         fleet.runFor(200_000);
         assertEquals(state(fleet, fleet.nodes.get(1), JobFleet.id(1)), JobState.COMPLETED);
@@ -456,7 +446,7 @@
 
     @Test
     public void drainingServerGetsNoNewWork() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.model.markDraining("s0");
         fleet.runFor(1000);
         fleet.answerAfter(400, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.step(4, 8000, 1000)));
@@ -466,7 +456,7 @@
 
     @Test
     public void waveMaintainsAllHostsWithinLimitAndKeepsLongRunningWork() {
-        JobFleet fleet = fleet(2, 8);
+        JobFleet fleet = JobFleet.running(2, 8);
         fleet.answerAfter(500, fleet.submit(fleet.nodes.get(0), JobFleet.id(1), JobFleet.longRunning(5, 6000, 1)));
         List<String> hosts = List.of("host-s0", "host-s1", "host-s2", "host-s3", "host-s4", "host-s5");
         fleet.model.addWave(new WaveStore.WaveRequest(1, hosts, Duration.ofSeconds(26), 2, false, false));
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
@@ -20,34 +19,6 @@
 
 /** Runs that a leader could take for lost while they are in progress, and ends of runs that it could lose. */
 final class RunLossTest {
-    private static final int SHOWN_EVENTS = 30;
-
-    private static JobFleet fleet(int nodes, int servers) {
-        JobFleet fleet = new JobFleet();
-        fleet.addServers(servers);
-        for (int i = 0; i < nodes; i++) {
-            fleet.addNode();
-        }
-        fleet.runFor(2000);
-        return fleet;
-    }
-
-    private static String lastEvents(JobFleet fleet) {
-        List<String> events = fleet.events.stream()
-                .filter(event -> !event.contains(" count "))
-                .toList();
-        return events.stream().skip(Math.max(0, events.size() - SHOWN_EVENTS)).collect(Collectors.joining("\n"));
-    }
-
-    private static String serverOf(JobFleet fleet, ItemId item) {
-        for (int i = 0; fleet.model.server("s" + i) != null; i++) {
-            if (fleet.model.server("s" + i).isRunning(item)) {
-                return "s" + i;
-            }
-        }
-        throw new AssertionError(item + " does not run\n" + lastEvents(fleet));
-    }
-
     /**
      * Guards against two runs where a server restarts under its identifier just before a start reaches it. The answer
      * to a start does not name the incarnation, so that the run is taken for one of the ended incarnation.
@@ -56,7 +27,7 @@
     public void startAnsweredByNextIncarnationIsNotLost() {
         List<String> faults = new ArrayList<>();
         for (int beforeMs = 0; beforeMs <= 60; beforeMs += 5) {
-            JobFleet fleet = fleet(1, 3);
+            JobFleet fleet = JobFleet.running(1, 3);
             ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
             fleet.submit(fleet.leader(), item.job(), JobFleet.longRunning(1, 6000, 0));
             fleet.runFor(beforeMs);
@@ -66,7 +37,7 @@
             fleet.runFor(12_000);
             if (!fleet.model.invariants().violations().isEmpty()) {
                 faults.add("restart " + beforeMs + " ms after the submission: "
-                        + fleet.model.invariants().violations() + "\n" + lastEvents(fleet));
+                        + fleet.model.invariants().violations() + "\n" + fleet.lastEvents());
             }
         }
         assertEquals(faults, List.of(), String.join("\n", faults));
@@ -75,23 +46,23 @@
     /** Guards against acknowledgements that stop because an end arrived while the job's final record was written. */
     @Test
     public void endThatArrivesDuringFinalWriteIsAcknowledged() {
-        JobFleet fleet = fleet(1, 2);
+        JobFleet fleet = JobFleet.running(1, 2);
         JobNode leader = fleet.leader();
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         // The second run, a copy, ends while the final record of the job is being written.
         fleet.answerAfter(300, fleet.submit(leader, item.job(), JobFleet.speculative(1, 20_000, 3000)));
-        String first = serverOf(fleet, item);
+        String first = fleet.serverOf(item);
         fleet.model.setUnreachable(first, true);
         fleet.runFor(1900);
         fleet.model.setUnreachable(first, false);
         fleet.runFor(500);
-        assertEquals(fleet.model.invariants().startCount(), 2, lastEvents(fleet));
+        assertEquals(fleet.model.invariants().startCount(), 2, fleet.lastEvents());
         fleet.clients.get(0).setOneWayDelay(Duration.ofMillis(100));
         fleet.runFor(6000);
         fleet.clients.get(0).setOneWayDelay(Duration.ZERO);
         fleet.runFor(3000);
         List<String> listed = new ArrayList<>();
-        String events = lastEvents(fleet);
+        String events = fleet.lastEvents();
         for (String id : List.of("s0", "s1")) {
             ServerCommands.LeaseRenewal query = new ServerCommands.LeaseRenewal(Optional.empty(), 0, Duration.ZERO);
             fleet.model
@@ -107,23 +78,23 @@
     /** Guards against an attempt too many: a failure on a server that was silent is acknowledged and not counted. */
     @Test
     public void failureOfRunThatWasTakenForLostCounts() {
-        JobFleet fleet = fleet(1, 3);
+        JobFleet fleet = JobFleet.running(1, 3);
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         fleet.model.setFailurePolicy((failing, run, server) -> true);
         fleet.model.setWorkTimes((work, server) -> Duration.ofMillis(2000));
         fleet.answerAfter(300, fleet.submit(fleet.leader(), item.job(), JobFleet.step(1, 20_000, 2000)));
-        String first = serverOf(fleet, item);
+        String first = fleet.serverOf(item);
         fleet.model.setUnreachable(first, true);
         for (int i = 0; i < 8000 && fleet.model.invariants().startCount() < 2; i += 10) {
             fleet.runFor(10);
         }
-        assertEquals(fleet.model.invariants().startCount(), 2, lastEvents(fleet));
+        assertEquals(fleet.model.invariants().startCount(), 2, fleet.lastEvents());
         fleet.model.setUnreachable(first, false);
         fleet.runFor(20_000);
         assertTrue(
                 fleet.model.invariants().failures(item) <= 3,
                 "failed runs with at most 3 attempts: "
-                        + fleet.model.invariants().failures(item) + "\n" + lastEvents(fleet));
+                        + fleet.model.invariants().failures(item) + "\n" + fleet.lastEvents());
     }
 
     /**
@@ -132,7 +103,7 @@
      */
     @Test
     public void nextLeaderHoldsDelayedStartOnNextIncarnation() {
-        JobFleet fleet = fleet(2, 2);
+        JobFleet fleet = JobFleet.running(2, 2);
         fleet.runFor(8000);
         JobNode leader = fleet.leader();
         NodeServerCommands commands = fleet.commandsOf(leader);
@@ -151,7 +122,7 @@
         fleet.runFor(1500);
         fleet.killProcess(leader);
         fleet.runFor(25_000);
-        assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
+        assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
     }
 
     /**
@@ -160,12 +131,12 @@
      */
     @Test
     public void endBeyondFirstPageIsNotTakenForLost() {
-        JobFleet fleet = fleet(1, 1);
+        JobFleet fleet = JobFleet.running(1, 1);
         fleet.commandsOf(fleet.leader()).limitEndsPerReport(100);
         fleet.answerAfter(1000, fleet.submit(fleet.leader(), JobFleet.id(1), JobFleet.step(200, 100, 2500)));
         assertEquals(fleet.model.invariants().startCount(), 200);
         fleet.runFor(8000);
-        assertEquals(fleet.model.invariants().startCount(), 200, lastEvents(fleet));
+        assertEquals(fleet.model.invariants().startCount(), 200, fleet.lastEvents());
         assertEquals(fleet.model.invariants().violations(), List.of());
     }
 
@@ -175,7 +146,7 @@
      */
     @Test(groups = "known-red")
     public void delayedRenewalOnNextIncarnationIsWaitedFor() {
-        JobFleet fleet = fleet(1, 2);
+        JobFleet fleet = JobFleet.running(1, 2);
         fleet.runFor(4000);
         JobNode leader = fleet.leader();
         NodeServerCommands commands = fleet.commandsOf(leader);
@@ -186,11 +157,11 @@
         fleet.model.restart("s0");
         fleet.runFor(1500);
         fleet.answerAfter(1000, fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(2, 20_000, 0)));
-        assertTrue(fleet.model.server("s0").activeRunCount() > 0, "no run on s0\n" + lastEvents(fleet));
+        assertTrue(fleet.model.server("s0").activeRunCount() > 0, "no run on s0\n" + fleet.lastEvents());
         fleet.runFor(1000);
         commands.setCut("s0", true);
         fleet.runFor(12_000);
-        assertEquals(fleet.model.invariants().violations(), List.of(), lastEvents(fleet));
+        assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
     }
 
     /**
@@ -199,7 +170,7 @@
      */
     @Test(groups = "known-red")
     public void scheduledWorkStartsNoEarlierThanAllowedAfterStep() {
-        JobFleet fleet = fleet(1, 2);
+        JobFleet fleet = JobFleet.running(1, 2);
         JobNode leader = fleet.leader();
         long dueMs = fleet.time.millis() + 20_000;
         String id = JobFleet.id(1);
@@ -214,7 +185,7 @@
             fleet.runFor(10);
         }
         long earlyMs = dueMs - fleet.time.millis();
-        assertTrue(earlyMs <= 5250, "started " + earlyMs + " ms early\n" + lastEvents(fleet));
+        assertTrue(earlyMs <= 5250, "started " + earlyMs + " ms early\n" + fleet.lastEvents());
     }
 
     /**
@@ -225,7 +196,7 @@
     public void staleListDoesNotEndNextIncarnation() {
         List<String> faults = new ArrayList<>();
         for (int phaseMs = 0; phaseMs < 1500; phaseMs += 25) {
-            JobFleet fleet = fleet(1, 2);
+            JobFleet fleet = JobFleet.running(1, 2);
             fleet.listDelay = Duration.ofMillis(900);
             fleet.runFor(1000 + phaseMs);
             JobNode leader = fleet.leader();
@@ -238,7 +209,7 @@
             fleet.runFor(10_000);
             if (fleet.model.invariants().startCount() < 2) {
                 faults.add(phaseMs + " ms: " + fleet.model.invariants().startCount() + " of 2 items started in 10 s\n"
-                        + lastEvents(fleet));
+                        + fleet.lastEvents());
             }
         }
         assertEquals(faults, List.of(), String.join("\n", faults));
