--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceSender.java
@@ -0,0 +1,47 @@
+package org.basilswitch.schedule;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import org.basilswitch.event.Completions;
+import org.basilswitch.event.EventCode;
+
+/** Sends the pace changes that the reports of servers require. */
+final class PaceSender {
+    /**
+     * Recorded pace of a run after a pace command without a confirmed result. It differs from any pace that is set, so
+     * the next change is sent.
+     */
+    private static final int UNKNOWN_PACE_PERCENT = 99;
+
+    private final SchedulerContext context;
+    private final long fencingToken;
+    private final PaceController paceController = new PaceController();
+
+    PaceSender(SchedulerContext context, long fencingToken) {
+        this.context = context;
+        this.fencingToken = fencingToken;
+    }
+
+    /** Sends the pace changes that the newest report of a server requires. */
+    void adjust(TrackedServer tracked) {
+        Optional<BackendServer> server = tracked.listing();
+        for (PaceController.PaceChange change :
+                paceController.changes(tracked, context.holderClock().monotonicNanos())) {
+            change.run().setPacePercent(change.percent());
+            server.ifPresent(listing -> send(listing, change));
+        }
+    }
+
+    private void send(BackendServer server, PaceController.PaceChange change) {
+        Run run = change.run();
+        CompletionStage<ServerCommands.CommandResult> call =
+                context.serverCommands().setPace(server, fencingToken, run.id(), run.number(), change.percent());
+        Completions.thenAcceptOrLog(call, context.telemetry(), "pace", result -> {
+            if (!(result instanceof ServerCommands.Done)) {
+                context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
+                run.setPacePercent(UNKNOWN_PACE_PERCENT);
+            }
+        });
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -32,23 +32,6 @@
      * servers.
      */
     private static final Duration UNHEALTHY_PAUSE = Duration.ofMillis(1000);
-    /** Initial pause of a failing server; long enough for a failed work item to complete on another server. */
-    private static final Duration INITIAL_FAILING_PAUSE = Duration.ofMillis(4000);
-    /** Maximum pause of a server on which all work keeps failing. */
-    private static final Duration MAX_FAILING_PAUSE = Duration.ofMillis(16_000);
-    /**
-     * Number of jobs with failures on a server since its last success after which the server is avoided for some time.
-     */
-    private static final int FAILED_JOBS_BEFORE_AVOIDANCE = 2;
-    /** Number of servers on which a work item has failed after which the failures are attributed to the item. */
-    private static final int FAILED_SERVERS_BEFORE_ITEM_IS_FAULTY = 2;
-
-    /**
-     * Recorded pace of a run after a pace command without a confirmed result. It differs from any pace that is set, so
-     * the next change is sent.
-     */
-    private static final int UNKNOWN_PACE_PERCENT = 99;
-
     /** Time within which a command without an answer may still be carried out; the platform speaks of seconds. */
     private static final Duration MAX_COMMAND_DELAY = Duration.ofSeconds(12);
 
@@ -57,7 +40,8 @@
     private final RunRegistry runRegistry;
     private final Owner owner;
     private final Map<BackendServer.Incarnation, LeaseRenewer> leaseRenewers = new HashMap<>();
-    private final PaceController paceController = new PaceController();
+    private final FailureAttribution failureAttribution;
+    private final PaceSender paceSender;
     private boolean closed;
 
     /** Scheduler that the runs belong to. */
@@ -95,6 +79,8 @@
         this.fencingToken = fencingToken;
         this.runRegistry = runRegistry;
         this.owner = owner;
+        this.failureAttribution = new FailureAttribution(context, runRegistry);
+        this.paceSender = new PaceSender(context, fencingToken);
     }
 
     void close() {
@@ -470,35 +456,13 @@
                 stop(run);
             }
         }
-        adjustPace(tracked);
+        paceSender.adjust(tracked);
         owner.onServerReport(tracked);
         if (placementChanged) {
             owner.schedulePlacement();
         }
     }
 
-    /** Sends the pace changes that the newest report requires. */
-    private void adjustPace(TrackedServer tracked) {
-        Optional<BackendServer> server = tracked.listing();
-        for (PaceController.PaceChange change :
-                paceController.changes(tracked, context.holderClock().monotonicNanos())) {
-            change.run().setPacePercent(change.percent());
-            server.ifPresent(listing -> sendPace(listing, change));
-        }
-    }
-
-    private void sendPace(BackendServer server, PaceController.PaceChange change) {
-        Run run = change.run();
-        CompletionStage<ServerCommands.CommandResult> call =
-                context.serverCommands().setPace(server, fencingToken, run.id(), run.number(), change.percent());
-        Completions.thenAcceptOrLog(call, context.telemetry(), "pace", result -> {
-            if (!(result instanceof ServerCommands.Done)) {
-                context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
-                run.setPacePercent(UNKNOWN_PACE_PERCENT);
-            }
-        });
-    }
-
     private void onRunning(TrackedServer tracked, ServerCommands.RunStatus status, long serverClockMs) {
         Optional<Run> known = tracked.run(status.item(), status.run());
         if (known.isEmpty()) {
@@ -594,11 +558,6 @@
         }
     }
 
-    /** Returns whether the failures of an item are attributed to the item and not to the servers. */
-    private static boolean isFaulty(WorkItem item) {
-        return item.failedOnServers() >= FAILED_SERVERS_BEFORE_ITEM_IS_FAULTY;
-    }
-
     /** Completes a gang member; a gang is done when one of its members is done. */
     private void endGangMember(WorkItem member) {
         member.run().ifPresent(runRegistry::remove);
@@ -610,20 +569,7 @@
         int maxAttempts = owner.maxAttempts(item);
         context.telemetry()
                 .event(EventCode.RUN_FAILED, "item=" + item.id() + " failures=" + failures + "/" + maxAttempts);
-        if (isFaulty(item)) {
-            runRegistry
-                    .servers()
-                    .forEach(server -> server.clearFailure(item.id().job()));
-        } else if (tracked.countFailure(item.id().job()) >= FAILED_JOBS_BEFORE_AVOIDANCE) {
-            Duration pause = tracked.markFailing(
-                    INITIAL_FAILING_PAUSE,
-                    MAX_FAILING_PAUSE,
-                    context.holderClock().monotonicNanos());
-            context.telemetry()
-                    .event(
-                            EventCode.SERVER_FAILING,
-                            "server=" + tracked.incarnation().serverId() + " avoidedMs=" + pause.toMillis());
-        }
+        failureAttribution.onFailure(tracked, item);
         if (hasNoAttemptLeft(item) && !item.job().isCancelled()) {
             item.job().fail();
             stopAll(item.job());
