Leave a vacant scheduler leadership to large hosts also at polls; go on after exceptions of the store

Cause: a small host waited 250 ms only when its watch showed the leadership vacant. An exception in the store's client left the elector waiting for an answer for ever; the answer of a renewal counted for a leadership that was acquired since. Tests: LeaderElectorTest (smallHostsLeaveVacantLeadershipToLargeHosts failed with the delay taken out of the polls).

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
@@ -34,6 +34,7 @@
     private final Telemetry telemetry;
     private final Duration leaseTime;
     private final Duration pollInterval;
+    private final Duration candidacyDelay;
     private Optional<Long> leaseId = Optional.empty();
     private long fencingToken;
     private long leaderUntilNanos = Long.MIN_VALUE;
@@ -49,7 +50,8 @@
             Scheduler scheduler,
             PlatformStore store,
             Telemetry telemetry,
-            Duration leaseTime) {
+            Duration leaseTime,
+            Duration candidacyDelay) {
         this.key = key;
         this.self = self;
         this.clock = clock;
@@ -58,6 +60,7 @@
         this.telemetry = telemetry;
         this.leaseTime = leaseTime;
         this.pollInterval = leaseTime.dividedBy(3);
+        this.candidacyDelay = candidacyDelay;
     }
 
     /** Creates an elector that campaigns once started. */
@@ -69,7 +72,24 @@
             PlatformStore store,
             Telemetry telemetry,
             Duration leaseTime) {
-        return new LeaderElector(key, self, clock, scheduler, store, telemetry, leaseTime);
+        return create(key, self, clock, scheduler, store, telemetry, leaseTime, Duration.ZERO);
+    }
+
+    /**
+     * Creates an elector that leaves a vacant leadership to preferred members for a while.
+     *
+     * @param candidacyDelay time from finding the leadership vacant to the attempt to acquire it
+     */
+    public static LeaderElector create(
+            String key,
+            MemberId self,
+            Clock clock,
+            Scheduler scheduler,
+            PlatformStore store,
+            Telemetry telemetry,
+            Duration leaseTime,
+            Duration candidacyDelay) {
+        return new LeaderElector(key, self, clock, scheduler, store, telemetry, leaseTime, candidacyDelay);
     }
 
     /** Starts campaigning after a delay, which is longer for less preferred members. */
@@ -90,7 +110,7 @@
     /** Campaigns at once instead of at the next poll; to be called when the leadership is observed vacant. */
     public void campaignNow() {
         if (!closed && fencingToken == 0 && leaseId.isEmpty() && !requesting) {
-            requestLeadership();
+            requestLeadership(candidacyDelay);
         }
     }
 
@@ -123,33 +143,49 @@
         if (fencingToken != 0) {
             renew();
         } else if (!requesting && polls++ % POLLS_PER_ATTEMPT == 0) {
-            requestLeadership();
+            requestLeadership(candidacyDelay);
         }
         scheduler.schedule(pollInterval, this::poll);
     }
 
-    private void requestLeadership() {
+    /** Acquires the leadership if it is vacant now and after the delay. */
+    private void requestLeadership(Duration delay) {
         requesting = true;
-        Completions.thenAcceptOrLog(store.get(key), telemetry, "duty", result -> {
-            requesting = false;
-            result.peek(entry -> {
-                if (entry.isEmpty() && !closed && leaseId.isEmpty()) {
-                    grantLease();
-                }
-            });
-        });
+        Completions.thenAcceptOrLog(
+                () -> store.get(key),
+                telemetry,
+                "duty",
+                result -> {
+                    requesting = false;
+                    boolean vacant = result.isRight() && result.get().isEmpty();
+                    if (!vacant || closed || leaseId.isPresent()) {
+                        return;
+                    }
+                    if (delay.isZero()) {
+                        grantLease();
+                    } else {
+                        requesting = true;
+                        scheduler.schedule(delay, () -> requestLeadership(Duration.ZERO));
+                    }
+                },
+                () -> requesting = false);
     }
 
     private void grantLease() {
         requesting = true;
         long requestedAtNanos = clock.monotonicNanos();
-        Completions.thenAcceptOrLog(store.grantLease(leaseTime), telemetry, "leadership lease", result -> {
-            requesting = false;
-            result.peek(id -> {
-                leaseId = Optional.of(id);
-                acquire(id, requestedAtNanos);
-            });
-        });
+        Completions.thenAcceptOrLog(
+                () -> store.grantLease(leaseTime),
+                telemetry,
+                "leadership lease",
+                result -> {
+                    requesting = false;
+                    result.peek(id -> {
+                        leaseId = Optional.of(id);
+                        acquire(id, requestedAtNanos);
+                    });
+                },
+                () -> requesting = false);
     }
 
     private void acquire(long id, long requestedAtNanos) {
@@ -158,10 +194,21 @@
                 .put(key, self.value().getBytes(StandardCharsets.UTF_8), id)
                 .build();
         requesting = true;
-        Completions.thenAcceptOrLog(store.commit(transaction), telemetry, "duty", result -> {
-            requesting = false;
-            onAcquireResult(result, id, requestedAtNanos);
-        });
+        Completions.thenAcceptOrLog(
+                () -> store.commit(transaction),
+                telemetry,
+                "duty",
+                result -> {
+                    requesting = false;
+                    onAcquireResult(result, id, requestedAtNanos);
+                },
+                () -> {
+                    requesting = false;
+                    // The listener may have failed after the leadership was acquired; it is then kept.
+                    if (fencingToken == 0) {
+                        releaseLease(id);
+                    }
+                });
     }
 
     private void onAcquireResult(Either<StoreError, CommitResult> result, long id, long requestedAtNanos) {
@@ -178,6 +225,10 @@
         }
         // If only the answer was lost, the key is attached to this lease; revoking it frees the key for the next
         // attempt.
+        releaseLease(id);
+    }
+
+    private void releaseLease(long id) {
         leaseId = Optional.empty();
         store.revokeLease(id);
     }
@@ -185,13 +236,18 @@
     private void renew() {
         long requestedAtNanos = clock.monotonicNanos();
         long id = leaseId.orElseThrow();
-        store.keepAlive(id)
-                .thenAccept(result -> result.peek(ok -> {
-                            if (fencingToken != 0) {
-                                leaderUntilNanos = requestedAtNanos + leaseTime.toNanos();
-                            }
-                        })
-                        .peekLeft(this::onRenewFailed));
+        Completions.thenAcceptOrLog(
+                () -> store.keepAlive(id),
+                telemetry,
+                "leadership lease",
+                result -> {
+                    // The answer may be for a leadership that this host has lost and acquired again since.
+                    if (leaseId.filter(current -> current == id).isPresent()) {
+                        result.peek(ok -> leaderUntilNanos = requestedAtNanos + leaseTime.toNanos())
+                                .peekLeft(this::onRenewFailed);
+                    }
+                },
+                () -> {});
     }
 
     private void onRenewFailed(StoreError error) {
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -96,7 +96,8 @@
                 dependencies.timers(),
                 dependencies.store(),
                 dependencies.telemetry(),
-                dependencies.options().leaderLease());
+                dependencies.options().leaderLease(),
+                dependencies.candidacyDelay());
         JobIntake intake = JobIntake.create(
                 dependencies.store(),
                 dependencies.keys(),
@@ -112,7 +113,7 @@
     public static JobNode start(Dependencies dependencies) {
         JobNode node = new JobNode(dependencies);
         node.leaderElector.onChange(node::onLeadershipChange);
-        node.leaderElector.start(dependencies.candidacyDelay());
+        node.leaderElector.start(Duration.ZERO);
         return node;
     }
 
@@ -165,7 +166,7 @@
     @Override
     public void onLeaderChanged(Optional<String> leader) {
         if (leader.isEmpty() && !leaving) {
-            dependencies.timers().schedule(dependencies.candidacyDelay(), leaderElector::campaignNow);
+            leaderElector.campaignNow();
         }
     }
 
