--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -237,6 +237,14 @@
                 .orElseThrow();
     }
 
+    /** Returns one of the entry hosts to which the platform's balancer sends callers. */
+    JobNode readyNode(int number) {
+        List<JobNode> ready = nodes.stream()
+                .filter(node -> !killed.contains(node) && node.isReady())
+                .toList();
+        return ready.get(number % ready.size());
+    }
+
     void runFor(long ms) {
         time.runFor(Duration.ofMillis(ms));
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -40,6 +41,9 @@
     private static final long TARGET_MS = 600;
     private static final double STRETCH_FACTOR = 1.6;
 
+    private static final int LONG_RUNNING_WIDTH = 24;
+    private static final long LONG_RUNNING_CPU_MILLIS = 9000;
+
     /**
      * Load of one queue, which has its own pool.
      *
@@ -78,6 +82,8 @@
         }
     }
 
+    private record Event(long atMs, Runnable action) {}
+
     private record Job(long submittedMs, double targetMs, double value, int lastStep, int lastWidth) {}
 
     final JobFleet fleet = new JobFleet();
@@ -91,6 +97,10 @@
     private double slowServerFraction;
     private double slowServerFactor = 1;
     private double hostSeconds;
+    private int entryHosts = 3;
+    private int longRunningJobsPerQueue;
+    private final List<Event> events = new ArrayList<>();
+    private long startMs;
     private int lastJobNumber;
 
     private LoadSimulation(List<QueueLoad> demands, int standbyHosts, long seed) {
@@ -142,6 +152,42 @@
                 seed);
     }
 
+    /** Creates a simulation of four queues like those of the users' large site, where half of the room is lasting work. */
+    static LoadSimulation withRotatingPeaksOnLargeFleet(long seed) {
+        LoadSimulation simulation = create(
+                List.of(
+                        new QueueLoad("dispatch", 66, 12, 1.6, 7.7, 800, 9100, 0.3),
+                        new QueueLoad("billing", 74, 2.2, 2, 8, 1700, 20_000, 0),
+                        new QueueLoad("booking", 82, 15, 1.6, 7.7, 800, 9100, 0.3),
+                        new QueueLoad("compliance", 90, 2.7, 2, 8, 1700, 20_000, 0)),
+                60,
+                seed);
+        simulation.entryHosts = 9;
+        simulation.longRunningJobsPerQueue = 4;
+        return simulation;
+    }
+
+    /**
+     * Loses the leaders in series: one leaves, one is suspended, one is killed and one is cut off from the store. Returns
+     * the time from the start of the load at which the last fault ends, in ms.
+     */
+    int loseLeadersInSeries() {
+        at(3000, () -> fleet.leader().leave());
+        at(8500, () -> fleet.timeOf(fleet.leader()).suspendFor(Duration.ofMillis(2500)));
+        at(15_000, () -> fleet.killProcess(fleet.leader()));
+        at(18_000, () -> {
+            int index = fleet.nodes.indexOf(fleet.leader());
+            fleet.clients.get(index).setReachable(false);
+            fleet.time.schedule(
+                    Duration.ofMillis(5000), () -> fleet.clients.get(index).setReachable(true));
+        });
+        return 23_000;
+    }
+
+    private void at(long ms, Runnable action) {
+        events.add(new Event(ms, action));
+    }
+
     /** Makes the servers of a fraction of the hosts slower by a factor. */
     void makeServersSlow(double fraction, double factor) {
         slowServerFraction = fraction;
@@ -175,11 +221,17 @@
 
     /** Starts the entry hosts, runs the simulation and returns its result. */
     Report run() {
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < entryHosts; i++) {
             fleet.addNode();
         }
         fleet.runFor(3000);
-        long startMs = fleet.time.millis();
+        for (QueueLoad queueLoad : queueLoads) {
+            for (int i = 0; i < longRunningJobsPerQueue; i++) {
+                submitLongRunning(queueLoad);
+            }
+        }
+        startMs = fleet.time.millis();
+        events.forEach(event -> fleet.time.schedule(Duration.ofMillis(event.atMs), event.action));
         while (fleet.time.millis() - startMs < LOAD_DURATION.toMillis()) {
             long elapsedMs = fleet.time.millis() - startMs;
             int peakQueue = (int) (elapsedMs / PEAK_DURATION.toMillis()) % queueLoads.size();
@@ -224,6 +276,15 @@
         return Math.min(max, mean * Math.exp(sigma * gauss - sigma * sigma / 2));
     }
 
+    private void submitLongRunning(QueueLoad queueLoad) {
+        String id = JobFleet.id(++lastJobNumber);
+        fleet.submit(
+                fleet.readyNode(lastJobNumber),
+                queueLoad.name,
+                id,
+                List.of(JobFleet.longRunning(LONG_RUNNING_WIDTH, LONG_RUNNING_CPU_MILLIS, 2)));
+    }
+
     private void submit(QueueLoad queueLoad) {
         String id = JobFleet.id(++lastJobNumber);
         int count = (int) Math.max(1, Math.round(logNormal(queueLoad.steps, 0.4, queueLoad.steps * 2.5)));
@@ -265,7 +326,7 @@
         }
         if (random.nextDouble() < failingJobFraction) {
             failingJobs.add(id);
-            fleet.submit(fleet.nodes.get(lastJobNumber % fleet.nodes.size()), queueLoad.name, id, steps);
+            fleet.submit(fleet.readyNode(lastJobNumber), queueLoad.name, id, steps);
             return;
         }
         double mean = queueLoad.steps * queueLoad.width * queueLoad.workMs * queueLoad.cpuMillis;
@@ -277,7 +338,39 @@
                         Math.min(4, 0.3 + 0.7 * work / mean),
                         count - 1,
                         width));
-        fleet.submit(fleet.nodes.get(lastJobNumber % fleet.nodes.size()), queueLoad.name, id, steps);
+        fleet.submit(fleet.readyNode(lastJobNumber), queueLoad.name, id, steps);
+    }
+
+    /** Returns the value on time as a fraction of the value submitted, by time of submission. */
+    List<Double> onTimeByWindow(long windowMs) {
+        int windows = (int) (LOAD_DURATION.toMillis() / windowMs);
+        double[] total = new double[windows];
+        double[] onTime = new double[windows];
+        jobs.forEach((id, job) -> {
+            int window = (int) Math.min(windows - 1, (job.submittedMs - startMs) / windowMs);
+            total[window] += job.value;
+            onTime[window] += isOnTime(id, job) ? job.value : 0;
+        });
+        return IntStream.range(0, windows)
+                .mapToObj(window -> onTime[window] / Math.max(1e-9, total[window]))
+                .toList();
+    }
+
+    /** Returns the accepted jobs that were not done, with their events. */
+    List<String> acceptedButUnfinished() {
+        return jobs.keySet().stream()
+                .filter(id -> !doneMs.containsKey(id))
+                .map(id -> fleet.events.stream()
+                        .filter(event -> event.contains(id))
+                        .toList()
+                        .toString())
+                .filter(events -> events.contains(" JOB_ACCEPTED "))
+                .toList();
+    }
+
+    private boolean isOnTime(String id, Job job) {
+        Long endMs = doneMs.get(id);
+        return endMs != null && endMs - job.submittedMs <= job.targetMs + TICK.toMillis();
     }
 
     private Report report() {
@@ -292,7 +385,7 @@
             if (endMs == null) {
                 continue;
             }
-            if (endMs - job.submittedMs <= job.targetMs + TICK.toMillis()) {
+            if (isOnTime(entry.getKey(), job)) {
                 onTime++;
                 onTimeValue += job.value;
             } else {
