Start nothing on the former server of a host that was moved or maintained

Cause: a command ends the host's server, but the registry lists it for three more heartbeats, and its last report makes it usable for 1.9 s. The list of hosts does not name it any more, so that it did not count as closed.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
@@ -40,6 +40,12 @@
     /** Delay before a command that had no effect may be sent again. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
+    /**
+     * Time for which the former server of a host that was taken down is remembered. The registry lists it for three more
+     * heartbeats, and longer while the store is unavailable.
+     */
+    private static final Duration FORMER_SERVER_RETENTION = Duration.ofSeconds(60);
+
     private final SchedulerContext context;
     private final long fencingToken;
     private final Supplier<Boolean> maySendCommands;
@@ -52,6 +58,10 @@
     private final Set<String> draining = new HashSet<>();
     private final Map<String, PendingCommand> pendingCommands = new HashMap<>();
     private final Map<String, Long> upSinceNanos = new HashMap<>();
+    /** Servers whose host was sent a command, which ends them; with the time of the command. */
+    private final Map<String, FormerServer> formerServers = new HashMap<>();
+
+    private record FormerServer(String host, long sentNanos) {}
 
     /** A command that was sent; the host counts as unavailable until a later list shows it up. */
     private static final class PendingCommand {
@@ -128,6 +138,13 @@
             }
             return host == null || command.listsUp >= (command.pool.isPresent() ? 1 : LISTS_AFTER_MAINTENANCE);
         });
+        long nowNanos = context.holderClock().monotonicNanos();
+        formerServers.entrySet().removeIf(entry -> {
+            FormerServer former = entry.getValue();
+            // A command without effect leaves the server as it was.
+            boolean stillThere = !pendingCommands.containsKey(former.host()) && byServer.containsKey(entry.getKey());
+            return stillThere || nowNanos - former.sentNanos() > FORMER_SERVER_RETENTION.toNanos();
+        });
         draining.removeIf(name -> !next.containsKey(name));
     }
 
@@ -173,8 +190,14 @@
         return command == null ? host.pool() : command.pool.orElse(host.pool());
     }
 
-    /** Returns whether a server gets no new work because its host is being drained or has a pending command. */
+    /**
+     * Returns whether a server gets no new work because its host is being drained or was taken down. The list of hosts
+     * does not name the former server of such a host any more, but the registry still does.
+     */
     boolean isClosedToNewWork(String serverId) {
+        if (formerServers.containsKey(serverId)) {
+            return true;
+        }
         String host = hostOfServer.get(serverId);
         return host != null && (draining.contains(host) || pendingCommands.containsKey(host));
     }
@@ -216,6 +239,9 @@
             String detail) {
         PendingCommand command = new PendingCommand(context.holderClock().monotonicNanos(), pool);
         pendingCommands.put(host, command);
+        find(host)
+                .flatMap(HostControl.PlatformHost::serverId)
+                .ifPresent(id -> formerServers.put(id, new FormerServer(host, command.sentNanos)));
         return call.get().thenApply(result -> {
             command.answered = true;
             command.answeredNanos = context.holderClock().monotonicNanos();
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -54,6 +54,9 @@
     private int maxHostsDown;
     private int hostsInMaintenance;
     private int moveCount;
+    private Duration entryRetention = Duration.ZERO;
+    private final Map<String, BackendServer> departedEntries = new HashMap<>();
+    private int startsOnDepartedServers;
 
     /** Selects the runs that fail. */
     @FunctionalInterface
@@ -181,6 +184,16 @@
         lostStartAnswers.add(id);
     }
 
+    /** Sets the time for which the registry lists a server after its host was taken down. */
+    public void setEntryRetention(Duration retention) {
+        entryRetention = retention;
+    }
+
+    /** Returns the number of starts sent to servers whose host had been taken down by a command. */
+    public int startsOnDepartedServers() {
+        return startsOnDepartedServers;
+    }
+
     /** Adds a maintenance wave. */
     public void addWave(WaveRequest wave) {
         waves.add(wave);
@@ -226,9 +239,9 @@
 
     @Override
     public CompletionStage<Either<StoreError, List<BackendServer>>> read() {
-        return completeLater(Either.right(servers.values().stream()
-                .map(server -> withDrainingState(server.entry()))
-                .toList()));
+        List<BackendServer> entries = new ArrayList<>(departedEntries.values());
+        servers.values().forEach(server -> entries.add(withDrainingState(server.entry())));
+        return completeLater(Either.right(entries));
     }
 
     private BackendServer withDrainingState(BackendServer entry) {
@@ -259,6 +272,7 @@
 
         @Override
         public CompletionStage<CommandResult> start(BackendServer server, long fencingToken, StartCommand command) {
+            startsOnDepartedServers += departedEntries.containsKey(server.id()) ? 1 : 0;
             if (delayedStarts.remove(server.id())) {
                 scheduler.schedule(
                         Duration.ofSeconds(2),
@@ -368,8 +382,13 @@
         }
         String name = platformHost.name();
         platformHost.serverId().ifPresent(id -> {
+            BackendServer departed = servers.get(id).entry();
             servers.get(id).crash();
             servers.remove(id);
+            if (!entryRetention.isZero()) {
+                departedEntries.put(id, departed);
+                scheduler.schedule(entryRetention, () -> departedEntries.remove(id));
+            }
         });
         hosts.put(
                 name,
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulationTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulationTest.java
@@ -1,5 +1,6 @@
 package org.basilswitch.standin.jobs;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
@@ -87,6 +88,21 @@
                 "on time: " + onTime + ", baseline " + baselineOnTime);
     }
 
+    /**
+     * Guards against starts on servers whose host was moved: the registry lists them for three more heartbeats, while the
+     * list of hosts names the host's next server or none.
+     */
+    @Test
+    public void movedHostsGetNoStartsUnderTheirFormerServer() {
+        for (int seed = 1; seed <= SEEDS / 2; seed++) {
+            LoadSimulation day = LoadSimulation.withRotatingPeaks(seed);
+            day.fleet.model.setEntryRetention(Duration.ofMillis(4500));
+            LoadSimulation.Report report = day.run();
+            System.out.println("entries of moved servers stay listed: " + report);
+            assertEquals(day.fleet.model.startsOnDepartedServers(), 0, "seed " + seed);
+        }
+    }
+
     @Test
     public void failingJobsCostOtherJobsAtMostATenth() {
         double onTime = onTime("beside hopeless jobs", day -> day.makeJobsFail(0.15));
