Hand over the scheduler's leadership when the store turns the leader away; say which hosts hold a wave back

Change: 0.9 s after the last confirmation the leader asks up to four hosts whether the store answers them with its record. With a yes it stops acting and asks that host to replace the record, on condition of its revision. The next leader keeps the full pause before host commands. Two design points: the leader never acts again with its token, and a lost message costs no more than the rest of the lease. WAVE_BEHIND names the hosts that are left when three quarters of a wave's time have passed.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -87,6 +87,11 @@
     CALL_HANDED_OVER(
             1930, Severity.INFO, "this host could not decide a call; it was forwarded to the scheduler's host"),
     ENTRY_SKIPPED(1931, Severity.WARN, "entry of another writer can't be used; it is skipped"),
+    WAVE_BEHIND(1932, Severity.WARN, "maintenance wave has used most of its time; some hosts are left"),
+    LEADERSHIP_HANDED_OVER(
+            1933,
+            Severity.WARN,
+            "the store does not confirm the leadership but answers another host, which takes over"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
@@ -41,6 +41,7 @@
     private boolean closed;
     private boolean requesting;
     private long polls;
+    private boolean replacedLeader;
     private Runnable listener = () -> {};
 
     private LeaderElector(
@@ -114,6 +115,30 @@
         }
     }
 
+    /**
+     * Takes over the leadership from a leader that has stopped acting and asked for it. Has no effect if the leadership has
+     * changed hands since.
+     *
+     * @param previousFencingToken fencing token of that leader
+     */
+    public void acquireFrom(long previousFencingToken) {
+        if (!closed && fencingToken == 0 && leaseId.isEmpty() && !requesting) {
+            grantLease(previousFencingToken);
+        }
+    }
+
+    /** Returns whether the leadership was acquired by {@link #acquireFrom}, so that an earlier lease may still run. */
+    public boolean replacedLeader() {
+        return replacedLeader;
+    }
+
+    /** Returns the time since the store confirmed the leadership; zero while this host is not the leader. */
+    public Duration unconfirmedFor() {
+        return fencingToken == 0
+                ? Duration.ZERO
+                : Duration.ofNanos(clock.monotonicNanos() - leaderUntilNanos).plus(leaseTime);
+    }
+
     /** Sets the action that runs each time this host acquires or loses the leadership. */
     public void onChange(Runnable action) {
         listener = action;
@@ -126,6 +151,14 @@
         id.ifPresent(store::revokeLease);
     }
 
+    /**
+     * Gives up the leadership without freeing its record, for another host that replaces the record; otherwise it is free
+     * when the lease ends.
+     */
+    public void abandon(String reason) {
+        loseLeadership(reason);
+    }
+
     /** Returns the leadership key, whose modification revision transactions compare with {@link #fencingToken}. */
     public String key() {
         return key;
@@ -162,7 +195,7 @@
                         return;
                     }
                     if (delay.isZero()) {
-                        grantLease();
+                        grantLease(Transaction.ABSENT);
                     } else {
                         requesting = true;
                         scheduler.schedule(delay, () -> requestLeadership(Duration.ZERO));
@@ -171,7 +204,8 @@
                 () -> requesting = false);
     }
 
-    private void grantLease() {
+    /** Acquires the leadership if its record has the expected revision. */
+    private void grantLease(long expectedRevision) {
         requesting = true;
         long requestedAtNanos = clock.monotonicNanos();
         Completions.thenAcceptOrLog(
@@ -182,15 +216,15 @@
                     requesting = false;
                     result.peek(id -> {
                         leaseId = Optional.of(id);
-                        acquire(id, requestedAtNanos);
+                        acquire(expectedRevision, id, requestedAtNanos);
                     });
                 },
                 () -> requesting = false);
     }
 
-    private void acquire(long id, long requestedAtNanos) {
+    private void acquire(long expectedRevision, long id, long requestedAtNanos) {
         Transaction transaction = Transaction.builder()
-                .compare(key, Transaction.ABSENT)
+                .compare(key, expectedRevision)
                 .put(key, self.value().getBytes(StandardCharsets.UTF_8), id)
                 .build();
         requesting = true;
@@ -200,6 +234,7 @@
                 "duty",
                 result -> {
                     requesting = false;
+                    replacedLeader = expectedRevision != Transaction.ABSENT;
                     onAcquireResult(result, id, requestedAtNanos);
                 },
                 () -> {
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
@@ -45,6 +46,7 @@
     private final LeaderElector leaderElector;
     private final LiveServers servers;
     private final JobService service;
+    private final LeadershipHandover handover;
     private Optional<JobScheduler> scheduler = Optional.empty();
     private boolean leaving;
 
@@ -106,6 +108,7 @@
                 dependencies.timers());
         this.directory = JobDirectory.open(
                 dependencies.store(), dependencies.keys(), dependencies.timers(), dependencies.telemetry(), this);
+        this.handover = new LeadershipHandover(dependencies, clock, leaderElector, this::stopScheduling);
         this.service = new JobService(this, dependencies, clock, configurationFollower, intake, directory);
     }
 
@@ -114,12 +117,17 @@
         JobNode node = new JobNode(dependencies);
         node.leaderElector.onChange(node::onLeadershipChange);
         node.leaderElector.start(Duration.ZERO);
+        node.handover.start();
         return node;
     }
 
-    private void onLeadershipChange() {
+    private void stopScheduling() {
         scheduler.ifPresent(JobScheduler::close);
         scheduler = Optional.empty();
+    }
+
+    private void onLeadershipChange() {
+        stopScheduling();
         if (leaderElector.fencingToken() != 0 && !leaving) {
             startScheduling(leaderElector.fencingToken());
         }
@@ -148,7 +156,7 @@
                 dependencies.hosts(),
                 dependencies.waveStore(),
                 dependencies.telemetry(),
-                dependencies.options());
+                leaderElector.replacedLeader() ? dependencies.options().afterHandover() : dependencies.options());
         scheduler = Optional.of(
                 JobScheduler.takeOver(context, fencingToken, leaderElector::isLeaderFor, leaderElector::stepDown));
     }
@@ -190,6 +198,23 @@
         directory.addCancelled(id);
     }
 
+    /** Records that a host which may take over the leadership has sent a message. */
+    public void onCandidateSeen(String address) {
+        handover.onCandidateSeen(address);
+    }
+
+    /** Returns whether the store answers this host and names the leadership with this fencing token. */
+    public CompletionStage<Boolean> canTakeOver(long fencingToken) {
+        return leaving ? CompletableFuture.completedFuture(false) : handover.canTakeOver(fencingToken);
+    }
+
+    /** Takes over the leadership from a leader that has stopped acting. */
+    public void onHandover(long fencingToken) {
+        if (!leaving) {
+            handover.takeOver(fencingToken);
+        }
+    }
+
     /** Answers a call that another entry host forwards. */
     public CompletionStage<JobAnswer> answerPeer(JobCall call) {
         return service.answerForPeer(call);
@@ -209,8 +234,8 @@
     public void leave() {
         leaving = true;
         dependencies.telemetry().event(EventCode.SHUTDOWN_STARTED, "address=" + dependencies.address());
-        scheduler.ifPresent(JobScheduler::close);
-        scheduler = Optional.empty();
+        stopScheduling();
+        handover.close();
         leaderElector.close();
     }
 
--- /dev/null
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
@@ -0,0 +1,139 @@
+package org.basilswitch.intake;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+
+import org.basilswitch.event.Completions;
+import org.basilswitch.event.EventCode;
+import org.basilswitch.fleet.LeaderElector;
+import org.basilswitch.time.Clock;
+
+/**
+ * Hands over the scheduler's leadership when the store refuses or does not answer the leader but answers another entry
+ * host, instead of waiting for the lease to run out.
+ *
+ * <p>The leader stops acting before it asks the other host, and does not act again with its fencing token. The other host
+ * replaces the leadership record on condition that it still has that token's revision, so that a late or repeated message
+ * has no effect. A lost message costs no more than the rest of the lease.
+ */
+final class LeadershipHandover implements AutoCloseable {
+    /** Interval between checks of the leader's own leadership. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+    /**
+     * Time without a confirmation after which other hosts are asked. Longer than the interval between renewals, a third of
+     * the lease of 2 s, and shorter than the lease by the time that a handover takes.
+     */
+    private static final Duration UNCONFIRMED_BEFORE_HANDOVER = Duration.ofMillis(900);
+
+    /** Remaining leadership below which a handover gains nothing. */
+    private static final Duration MIN_REMAINING_LEASE = Duration.ofMillis(200);
+    /** Time within which another host has to have read the record; a store that is slow for all gains nothing. */
+    private static final Duration MAX_ANSWER_TIME = Duration.ofMillis(150);
+    /** Number of hosts that are asked at a time. */
+    private static final int MAX_ASKED = 4;
+    /** Number of hosts that are remembered. */
+    private static final int MAX_CANDIDATES = 16;
+
+    private final JobNode.Dependencies dependencies;
+    private final Clock clock;
+    private final LeaderElector leaderElector;
+    private final Runnable stopScheduling;
+    /** Hosts that may take over; the one that was heard last comes last. */
+    private final Set<String> candidates = new LinkedHashSet<>();
+
+    private long askedNanos;
+    private boolean asking;
+    private boolean closed;
+
+    LeadershipHandover(
+            JobNode.Dependencies dependencies, Clock clock, LeaderElector leaderElector, Runnable stopScheduling) {
+        this.dependencies = dependencies;
+        this.clock = clock;
+        this.leaderElector = leaderElector;
+        this.stopScheduling = stopScheduling;
+    }
+
+    void start() {
+        if (!closed) {
+            dependencies.timers().schedule(CHECK_INTERVAL, this::start);
+            check();
+        }
+    }
+
+    /** Records that a host which may take over has sent a message. */
+    void onCandidateSeen(String address) {
+        if (address.equals(dependencies.address())) {
+            return;
+        }
+        candidates.remove(address);
+        candidates.add(address);
+        if (candidates.size() > MAX_CANDIDATES) {
+            candidates.remove(candidates.iterator().next());
+        }
+    }
+
+    private void check() {
+        boolean unconfirmed = leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0
+                && leaderElector.isLeaderFor(MIN_REMAINING_LEASE);
+        if (!unconfirmed || asking || candidates.isEmpty()) {
+            return;
+        }
+        asking = true;
+        askedNanos = clock.monotonicNanos();
+        dependencies.timers().schedule(MAX_ANSWER_TIME, () -> asking = false);
+        long fencingToken = leaderElector.fencingToken();
+        List<String> latest = new ArrayList<>(candidates);
+        for (String host : latest.subList(Math.max(0, latest.size() - MAX_ASKED), latest.size())) {
+            long sentNanos = askedNanos;
+            Completions.thenAcceptOrLog(
+                    () -> dependencies.schedulerClient().canTakeOver(host, fencingToken),
+                    dependencies.telemetry(),
+                    "question whether a host can take over",
+                    can -> {
+                        if (can && clock.monotonicNanos() - sentNanos <= MAX_ANSWER_TIME.toNanos()) {
+                            handOver(host, fencingToken);
+                        }
+                    },
+                    () -> {});
+        }
+    }
+
+    /** Stops acting and asks a host to take over, unless the leadership was confirmed or lost meanwhile. */
+    private void handOver(String host, long fencingToken) {
+        boolean stillUnconfirmed = leaderElector.fencingToken() == fencingToken
+                && leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0;
+        if (closed || !stillUnconfirmed) {
+            return;
+        }
+        stopScheduling.run();
+        dependencies.telemetry().event(EventCode.LEADERSHIP_HANDED_OVER, "fence=" + fencingToken + " host=" + host);
+        leaderElector.abandon("handed over to " + host);
+        dependencies.schedulerClient().handOver(host, fencingToken);
+    }
+
+    /** Returns whether the store answers this host and names the leadership with this fencing token. */
+    CompletionStage<Boolean> canTakeOver(long fencingToken) {
+        return dependencies
+                .store()
+                .get(dependencies.keys().schedulerLeadership())
+                .thenApply(result -> result.isRight()
+                        && result.get()
+                                .filter(entry -> entry.modRevision() == fencingToken)
+                                .isPresent());
+    }
+
+    /** Takes over from a leader that has stopped acting. */
+    void takeOver(long fencingToken) {
+        leaderElector.acquireFrom(fencingToken);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
@@ -26,6 +26,16 @@
     /** Queries the number of jobs in a queue with no work item started yet; empty when the leader did not answer. */
     CompletionStage<Optional<Long>> queryPendingJobs(String leader, String queue);
 
+    /**
+     * Asks an entry host whether the store answers it and still names a leadership.
+     *
+     * @return whether it has read the leadership record with this fencing token just now
+     */
+    CompletionStage<Boolean> canTakeOver(String host, long fencingToken);
+
+    /** Asks an entry host to take over the leadership with this fencing token, after this host has stopped acting. */
+    void handOver(String host, long fencingToken);
+
     /** Notifies the leader that a job is stored. */
     void notifyAccepted(String leader, JobSubmission submission);
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerOptions.java
@@ -22,6 +22,14 @@
     /** Lease of the leadership, renewed three times within it; a killed leader is replaced after it. */
     private static final Duration LEADER_LEASE = Duration.ofSeconds(2);
 
+    /**
+     * Returns the options of a leader that took over before the lease of the earlier one had run out. The earlier one may
+     * have sent a host command just before.
+     */
+    public SchedulerOptions afterHandover() {
+        return new SchedulerOptions(lease, maxLease, leaderLease, hostCommandPause.plus(leaderLease), retention);
+    }
+
     /** Creates options whose run lease does not exceed the maximum that the platform grants. */
     public static SchedulerOptions withMaxLease(Duration maxLease, Duration hostOrderPause, Duration retention) {
         Duration lease = PREFERRED_LEASE.compareTo(maxLease) < 0 ? PREFERRED_LEASE : maxLease;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerDrainer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerDrainer.java
@@ -79,6 +79,25 @@
         return runs.isEmpty();
     }
 
+    /** Describes for logs what keeps a host from being drained. */
+    String describe(String host) {
+        Optional<HostControl.PlatformHost> platformHost = hostOperations.find(host);
+        Optional<TrackedServer> tracked = serverOf(host);
+        if (platformHost.isEmpty()) {
+            return "not listed";
+        }
+        if (tracked.isEmpty()) {
+            return platformHost.get().state() + " pool=" + platformHost.get().pool() + " without server";
+        }
+        List<Run> runs = tracked.get().runs();
+        List<Run> longRunning =
+                runs.stream().filter(run -> run.item().spec().longRunning()).toList();
+        long interruptible =
+                longRunning.stream().filter(ServerDrainer::mayInterrupt).count();
+        return platformHost.get().state() + " runs=" + runs.size() + " longRunning=" + longRunning.size()
+                + " interruptible=" + interruptible;
+    }
+
     /**
      * Returns whether the other work items of the run's step that are unavailable for any reason are fewer than the
      * step allows.
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WaveCoordinator.java
@@ -29,6 +29,12 @@
      * allowed.
      */
     private static final double MAX_DRAINING_FRACTION = 0.3;
+    /** Part of a wave's duration after which the hosts that are left are logged. */
+    private static final double BEHIND_AFTER_FRACTION = 0.75;
+
+    private static final Duration BEHIND_LOG_INTERVAL = Duration.ofSeconds(2);
+    /** Number of hosts that one log line describes. */
+    private static final int MAX_LOGGED_HOSTS = 8;
 
     private final SchedulerContext context;
     private final HostOperations hostOperations;
@@ -44,6 +50,7 @@
         private final Set<String> done = new HashSet<>();
         private final Set<String> draining = new HashSet<>();
         private final Set<String> down = new HashSet<>();
+        private long behindLoggedNanos;
         private boolean progressRead;
         private boolean writing;
         private boolean dirty;
@@ -52,6 +59,7 @@
         private Wave(WaveStore.WaveRequest request, long seenNanos) {
             this.request = request;
             this.seenNanos = seenNanos;
+            this.behindLoggedNanos = seenNanos;
             this.completed = request.completed();
             this.dirty = !request.reported();
         }
@@ -161,6 +169,7 @@
             return;
         }
         wave.draining.retainAll(remaining);
+        logIfBehind(wave, remaining);
         for (String host : new ArrayList<>(wave.draining)) {
             if (!hostOperations.hasPendingCommand(host) && serverDrainer.drain(host)) {
                 maintain(wave, host);
@@ -173,6 +182,25 @@
         });
     }
 
+    private void logIfBehind(Wave wave, Set<String> remaining) {
+        long nowNanos = context.holderClock().monotonicNanos();
+        double behindAfterNanos = wave.request.duration().toNanos() * BEHIND_AFTER_FRACTION;
+        if (nowNanos - wave.seenNanos < behindAfterNanos
+                || nowNanos - wave.behindLoggedNanos < BEHIND_LOG_INTERVAL.toNanos()) {
+            return;
+        }
+        wave.behindLoggedNanos = nowNanos;
+        List<String> hosts = remaining.stream()
+                .limit(MAX_LOGGED_HOSTS)
+                .map(host -> host + "(" + (wave.draining.contains(host) ? "draining " : "")
+                        + serverDrainer.describe(host) + ")")
+                .toList();
+        context.telemetry()
+                .event(
+                        EventCode.WAVE_BEHIND,
+                        "wave=" + wave.request.number() + " left=" + remaining.size() + " hosts=" + hosts);
+    }
+
     /**
      * Returns the number of the wave's hosts that are down for maintenance, including those commanded by an earlier
      * leader.
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
@@ -29,17 +29,26 @@
      */
     private static final int MAX_CONNECTIONS = 4;
 
+    /** Header with the address of a host that may take over the leadership. */
+    static final String CANDIDATE = "Leadership-Candidate";
+
     private final HttpClient client;
+    private final Optional<String> candidate;
 
-    private HttpSchedulerClient(HttpClient client) {
+    private HttpSchedulerClient(HttpClient client, Optional<String> candidate) {
         this.client = client;
+        this.candidate = candidate;
     }
 
-    /** Creates a client. */
-    public static HttpSchedulerClient create(Vertx vertx) {
+    /**
+     * Creates a client.
+     *
+     * @param candidate address of this host, if the leader may hand over to it
+     */
+    public static HttpSchedulerClient create(Vertx vertx, Optional<String> candidate) {
         HttpClientOptions options = new HttpClientOptions().setTcpNoDelay(true).setConnectTimeout(TIMEOUT_MS);
         return new HttpSchedulerClient(
-                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)));
+                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)), candidate);
     }
 
     @Override
@@ -69,6 +78,17 @@
                         .filter(jobs -> jobs >= 0));
     }
 
+    @Override
+    public CompletionStage<Boolean> canTakeOver(String host, long fencingToken) {
+        return call(HttpMethod.GET, host, SchedulerPeerServer.LEADERSHIP + fencingToken, Buffer.buffer())
+                .thenApply(Optional::isPresent);
+    }
+
+    @Override
+    public void handOver(String host, long fencingToken) {
+        call(HttpMethod.POST, host, SchedulerPeerServer.LEADERSHIP + fencingToken, Buffer.buffer());
+    }
+
     @Override
     public void notifyAccepted(String holder, JobSubmission submission) {
         call(HttpMethod.POST, holder, SchedulerPeerServer.ACCEPTED, Buffer.buffer(RecordCodec.encode(submission)));
@@ -110,6 +130,7 @@
                 .setURI(uri)
                 .setConnectTimeout(TIMEOUT_MS)
                 .setIdleTimeout(timeoutMs);
+        candidate.ifPresent(address -> options.putHeader(CANDIDATE, address));
         client.request(options)
                 .compose(request -> request.send(body))
                 .compose(response -> response.body()
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -1,6 +1,7 @@
 package org.basilswitch.daemon.jobs;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -19,6 +20,9 @@
     static final String PENDING = "/pending/";
     static final String ACCEPTED = "/accepted";
     static final String CANCELLED = "/cancelled/";
+    static final String LEADERSHIP = "/leadership/";
+
+    private static final Pattern FENCING_TOKEN = Pattern.compile("[1-9][0-9]{0,17}");
 
     private final JobNode node;
 
@@ -42,6 +46,7 @@
 
     private void handle(HttpServerRequest request) {
         String path = request.path();
+        Optional.ofNullable(request.getHeader(HttpSchedulerClient.CANDIDATE)).ifPresent(node::onCandidateSeen);
         if (request.method() == HttpMethod.POST && path.equals(ACCEPTED)) {
             request.body().onSuccess(body -> {
                 Optional<JobSubmission> submission = RecordCodec.decode(body.getBytes(), JobSubmission.class);
@@ -67,6 +72,8 @@
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.onPeerCancelled(path.substring(CANCELLED.length()));
             request.response().setStatusCode(204).end();
+        } else if (path.startsWith(LEADERSHIP)) {
+            handleLeadership(request, path.substring(LEADERSHIP.length()));
         } else if (path.startsWith(STATES)) {
             respond(
                     request,
@@ -83,6 +90,24 @@
         }
     }
 
+    /** Answers whether this host can take over a leadership, or takes it over. */
+    private void handleLeadership(HttpServerRequest request, String fencingToken) {
+        if (!FENCING_TOKEN.matcher(fencingToken).matches()) {
+            request.response().setStatusCode(400).end();
+        } else if (request.method() == HttpMethod.POST) {
+            node.onHandover(Long.parseLong(fencingToken));
+            request.response().setStatusCode(204).end();
+        } else {
+            node.canTakeOver(Long.parseLong(fencingToken))
+                    .thenAccept(can ->
+                            request.response().setStatusCode(can ? 200 : 409).end())
+                    .exceptionally(cause -> {
+                        request.response().setStatusCode(500).end();
+                        return null;
+                    });
+        }
+    }
+
     private static void respond(HttpServerRequest request, Object document) {
         request.response().end(Buffer.buffer(RecordCodec.encode(document)));
     }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
@@ -162,7 +162,7 @@
     public void holderThatIsNoAddressGivesNoAnswer() throws Exception {
         Vertx vertx = Vertx.vertx();
         try {
-            HttpSchedulerClient client = HttpSchedulerClient.create(vertx);
+            HttpSchedulerClient client = HttpSchedulerClient.create(vertx, Optional.empty());
             for (String holder : List.of("", "x", ":", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999", ":1", "a b:1")) {
                 assertEquals(
                         client.queryState(holder, "1").toCompletableFuture().get(20, TimeUnit.SECONDS),
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -45,6 +45,9 @@
     /** Last events that a failure message shows. */
     private static final int SHOWN_EVENTS = 40;
 
+    /** Time of a message between two entry hosts. */
+    private static final Duration PEER_DELAY = Duration.ofMillis(1);
+
     static final String KEY = "key-of-team";
     static final String POOL = "pool";
     static final Resources SERVER_CAPACITY = new Resources(64_000, 262_144, 0);
@@ -59,6 +62,8 @@
     final List<String> events = new ArrayList<>();
     /** Time that the answer with the list of live servers takes in addition. */
     Duration listDelay = Duration.ZERO;
+    /** Time that a request to take over the leadership takes; empty when it is lost. */
+    Optional<Duration> handoverDelay = Optional.of(PEER_DELAY);
 
     private final Map<String, JobNode> byAddress = new HashMap<>();
     private final Set<JobNode> killed = new HashSet<>();
@@ -180,7 +185,7 @@
                 (step, servers) -> CompletableFuture.completedFuture(Optional.empty()),
                 new NodeHostControl(nodeTime),
                 new NodeWaveStore(nodeTime),
-                new InProcessSchedulerClient(),
+                new InProcessSchedulerClient(address),
                 new RecordingTelemetry(),
                 SchedulerOptions.withMaxLease(Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofSeconds(240)),
                 Duration.ofSeconds(4),
@@ -215,11 +220,12 @@
     }
 
     private <T> CompletionStage<T> afterListDelay(CompletionStage<T> list) {
-        if (listDelay.isZero()) {
-            return list;
-        }
+        return listDelay.isZero() ? list : afterDelay(listDelay, list);
+    }
+
+    private <T> CompletionStage<T> afterDelay(Duration delay, CompletionStage<T> stage) {
         CompletableFuture<T> delayed = new CompletableFuture<>();
-        list.thenAccept(result -> time.schedule(listDelay, () -> delayed.complete(result)));
+        stage.thenAccept(result -> time.schedule(delay, () -> delayed.complete(result)));
         return delayed;
     }
 
@@ -333,6 +339,30 @@
 
     /** Delivers messages between entry hosts by direct calls; killed hosts do not answer. */
     private final class InProcessSchedulerClient implements SchedulerClient {
+        private final String self;
+
+        private InProcessSchedulerClient(String self) {
+            this.self = self;
+        }
+
+        @Override
+        public CompletionStage<Boolean> canTakeOver(String host, long fencingToken) {
+            JobNode node = byAddress.get(host);
+            return killed.contains(node)
+                    ? CompletableFuture.completedFuture(false)
+                    : afterDelay(PEER_DELAY, node.canTakeOver(fencingToken));
+        }
+
+        @Override
+        public void handOver(String host, long fencingToken) {
+            handoverDelay.ifPresent(delay -> time.schedule(delay, () -> {
+                JobNode node = byAddress.get(host);
+                if (!killed.contains(node)) {
+                    timeOf(node).deliver(() -> node.onHandover(fencingToken));
+                }
+            }));
+        }
+
         @Override
         public CompletionStage<Optional<JobAnswer>> forward(String leader, JobCall call) {
             JobNode node = byAddress.get(leader);
@@ -356,6 +386,7 @@
         @Override
         public void notifyAccepted(String leader, JobSubmission submission) {
             if (!killed.contains(byAddress.get(leader))) {
+                byAddress.get(leader).onCandidateSeen(self);
                 byAddress.get(leader).onPeerAccepted(submission);
             }
         }
