Renew an overdue leadership at once; hand over only from a host that is on time

Cause: a timer counts no suspension, so that after a pause of about a second the next renewal came up to 0.7 s late; the store would have confirmed it, but the leader handed over.

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
@@ -25,6 +25,8 @@
 public final class LeaderElector implements AutoCloseable {
     /** Polls per attempt to become leader: one attempt per lease time. */
     private static final int POLLS_PER_ATTEMPT = 3;
+    /** Time by which the answer to a renewal may be later than its timer; the store answers in milliseconds. */
+    private static final Duration RENEWAL_TOLERANCE = Duration.ofMillis(60);
 
     private final String key;
     private final MemberId self;
@@ -42,6 +44,7 @@
     private boolean requesting;
     private long polls;
     private boolean replacedLeader;
+    private boolean renewing;
     private Runnable listener = () -> {};
 
     private LeaderElector(
@@ -132,6 +135,16 @@
         return replacedLeader;
     }
 
+    /**
+     * Renews the leadership now if the next renewal is overdue, such as after a suspension, which delays timers by its
+     * length.
+     */
+    public void renewIfOverdue() {
+        if (!renewing && unconfirmedFor().compareTo(pollInterval.plus(RENEWAL_TOLERANCE)) > 0) {
+            renew();
+        }
+    }
+
     /** Returns the time since the store confirmed the leadership; zero while this host is not the leader. */
     public Duration unconfirmedFor() {
         return fencingToken == 0
@@ -271,18 +284,20 @@
     private void renew() {
         long requestedAtNanos = clock.monotonicNanos();
         long id = leaseId.orElseThrow();
+        renewing = true;
         Completions.thenAcceptOrLog(
                 () -> store.keepAlive(id),
                 telemetry,
                 "leadership lease",
                 result -> {
+                    renewing = false;
                     // The answer may be for a leadership that this host has lost and acquired again since.
                     if (leaseId.filter(current -> current == id).isPresent()) {
                         result.peek(ok -> leaderUntilNanos = requestedAtNanos + leaseTime.toNanos())
                                 .peekLeft(this::onRenewFailed);
                     }
                 },
-                () -> {});
+                () -> renewing = false);
     }
 
     private void onRenewFailed(StoreError error) {
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
@@ -30,6 +30,11 @@
      */
     private static final Duration UNCONFIRMED_BEFORE_HANDOVER = Duration.ofMillis(900);
 
+    /** Lateness of a check above which this host is paused or overloaded, so that answers wait here and not at the store. */
+    private static final Duration MAX_CHECK_LATENESS = Duration.ofMillis(50);
+    /** Number of timely checks in a row before other hosts are asked, in which a renewal is sent and answered. */
+    private static final int MIN_TIMELY_CHECKS = 3;
+
     /** Remaining leadership below which a handover gains nothing. */
     private static final Duration MIN_REMAINING_LEASE = Duration.ofMillis(200);
     /** Time within which another host has to have read the record; a store that is slow for all gains nothing. */
@@ -46,6 +51,8 @@
     /** Hosts that may take over; the one that was heard last comes last. */
     private final Set<String> candidates = new LinkedHashSet<>();
 
+    private long lastCheckNanos;
+    private int timelyChecks;
     private long askedNanos;
     private boolean asking;
     private boolean closed;
@@ -60,6 +67,10 @@
 
     void start() {
         if (!closed) {
+            long nowNanos = clock.monotonicNanos();
+            Duration lateness = Duration.ofNanos(nowNanos - lastCheckNanos).minus(CHECK_INTERVAL);
+            timelyChecks = lateness.compareTo(MAX_CHECK_LATENESS) <= 0 ? timelyChecks + 1 : 0;
+            lastCheckNanos = nowNanos;
             dependencies.timers().schedule(CHECK_INTERVAL, this::start);
             check();
         }
@@ -78,9 +89,10 @@
     }
 
     private void check() {
+        leaderElector.renewIfOverdue();
         boolean unconfirmed = leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0
                 && leaderElector.isLeaderFor(MIN_REMAINING_LEASE);
-        if (!unconfirmed || asking || candidates.isEmpty()) {
+        if (!unconfirmed || timelyChecks < MIN_TIMELY_CHECKS || asking || candidates.isEmpty()) {
             return;
         }
         asking = true;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LeadershipHandoverTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LeadershipHandoverTest.java
@@ -90,6 +90,24 @@
         assertAllIsDoneOnce(fleet, "outage");
     }
 
+    /** Guards against a leadership that wanders while hosts are paused: the store confirms it as soon as it is asked. */
+    @Test
+    public void pausedLeaderDoesNotHandOver() {
+        List<String> faults = new ArrayList<>();
+        for (int phaseMs = 0; phaseMs < 700; phaseMs += 20) {
+            for (int pauseMs : List.of(500, 900, 1200)) {
+                JobFleet fleet = busyFleet();
+                fleet.runFor(phaseMs);
+                fleet.timeOf(fleet.leader()).suspendFor(Duration.ofMillis(pauseMs));
+                fleet.runFor(3000);
+                if (countEvents(fleet, "LEADERSHIP_HANDED_OVER") > 0) {
+                    faults.add("phase " + phaseMs + " ms, pause " + pauseMs + " ms");
+                }
+            }
+        }
+        assertEquals(faults, List.of());
+    }
+
     /** Guards against more than the rest of the lease without a leader when the message is lost. */
     @Test
     public void lostRequestCostsRestOfLease() {
