Block starts without an answer on the next incarnation of their server

Cause: a start without an answer is stopped, and its work item starts elsewhere. A server that restarts under its identifier forgets the stop, so that the start, carried out up to 12 s late, runs there as well. A start that arrives before the list of servers shows the restart is not covered (docs/design/faults.md).

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
@@ -53,7 +53,6 @@
 
     private long lastCheckNanos;
     private int timelyChecks;
-    private long askedNanos;
     private boolean asking;
     private boolean closed;
 
@@ -96,18 +95,17 @@
             return;
         }
         asking = true;
-        askedNanos = clock.monotonicNanos();
+        long askedNanos = clock.monotonicNanos();
         dependencies.timers().schedule(MAX_ANSWER_TIME, () -> asking = false);
         long fencingToken = leaderElector.fencingToken();
         List<String> latest = new ArrayList<>(candidates);
         for (String host : latest.subList(Math.max(0, latest.size() - MAX_ASKED), latest.size())) {
-            long sentNanos = askedNanos;
             Completions.thenAcceptOrLog(
                     () -> dependencies.schedulerClient().canTakeOver(host, fencingToken),
                     dependencies.telemetry(),
                     "question whether a host can take over",
                     can -> {
-                        if (can && clock.monotonicNanos() - sentNanos <= MAX_ANSWER_TIME.toNanos()) {
+                        if (can && clock.monotonicNanos() - askedNanos <= MAX_ANSWER_TIME.toNanos()) {
                             handOver(host, fencingToken);
                         }
                     },
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -42,6 +42,7 @@
     private final Map<BackendServer.Incarnation, LeaseRenewer> leaseRenewers = new HashMap<>();
     private final FailureAttribution failureAttribution;
     private final PaceSender paceSender;
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts(MAX_COMMAND_DELAY);
     private boolean closed;
 
     /** Scheduler that the runs belong to. */
@@ -112,6 +113,7 @@
                         owner::isLeader,
                         this::onRenewalResult);
                 leaseRenewers.put(incarnation, renewer);
+                blockUnansweredStarts(tracked, server);
                 renewer.wake();
             }
         });
@@ -225,6 +227,9 @@
                 result -> {
                     if (result instanceof ServerCommands.NoAnswer) {
                         tracked.grantUnanswered(sentSteadyNanos);
+                        unansweredStarts.add(
+                                tracked.incarnation().serverId(),
+                                new UnansweredStarts.Start(run.id(), run.number(), sentSteadyNanos));
                     }
                     onStarted(run, tracked, result);
                 });
@@ -291,6 +296,31 @@
         wakeLeaseRenewer(tracked);
     }
 
+    /** Has a new incarnation of a server reject starts that were sent to an earlier one and have no answer. */
+    private void blockUnansweredStarts(TrackedServer tracked, BackendServer server) {
+        unansweredStarts
+                .of(server.id(), context.steadyClock().monotonicNanos())
+                .forEach(start -> blockStart(tracked, server, start));
+    }
+
+    private void blockStart(TrackedServer tracked, BackendServer server, UnansweredStarts.Start start) {
+        boolean inUse = tracked.run(start.item(), start.run()).isPresent();
+        boolean mayBeCarriedOut =
+                unansweredStarts.mayBeCarriedOut(start, context.steadyClock().monotonicNanos());
+        if (closed || inUse || !mayBeCarriedOut || tracked.isEnded()) {
+            return;
+        }
+        Completions.thenAcceptOrLog(
+                context.serverCommands().stop(server, fencingToken, start.item(), start.run()),
+                context.telemetry(),
+                "block of a start",
+                result -> {
+                    if (result instanceof ServerCommands.NoAnswer) {
+                        context.timers().schedule(STOP_RETRY_DELAY, () -> blockStart(tracked, server, start));
+                    }
+                });
+    }
+
     /** Stops a run; the server rejects a start of this run that arrives later. */
     void stop(Run run) {
         if (run.phase() == Run.Phase.RECORDING || run.isStopping()) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -164,6 +164,41 @@
         assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
     }
 
+    /**
+     * Guards against two runs where a start without an answer was stopped, so that its work item runs elsewhere, and the next
+     * incarnation of its server, which does not know of the stop, carries it out.
+     */
+    @Test
+    public void stoppedStartIsBlockedOnNextIncarnation() {
+        List<String> faults = new ArrayList<>();
+        for (int restartMs = 1500; restartMs <= 4500; restartMs += 500) {
+            JobFleet fleet = JobFleet.running(1, 3);
+            JobNode leader = fleet.leader();
+            NodeServerCommands commands = fleet.commandsOf(leader);
+            for (int i = 0; i < 3; i++) {
+                commands.delayNextOrder("s" + i, Duration.ofMillis(6000));
+            }
+            ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+            fleet.answerAfter(50, fleet.submit(leader, item.job(), JobFleet.longRunning(1, 6000, 0)));
+            commands.clearOrderDelays();
+            String ordered = fleet.events.stream()
+                    .filter(event -> event.contains(" RUN_ORDERED "))
+                    .findFirst()
+                    .orElseThrow();
+            String server = ordered.replaceAll(".*@(s[0-9]).*", "$1");
+            // The work item goes to another server.
+            fleet.model.markDraining(server);
+            fleet.runFor(restartMs);
+            fleet.model.restart(server);
+            fleet.runFor(12_000);
+            if (!fleet.model.invariants().violations().isEmpty()) {
+                faults.add("restart after " + restartMs + " ms: "
+                        + fleet.model.invariants().violations());
+            }
+        }
+        assertEquals(faults, List.of(), String.join("\n", faults));
+    }
+
     /**
      * Guards against starting scheduled work early after a step of the leader's wall clock. The platform allows 250 ms,
      * and 5 s more on days on which clocks jump; the step of the incident was 6 s.
