--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
@@ -19,8 +19,8 @@
 /**
  * Elects a leader, such as a pool's controller, by a key attached to a lease in the store.
  *
- * <p>The revision at which the key was created is the fencing token. Transactions compare it, so that a leader that was
- * paused past the end of its lease can't write.
+ * <p>The revision at which the key was last written is the fencing token. Transactions compare it, so that a leader that was
+ * paused past the end of its lease, or replaced by {@link #acquireFrom}, can't write.
  */
 public final class LeaderElector implements AutoCloseable {
     /** Polls per attempt to become leader: one attempt per lease time. */
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
@@ -184,6 +184,26 @@
         return 23_000;
     }
 
+    /** Steps the wall clock of the leader ahead, and back after a while, twice. */
+    void stepWallClockOfLeader(Duration step, Duration length) {
+        for (int ms = 2000; ms <= 18_000; ms += 16_000) {
+            at(ms, () -> {
+                NodeTime leader = fleet.timeOf(fleet.leader());
+                leader.stepWallClock(step);
+                fleet.time.schedule(length, () -> leader.stepWallClock(step.negated()));
+            });
+        }
+    }
+
+    /** Sets the wall clocks of all entry hosts but the leader back. */
+    void setOtherWallClocksBack(Duration step) {
+        at(
+                1000,
+                () -> fleet.nodes.stream()
+                        .filter(node -> node != fleet.leader())
+                        .forEach(node -> fleet.timeOf(node).stepWallClock(step.negated())));
+    }
+
     private void at(long ms, Runnable action) {
         events.add(new Event(ms, action));
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulationTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulationTest.java
@@ -28,6 +28,9 @@
      */
     private static final double MIN_RATIO_WITH_BAD_SERVERS = 5 / 6.0;
 
+    /** Minimum ratio to the baseline while the leader's wall clock is ahead, which says nothing about the jobs. */
+    private static final double MIN_RATIO_WITH_CLOCK_STEPS = 0.9;
+
     private double baselineOnTime;
 
     @BeforeClass
@@ -103,6 +106,26 @@
         }
     }
 
+    /** Guards against an order of jobs that compares the wall clocks of two hosts. */
+    @Test
+    public void stepsOfLeadersWallClockCostAtMostATenth() {
+        double onTime = onTime(
+                "clock of leader ahead",
+                day -> day.stepWallClockOfLeader(Duration.ofMillis(6000), Duration.ofMillis(12_000)));
+        assertTrue(
+                onTime >= MIN_RATIO_WITH_CLOCK_STEPS * baselineOnTime,
+                "on time: " + onTime + ", baseline " + baselineOnTime);
+    }
+
+    /** Guards against jobs that count as late because the host that accepted them has a wall clock behind the leader's. */
+    @Test
+    public void wallClocksOfOtherHostsBackCostAtMostATenth() {
+        double onTime = onTime("clocks of others back", day -> day.setOtherWallClocksBack(Duration.ofMillis(6000)));
+        assertTrue(
+                onTime >= MIN_RATIO_WITH_CLOCK_STEPS * baselineOnTime,
+                "on time: " + onTime + ", baseline " + baselineOnTime);
+    }
+
     @Test
     public void failingJobsCostOtherJobsAtMostATenth() {
         double onTime = onTime("beside hopeless jobs", day -> day.makeJobsFail(0.15));
