--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
@@ -24,7 +24,6 @@
 import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
-import org.basilswitch.store.CommitResult;
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.StoreError;
@@ -61,26 +60,27 @@
     private int completedRuns;
 
     private SchedulerRehearsal() {
-        MemoryStore store = MemoryStore.create(time, time);
-        MemoryStoreClient client = MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(1));
-        StoreKeys keys = new StoreKeys("rehearsal");
-        Telemetry telemetry = new NoTelemetry();
-        long fencingToken = store.commit(Transaction.builder()
-                                .put(keys.schedulerLeadership(), RecordCodec.encode("self"))
-                                .build())
-                        instanceof CommitResult.Committed committed
-                ? committed.revision()
-                : 0;
         for (int i = 0; i < SERVERS_PER_POOL * POOLS.size() + STANDBY_HOSTS; i++) {
             addHost(i);
         }
+        MemoryStore store = MemoryStore.create(time, time);
+        StoreKeys keys = new StoreKeys("rehearsal");
+        store.commit(Transaction.builder()
+                .put(keys.schedulerLeadership(), RecordCodec.encode("self"))
+                .build());
+        scheduler = JobScheduler.takeOver(context(store, keys), store.revision(), margin -> true, reason -> {});
+        submitNext();
+    }
+
+    private SchedulerContext context(MemoryStore store, StoreKeys keys) {
         JobConfiguration configuration = configuration();
-        SchedulerContext context = new SchedulerContext(
+        Telemetry telemetry = new NoTelemetry();
+        return new SchedulerContext(
                 time,
                 time,
                 UnsteppedWallClock.of(time),
                 time,
-                client,
+                MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(1)),
                 keys,
                 new SimulatedCommands(),
                 (step, ids) -> CompletableFuture.completedFuture(Optional.empty()),
@@ -90,8 +90,6 @@
                 new NoWaves(),
                 telemetry,
                 SchedulerOptions.withMaxLease(Duration.ofSeconds(6), Duration.ofSeconds(3), Duration.ofSeconds(5)));
-        scheduler = JobScheduler.takeOver(context, fencingToken, margin -> true, reason -> {});
-        submitNext();
     }
 
     /** Creates a rehearsal at its beginning. */
