Reuse what stands twice around the handover, the rehearsal and the tests

Behaviour stays, but that a failed call of a peer is logged before its 500. Telemetry.none() in place of three silent instances; one factory for plain steps; one way to create an elector; the handover derives whether it waits for answers; former servers by identifier alone, as the list names their host.

--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/LeaderElector.java
@@ -67,22 +67,11 @@
         this.candidacyDelay = candidacyDelay;
     }
 
-    /** Creates an elector that campaigns once started. */
-    public static LeaderElector create(
-            String key,
-            MemberId self,
-            Clock clock,
-            Scheduler scheduler,
-            PlatformStore store,
-            Telemetry telemetry,
-            Duration leaseTime) {
-        return create(key, self, clock, scheduler, store, telemetry, leaseTime, Duration.ZERO);
-    }
-
     /**
-     * Creates an elector that leaves a vacant leadership to preferred members for a while.
+     * Creates an elector that campaigns once started.
      *
-     * @param candidacyDelay time from finding the leadership vacant to the attempt to acquire it
+     * @param candidacyDelay time from finding the leadership vacant to the attempt to acquire it, by which preferred
+     *     members come first
      */
     public static LeaderElector create(
             String key,
@@ -160,7 +149,7 @@
     /** Gives up the leadership because another leader was observed; campaigns again at a later poll. */
     public void stepDown(String reason) {
         Optional<Long> id = leaseId;
-        loseLeadership(reason);
+        abandon(reason);
         id.ifPresent(store::revokeLease);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/fleet/PoolController.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/fleet/PoolController.java
@@ -37,7 +37,8 @@
                 context.scheduler(),
                 context.store(),
                 context.telemetry(),
-                context.options().leaderLease());
+                context.options().leaderLease(),
+                Duration.ZERO);
         this.lifecycleController = new HostLifecycleController(context, leaderElector);
         this.waves = new WaveRunner(context, lifecycleController, pool);
         this.lender = new HostLender(context, lifecycleController, pool, demand);
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
@@ -53,7 +53,9 @@
 
     private long lastCheckNanos;
     private int timelyChecks;
-    private boolean asking;
+    /** Time until which answers of the hosts that were asked count, ns. */
+    private long askedUntilNanos = Long.MIN_VALUE;
+
     private boolean closed;
 
     LeadershipHandover(
@@ -89,14 +91,17 @@
 
     private void check() {
         leaderElector.renewIfOverdue();
-        boolean unconfirmed = leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0
-                && leaderElector.isLeaderFor(MIN_REMAINING_LEASE);
-        if (!unconfirmed || timelyChecks < MIN_TIMELY_CHECKS || asking || candidates.isEmpty()) {
+        long nowNanos = clock.monotonicNanos();
+        boolean asking = nowNanos < askedUntilNanos;
+        if (!isUnconfirmed()
+                || !leaderElector.isLeaderFor(MIN_REMAINING_LEASE)
+                || timelyChecks < MIN_TIMELY_CHECKS
+                || asking
+                || candidates.isEmpty()) {
             return;
         }
-        asking = true;
-        long askedNanos = clock.monotonicNanos();
-        dependencies.timers().schedule(MAX_ANSWER_TIME, () -> asking = false);
+        askedUntilNanos = nowNanos + MAX_ANSWER_TIME.toNanos();
+        long answerByNanos = askedUntilNanos;
         long fencingToken = leaderElector.fencingToken();
         List<String> latest = new ArrayList<>(candidates);
         for (String host : latest.subList(Math.max(0, latest.size() - MAX_ASKED), latest.size())) {
@@ -105,7 +110,7 @@
                     dependencies.telemetry(),
                     "question whether a host can take over",
                     can -> {
-                        if (can && clock.monotonicNanos() - askedNanos <= MAX_ANSWER_TIME.toNanos()) {
+                        if (can && clock.monotonicNanos() <= answerByNanos) {
                             handOver(host, fencingToken);
                         }
                     },
@@ -113,11 +118,13 @@
         }
     }
 
+    private boolean isUnconfirmed() {
+        return leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0;
+    }
+
     /** Stops acting and asks a host to take over, unless the leadership was confirmed or lost meanwhile. */
     private void handOver(String host, long fencingToken) {
-        boolean stillUnconfirmed = leaderElector.fencingToken() == fencingToken
-                && leaderElector.unconfirmedFor().compareTo(UNCONFIRMED_BEFORE_HANDOVER) > 0;
-        if (closed || !stillUnconfirmed) {
+        if (closed || leaderElector.fencingToken() != fencingToken || !isUnconfirmed()) {
             return;
         }
         stopScheduling.run();
--- a/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/StepSpec.java
@@ -65,6 +65,27 @@
         }
     }
 
+    /** Creates a step whose work items run independently of each other, on any server. */
+    public static StepSpec of(int count, Resources resources, long estimateMs, List<Integer> after) {
+        return new StepSpec(
+                count,
+                resources,
+                estimateMs,
+                after,
+                false,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                false,
+                null,
+                0,
+                false,
+                0);
+    }
+
     private static boolean isAmount(long value) {
         return value >= 0 && value <= MAX_AMOUNT;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/HostOperations.java
@@ -58,10 +58,8 @@
     private final Set<String> draining = new HashSet<>();
     private final Map<String, PendingCommand> pendingCommands = new HashMap<>();
     private final Map<String, Long> upSinceNanos = new HashMap<>();
-    /** Servers whose host was sent a command, which ends them; with the time of the command. */
-    private final Map<String, FormerServer> formerServers = new HashMap<>();
-
-    private record FormerServer(String host, long sentNanos) {}
+    /** Time of the command, ns, by identifier of the server that it ends. */
+    private final Map<String, Long> formerServers = new HashMap<>();
 
     /** A command that was sent; the host counts as unavailable until a later list shows it up. */
     private static final class PendingCommand {
@@ -140,10 +138,10 @@
         });
         long nowNanos = context.holderClock().monotonicNanos();
         formerServers.entrySet().removeIf(entry -> {
-            FormerServer former = entry.getValue();
             // A command without effect leaves the server as it was.
-            boolean stillThere = !pendingCommands.containsKey(former.host()) && byServer.containsKey(entry.getKey());
-            return stillThere || nowNanos - former.sentNanos() > FORMER_SERVER_RETENTION.toNanos();
+            String host = byServer.get(entry.getKey());
+            boolean stillThere = host != null && !pendingCommands.containsKey(host);
+            return stillThere || nowNanos - entry.getValue() > FORMER_SERVER_RETENTION.toNanos();
         });
         draining.removeIf(name -> !next.containsKey(name));
     }
@@ -241,7 +239,7 @@
         pendingCommands.put(host, command);
         find(host)
                 .flatMap(HostControl.PlatformHost::serverId)
-                .ifPresent(id -> formerServers.put(id, new FormerServer(host, command.sentNanos)));
+                .ifPresent(id -> formerServers.put(id, command.sentNanos));
         return call.get().thenApply(result -> {
             command.answered = true;
             command.answeredNanos = context.holderClock().monotonicNanos();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
@@ -13,8 +13,6 @@
 import io.vavr.control.Either;
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.RecordCodec;
-import org.basilswitch.event.CounterCode;
-import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobConfiguration;
@@ -74,7 +72,7 @@
 
     private SchedulerContext context(MemoryStore store, StoreKeys keys) {
         JobConfiguration configuration = configuration();
-        Telemetry telemetry = new NoTelemetry();
+        Telemetry telemetry = Telemetry.none();
         return new SchedulerContext(
                 time,
                 time,
@@ -162,23 +160,7 @@
     }
 
     private static StepSpec step(List<Integer> after) {
-        return new StepSpec(
-                ITEMS_PER_STEP,
-                new Resources(9000, 4096, 0),
-                ITEM_MS,
-                after,
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return StepSpec.of(ITEMS_PER_STEP, new Resources(9000, 4096, 0), ITEM_MS, after);
     }
 
     private CompletionStage<Either<StoreError, List<BackendServer>>> readServers() {
@@ -273,12 +255,4 @@
             return transaction;
         }
     }
-
-    private static final class NoTelemetry implements Telemetry {
-        @Override
-        public void event(EventCode code, String detail) {}
-
-        @Override
-        public void count(CounterCode counter, String tag) {}
-    }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/event/CompletionsTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/event/CompletionsTest.java
@@ -12,15 +12,7 @@
 final class CompletionsTest {
     private final List<String> events = new ArrayList<>();
 
-    private final Telemetry telemetry = new Telemetry() {
-        @Override
-        public void event(EventCode code, String detail) {
-            events.add(code + " " + detail);
-        }
-
-        @Override
-        public void count(CounterCode counter, String tag) {}
-    };
+    private final Telemetry telemetry = RecordingTelemetry.to(events);
 
     @Test
     public void exceptionOfActionIsLogged() {
--- a/basilswitch-core/src/test/java/org/basilswitch/fleet/LeaderElectorTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/fleet/LeaderElectorTest.java
@@ -8,8 +8,6 @@
 
 import io.vavr.control.Either;
 import org.apache.commons.rng.simple.RandomSource;
-import org.basilswitch.event.CounterCode;
-import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.peer.MemberId;
 import org.basilswitch.store.CommitResult;
@@ -42,7 +40,7 @@
 
     private LeaderElector elector(String name, PlatformStore client, Duration candidacyDelay) {
         return LeaderElector.create(
-                KEY, new MemberId(name), time, time, client, new SilentTelemetry(), LEASE, candidacyDelay);
+                KEY, new MemberId(name), time, time, client, Telemetry.none(), LEASE, candidacyDelay);
     }
 
     private MemoryStoreClient client(int seed) {
@@ -152,12 +150,4 @@
             return store.watch(prefix, fromRevision, listener);
         }
     }
-
-    private static final class SilentTelemetry implements Telemetry {
-        @Override
-        public void event(EventCode code, String detail) {}
-
-        @Override
-        public void count(CounterCode counter, String tag) {}
-    }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
@@ -8,8 +8,7 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.basilswitch.configuration.RecordCodec;
-import org.basilswitch.event.CounterCode;
-import org.basilswitch.event.EventCode;
+import org.basilswitch.event.RecordingTelemetry;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobQueue;
@@ -113,7 +112,7 @@
                         .map(version -> JobConfiguration.of(version, List.of(), List.of(), List.of(), 1, 1)),
                 clock,
                 clock,
-                recording(events));
+                RecordingTelemetry.to(events));
         clock.runFor(Duration.ofSeconds(5));
         assertEquals(events.size(), 1, "one event for the first record: " + events);
         assertEquals(follower.snapshot(), Optional.empty());
@@ -131,18 +130,6 @@
         assertEquals(events.size(), 4, "one event for each record: " + events);
     }
 
-    private static Telemetry recording(List<String> events) {
-        return new Telemetry() {
-            @Override
-            public void event(EventCode code, String detail) {
-                events.add(code + " " + detail);
-            }
-
-            @Override
-            public void count(CounterCode counter, String tag) {}
-        };
-    }
-
     @Test
     public void smallRecordIsReadAtEachInterval() {
         reads.set(0);
--- a/basilswitch-core/src/test/java/org/basilswitch/intake/JobNodeTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/intake/JobNodeTest.java
@@ -1,7 +1,6 @@
 package org.basilswitch.intake;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -15,8 +14,8 @@
 import org.basilswitch.store.MemoryStore;
 import org.basilswitch.store.MemoryStoreClient;
 import org.basilswitch.store.StoreKeys;
-import org.basilswitch.time.Clock;
 import org.basilswitch.time.SimulatedTime;
+import org.basilswitch.time.SteppedClock;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -24,31 +23,11 @@
 
 final class JobNodeTest {
 
-    /** Clock of a host whose wall clock can be set. */
-    private static final class SettableClock implements Clock {
-        private final SimulatedTime time;
-        private Duration offset = Duration.ZERO;
-
-        private SettableClock(SimulatedTime time) {
-            this.time = time;
-        }
-
-        @Override
-        public Instant instant() {
-            return time.instant().plus(offset);
-        }
-
-        @Override
-        public long monotonicNanos() {
-            return time.monotonicNanos();
-        }
-    }
-
     @Test
     public void jumpOfTheWallClockIsLoggedAndCounted() {
         SimulatedTime time = SimulatedTime.create();
         MemoryStore store = MemoryStore.create(time, time);
-        SettableClock clock = new SettableClock(time);
+        SteppedClock clock = new SteppedClock(time, Duration.ZERO);
         List<String> jumps = new ArrayList<>();
         Telemetry telemetry = new Telemetry() {
             @Override
@@ -86,9 +65,9 @@
                 Duration.ZERO));
         time.runFor(Duration.ofSeconds(3));
         assertEquals(jumps, List.of());
-        clock.offset = Duration.ofMillis(5990);
+        clock.setWallOffset(Duration.ofMillis(5990));
         time.runFor(Duration.ofSeconds(3));
-        clock.offset = Duration.ZERO;
+        clock.setWallOffset(Duration.ZERO);
         time.runFor(Duration.ofSeconds(3));
         assertEquals(jumps.size(), 4, jumps.toString());
         assertEquals(jumps.get(0), "CLOCK_JUMPS forward");
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/LiveServersTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/LiveServersTest.java
@@ -8,9 +8,7 @@
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
-import org.basilswitch.event.CounterCode;
-import org.basilswitch.event.EventCode;
-import org.basilswitch.event.Telemetry;
+import org.basilswitch.event.RecordingTelemetry;
 import org.basilswitch.job.Resources;
 import org.basilswitch.store.StoreError;
 import org.basilswitch.time.SimulatedTime;
@@ -43,14 +41,15 @@
         SimulatedTime time = SimulatedTime.create();
         List<String> events = new ArrayList<>();
         int[] reads = {0};
-        LiveServers servers =
-                LiveServers.create(time, time, () -> reads[0]++ == 1 ? odd.get() : listed(), recording(events));
+        LiveServers servers = LiveServers.create(
+                time, time, () -> reads[0]++ == 1 ? odd.get() : listed(), RecordingTelemetry.to(events));
         servers.start(() -> {});
         time.runFor(Duration.ofSeconds(5));
         assertEquals(servers.confirmedWithin(Duration.ofSeconds(1)), true, "reads=" + reads[0]);
         assertEquals(servers.servers().values().stream().toList(), List.of(SERVER));
         assertEquals(
-                events, List.of("ACTION_FAILED list of live servers: java.lang.IllegalArgumentException: odd entry"));
+                events.stream().map(event -> event.replaceAll(" at .*", "")).toList(),
+                List.of("ACTION_FAILED list of live servers: java.lang.IllegalArgumentException: odd entry"));
     }
 
     @Test
@@ -58,7 +57,7 @@
         SimulatedTime time = SimulatedTime.create();
         List<String> events = new ArrayList<>();
         int[] calls = {0};
-        LiveServers servers = LiveServers.create(time, time, LiveServersTest::listed, recording(events));
+        LiveServers servers = LiveServers.create(time, time, LiveServersTest::listed, RecordingTelemetry.to(events));
         servers.start(() -> {
             if (calls[0]++ == 1) {
                 throw new IllegalStateException("odd server");
@@ -67,18 +66,7 @@
         time.runFor(Duration.ofSeconds(5));
         assertEquals(servers.confirmedWithin(Duration.ofSeconds(1)), true, "calls=" + calls[0]);
         assertEquals(
-                events, List.of("ACTION_FAILED list of live servers: java.lang.IllegalStateException: odd server"));
-    }
-
-    private static Telemetry recording(List<String> events) {
-        return new Telemetry() {
-            @Override
-            public void event(EventCode code, String detail) {
-                events.add(code + " " + detail.replaceAll(" at .*", ""));
-            }
-
-            @Override
-            public void count(CounterCode counter, String tag) {}
-        };
+                events.stream().map(event -> event.replaceAll(" at .*", "")).toList(),
+                List.of("ACTION_FAILED list of live servers: java.lang.IllegalStateException: odd server"));
     }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/ProgressWriterTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/ProgressWriterTest.java
@@ -5,8 +5,6 @@
 import java.util.List;
 
 import org.apache.commons.rng.simple.RandomSource;
-import org.basilswitch.event.CounterCode;
-import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.store.CommitResult;
@@ -21,14 +19,6 @@
 import static org.testng.Assert.assertTrue;
 
 final class ProgressWriterTest {
-    private static final Telemetry NO_TELEMETRY = new Telemetry() {
-        @Override
-        public void event(EventCode code, String detail) {}
-
-        @Override
-        public void count(CounterCode counter, String tag) {}
-    };
-
     private final SimulatedTime time = SimulatedTime.create();
     private final MemoryStore store = MemoryStore.create(time, time);
     private final StoreKeys keys = new StoreKeys("test");
@@ -47,7 +37,7 @@
         client.setOneWayDelay(Duration.ofMillis(50));
         List<String> finished = new ArrayList<>();
         ProgressWriter writer =
-                new ProgressWriter(client, keys, time, NO_TELEMETRY, fencingToken, new ProgressWriter.Listener() {
+                new ProgressWriter(client, keys, time, Telemetry.none(), fencingToken, new ProgressWriter.Listener() {
                     @Override
                     public void onLeadershipLost(String reason) {
                         throw new AssertionError(reason);
--- a/basilswitch-core/src/test/java/org/basilswitch/time/UnsteppedWallClockTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/time/UnsteppedWallClockTest.java
@@ -1,7 +1,6 @@
 package org.basilswitch.time;
 
 import java.time.Duration;
-import java.time.Instant;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -13,43 +12,35 @@
 final class UnsteppedWallClockTest {
     private static final long REMOTE_START_MS = 48_000;
 
-    private HostClock hostClock;
+    private SimulatedTime time;
+    private SteppedClock hostClock;
     private UnsteppedWallClock clock;
+    private Duration wallOffset;
     private long startMs;
     private long realMs;
 
-    /** Clocks of a host that can be stepped and suspended. */
-    private static final class HostClock implements Clock {
-        private long wallMs = Instant.parse("2026-02-21T03:20:25Z").toEpochMilli();
-        private long steadyMs = 7000;
-
-        @Override
-        public Instant instant() {
-            return Instant.ofEpochMilli(wallMs);
-        }
-
-        @Override
-        public long monotonicNanos() {
-            return Duration.ofMillis(steadyMs).toNanos();
-        }
-    }
-
     @BeforeMethod
     public void createClock() {
-        hostClock = new HostClock();
+        time = SimulatedTime.create();
+        wallOffset = Duration.ZERO;
+        hostClock = new SteppedClock(time, wallOffset);
         clock = UnsteppedWallClock.of(hostClock);
-        startMs = hostClock.wallMs;
+        startMs = hostClock.millis();
         realMs = 0;
     }
 
     private void advance(long ms) {
-        hostClock.steadyMs += ms;
-        hostClock.wallMs += ms;
+        time.runFor(Duration.ofMillis(ms));
         realMs += ms;
     }
 
+    private void step(long ms) {
+        wallOffset = wallOffset.plusMillis(ms);
+        hostClock.setWallOffset(wallOffset);
+    }
+
     private void suspend(long ms) {
-        hostClock.wallMs += ms;
+        step(ms);
         realMs += ms;
     }
 
@@ -68,7 +59,7 @@
     public void forwardStepIsNotFollowed() {
         observe(5, 1);
         advance(1000);
-        hostClock.wallMs += 6000;
+        step(6000);
         observe(5, 1);
         advance(1000);
         observe(5, 1);
@@ -78,7 +69,7 @@
     @Test
     public void backwardStepIsFollowed() {
         advance(1000);
-        hostClock.wallMs -= 400;
+        step(-400);
         assertEquals(elapsedMs(), 600);
     }
 
@@ -100,7 +91,7 @@
     public void stepDuringSuspensionIsNotFollowed() {
         observe(5, 1);
         suspend(2000);
-        hostClock.wallMs += 6000;
+        step(6000);
         observe(5, 1);
         assertEquals(elapsedMs(), 2000);
     }
@@ -108,7 +99,7 @@
     @Test
     public void lateAnswersAreNotTakenForSuspension() {
         observe(5, 1);
-        hostClock.wallMs += 6000;
+        step(6000);
         advance(1000);
         observe(5, 900);
         advance(1000);
@@ -133,7 +124,7 @@
     public void clocksThatRunSlowDoNotMoveItAhead() {
         for (int i = 0; i < 100; i++) {
             advance(1000);
-            hostClock.wallMs += 100;
+            step(100);
             for (int server = 0; server < 5; server++) {
                 clock.observe("s" + server, realMs * 98 / 100);
             }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -1,6 +1,9 @@
 package org.basilswitch.daemon.jobs;
 
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 
 import io.vertx.core.Future;
@@ -10,6 +13,8 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.event.Completions;
+import org.basilswitch.event.Telemetry;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.JobSubmission;
 
@@ -25,9 +30,11 @@
     private static final Pattern FENCING_TOKEN = Pattern.compile("[1-9][0-9]{0,17}");
 
     private final JobNode node;
+    private final Telemetry telemetry;
 
-    private SchedulerPeerServer(JobNode node) {
+    private SchedulerPeerServer(JobNode node, Telemetry telemetry) {
         this.node = node;
+        this.telemetry = telemetry;
     }
 
     /**
@@ -35,12 +42,13 @@
      *
      * @param vertx creates the HTTP server
      * @param node serves the requests
+     * @param telemetry receives the events of failed requests
      * @param host address to listen on
      * @param port port to listen on
      */
-    public static Future<HttpServer> listen(Vertx vertx, JobNode node, String host, int port) {
+    public static Future<HttpServer> listen(Vertx vertx, JobNode node, Telemetry telemetry, String host, int port) {
         return vertx.createHttpServer()
-                .requestHandler(new SchedulerPeerServer(node)::handle)
+                .requestHandler(new SchedulerPeerServer(node, telemetry)::handle)
                 .listen(port, host);
     }
 
@@ -62,12 +70,11 @@
                     request.response().setStatusCode(400).end();
                     return;
                 }
-                node.answerPeer(call.get().toCall())
-                        .thenAccept(result -> respond(request, PeerDocument.Answer.of(result)))
-                        .exceptionally(cause -> {
-                            request.response().setStatusCode(500).end();
-                            return null;
-                        });
+                answer(
+                        request,
+                        "call of a peer",
+                        () -> node.answerPeer(call.get().toCall()),
+                        result -> respond(request, PeerDocument.Answer.of(result)));
             });
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.onPeerCancelled(path.substring(CANCELLED.length()));
@@ -98,16 +105,25 @@
             node.onHandover(Long.parseLong(fencingToken));
             request.response().setStatusCode(204).end();
         } else {
-            node.canTakeOver(Long.parseLong(fencingToken))
-                    .thenAccept(can ->
-                            request.response().setStatusCode(can ? 200 : 409).end())
-                    .exceptionally(cause -> {
-                        request.response().setStatusCode(500).end();
-                        return null;
-                    });
+            answer(
+                    request,
+                    "question whether this host can take over",
+                    () -> node.canTakeOver(Long.parseLong(fencingToken)),
+                    can -> request.response().setStatusCode(can ? 200 : 409).end());
         }
     }
 
+    /** Answers a request with the result of a stage, or with an error once its exception is logged. */
+    private <T> void answer(
+            HttpServerRequest request, String purpose, Supplier<CompletionStage<T>> stage, Consumer<T> respond) {
+        Completions.thenAcceptOrLog(
+                stage,
+                telemetry,
+                purpose,
+                respond,
+                () -> request.response().setStatusCode(500).end());
+    }
+
     private static void respond(HttpServerRequest request, Object document) {
         request.response().end(Buffer.buffer(RecordCodec.encode(document)));
     }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
@@ -20,40 +20,28 @@
 import static org.testng.Assert.assertEquals;
 
 final class PeerDocumentTest {
-    private static final StepSpec STEP = new StepSpec(
-            2,
-            new Resources(1000, 500, 1),
-            800,
-            List.of(0),
-            true,
-            false,
-            false,
-            "a",
-            "rack",
-            1,
-            true,
-            false,
-            "i",
-            0,
-            false,
-            0);
-    private static final StepSpec STEP_0 = new StepSpec(
-            2,
-            new Resources(1000, 500, 1),
-            800,
-            List.of(),
-            true,
-            false,
-            false,
-            "a",
-            "rack",
-            1,
-            true,
-            false,
-            "i",
-            0,
-            false,
-            0);
+    private static final StepSpec STEP = step(List.of(0));
+    private static final StepSpec STEP_0 = step(List.of());
+
+    private static StepSpec step(List<Integer> after) {
+        return new StepSpec(
+                2,
+                new Resources(1000, 500, 1),
+                800,
+                after,
+                true,
+                false,
+                false,
+                "a",
+                "rack",
+                1,
+                true,
+                false,
+                "i",
+                0,
+                false,
+                0);
+    }
 
     @DataProvider
     public Object[][] calls() {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ClockStepTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ClockStepTest.java
@@ -274,11 +274,7 @@
         commands.delayNextOrder("s1", delay);
         fleet.answerAfter(50, fleet.submit(leader, item.job(), JobFleet.longRunning(1, 20_000, 0)));
         commands.clearOrderDelays();
-        String ordered = fleet.events.stream()
-                .filter(event -> event.contains(" RUN_ORDERED "))
-                .findFirst()
-                .orElseThrow();
-        String server = ordered.contains("@s0") ? "s0" : "s1";
+        String server = fleet.serverOfFirstOrder();
         commands.setCut(server, true);
         return server;
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -101,6 +101,15 @@
         throw new AssertionError(item + " does not run\n" + lastEvents());
     }
 
+    /** Returns the server of the first start that was ordered. */
+    String serverOfFirstOrder() {
+        String ordered = events.stream()
+                .filter(event -> event.contains(" RUN_ORDERED "))
+                .findFirst()
+                .orElseThrow();
+        return ordered.replaceAll(".*@(s[0-9]+).*", "$1");
+    }
+
     /** Stores a configuration with one queue, one team and two pools. */
     void configure(Resources teamLimit, int maxAttempts) {
         long version = configuration == null ? 1 : configuration.version() + 1;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -112,11 +112,7 @@
         ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
         fleet.answerAfter(50, fleet.submit(leader, item.job(), JobFleet.longRunning(1, 20_000, 0)));
         commands.clearOrderDelays();
-        String ordered = fleet.events.stream()
-                .filter(event -> event.contains(" RUN_ORDERED "))
-                .findFirst()
-                .orElseThrow();
-        String server = ordered.contains("@s0") ? "s0" : "s1";
+        String server = fleet.serverOfFirstOrder();
         fleet.serverCommands.forEach(cut -> cut.setCut(server, true));
         fleet.model.restart(server);
         fleet.runFor(1500);
@@ -181,11 +177,7 @@
             ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
             fleet.answerAfter(50, fleet.submit(leader, item.job(), JobFleet.longRunning(1, 6000, 0)));
             commands.clearOrderDelays();
-            String ordered = fleet.events.stream()
-                    .filter(event -> event.contains(" RUN_ORDERED "))
-                    .findFirst()
-                    .orElseThrow();
-            String server = ordered.replaceAll(".*@(s[0-9]).*", "$1");
+            String server = fleet.serverOfFirstOrder();
             // The work item goes to another server.
             fleet.model.markDraining(server);
             fleet.runFor(restartMs);
