--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -92,6 +92,7 @@
             1933,
             Severity.WARN,
             "the store does not confirm the leadership but answers another host, which takes over"),
+    JOB_DELETED(1934, Severity.INFO, "job was reported after its records had been deleted; it is not run"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -38,8 +38,19 @@
 
     /** Receives changes of the directory; a change may be reported more than once. */
     public interface Listener {
-        /** Called when a job is stored. */
-        void onAccepted(JobSubmission submission);
+        /**
+         * Called when a job is stored.
+         *
+         * @param revision revision of the job's record
+         */
+        void onAccepted(JobSubmission submission, long revision);
+
+        /**
+         * Called when the record of a job is deleted.
+         *
+         * @param revision revision as of which the record does not exist
+         */
+        void onDeleted(String id, long revision);
 
         /** Called when the cancellation of a job is stored. */
         void onCancelled(String id);
@@ -80,7 +91,7 @@
                         scheduler.schedule(RETRY_DELAY, this::load);
                         return;
                     }
-                    replaceAll(result.get().entries());
+                    replaceAll(result.get());
                     if (!closed) {
                         watch = Optional.of(
                                 store.watch(keys.jobs(), result.get().revision() + 1, this));
@@ -89,13 +100,17 @@
                 () -> scheduler.schedule(RETRY_DELAY, this::load));
     }
 
-    private void replaceAll(List<PlatformStore.Entry> entries) {
+    private void replaceAll(PlatformStore.Range range) {
+        Set<String> previousIds = Set.copyOf(queueByJobId.keySet());
         queueByJobId.clear();
         cancelledJobs.clear();
         finalStates.clear();
         Optional<String> previousLeader = leader;
         leader = Optional.empty();
-        entries.forEach(entry -> applyPut(entry.key(), entry.value()));
+        range.entries().forEach(this::applyPut);
+        previousIds.stream()
+                .filter(id -> !queueByJobId.containsKey(id))
+                .forEach(id -> listener.onDeleted(id, range.revision()));
         loaded = true;
         if (!leader.equals(previousLeader) || leader.isEmpty()) {
             listener.onLeaderChanged(leader);
@@ -106,9 +121,9 @@
     public void onChanges(long revision, List<PlatformStore.Change> changes) {
         for (PlatformStore.Change change : changes) {
             if (change.entry().isPresent()) {
-                applyPut(change.key(), change.entry().get().value());
+                applyPut(change.entry().get());
             } else {
-                applyDelete(change.key());
+                applyDelete(change.key(), change.modRevision());
             }
         }
     }
@@ -120,12 +135,15 @@
         load();
     }
 
-    private void applyPut(String key, byte[] value) {
+    private void applyPut(PlatformStore.Entry entry) {
+        String key = entry.key();
+        byte[] value = entry.value();
         if (key.startsWith(keys.jobsAccepted())) {
             RecordCodec.decode(value, JobSubmission.class)
                     .filter(job -> key.equals(keys.jobsAccepted() + job.id()))
                     .ifPresentOrElse(
-                            this::addAccepted, () -> telemetry.event(EventCode.JOB_RECORD_INVALID, "key=" + key));
+                            job -> addAccepted(job, entry.modRevision()),
+                            () -> telemetry.event(EventCode.JOB_RECORD_INVALID, "key=" + key));
         } else if (key.startsWith(keys.jobsCancelled())) {
             addCancelled(key.substring(keys.jobsCancelled().length()));
         } else if (key.startsWith(keys.jobsEnded())) {
@@ -135,9 +153,11 @@
         }
     }
 
-    private void applyDelete(String key) {
+    private void applyDelete(String key, long revision) {
         if (key.startsWith(keys.jobsAccepted())) {
-            queueByJobId.remove(key.substring(keys.jobsAccepted().length()));
+            String id = key.substring(keys.jobsAccepted().length());
+            queueByJobId.remove(id);
+            listener.onDeleted(id, revision);
         } else if (key.startsWith(keys.jobsCancelled())) {
             cancelledJobs.remove(key.substring(keys.jobsCancelled().length()));
         } else if (key.startsWith(keys.jobsEnded())) {
@@ -147,10 +167,14 @@
         }
     }
 
-    /** Adds a job known to be stored, before the watch reports it. */
-    public void addAccepted(JobSubmission submission) {
+    /**
+     * Adds a job known to be stored, before the watch reports it.
+     *
+     * @param revision revision of the job's record
+     */
+    public void addAccepted(JobSubmission submission, long revision) {
         queueByJobId.put(submission.id(), submission.queue());
-        listener.onAccepted(submission);
+        listener.onAccepted(submission, revision);
     }
 
     /** Adds a cancellation known to be stored, before the watch reports it. */
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
@@ -58,8 +58,12 @@
     /** The outcome of storing a job or a cancellation. */
     public sealed interface Result {}
 
-    /** The record is stored, by this call or an earlier one. */
-    public record Stored(boolean alreadyStored) implements Result {}
+    /**
+     * The record is stored, by this call or an earlier one, or needs no write.
+     *
+     * @param revision revision of the record; {@link Transaction#ABSENT} for a cancellation that needs no write
+     */
+    public record Stored(long revision) implements Result {}
 
     /** The configuration has changed and nothing was stored; admission has to be decided again. */
     public record ConfigurationChanged() implements Result {}
@@ -180,11 +184,12 @@
 
         private Result toResult(CommitResult result) {
             return switch (result) {
-                case CommitResult.Committed committed -> new Stored(false);
+                case CommitResult.Committed committed -> new Stored(committed.revision());
                 case CommitResult.Conflict conflict -> {
-                    boolean stored = conflict.current().get(0).isPresent();
-                    if (stored || conflictMeansStored) {
-                        yield new Stored(!mayBeStored);
+                    Optional<PlatformStore.Entry> current = conflict.current().get(0);
+                    if (current.isPresent() || conflictMeansStored) {
+                        yield new Stored(
+                                current.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT));
                     }
                     // An earlier commit without an answer can no longer take effect: its comparisons fail permanently.
                     yield new ConfigurationChanged();
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -162,8 +162,13 @@
     }
 
     @Override
-    public void onAccepted(JobSubmission submission) {
-        scheduler.ifPresent(s -> s.addJob(submission));
+    public void onAccepted(JobSubmission submission, long revision) {
+        scheduler.ifPresent(s -> s.addJob(submission, revision));
+    }
+
+    @Override
+    public void onDeleted(String id, long revision) {
+        scheduler.ifPresent(s -> s.removeDeletedJob(id, revision));
     }
 
     @Override
@@ -188,9 +193,9 @@
         return scheduler.filter(JobScheduler::isLoaded);
     }
 
-    /** Handles the notification of another entry host that a job is stored. */
-    public void onPeerAccepted(JobSubmission submission) {
-        directory.addAccepted(submission);
+    /** Handles the notification of another entry host that a job is stored under a revision. */
+    public void onPeerAccepted(JobSubmission submission, long revision) {
+        directory.addAccepted(submission, revision);
     }
 
     /** Handles the notification of another entry host that a cancellation is stored. */
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -265,7 +265,7 @@
         Duration remaining = remaining(request.deadlineNanos());
         return intake.submit(submission, snapshot.revision(), remaining, request.mayForward())
                 .thenCompose(result -> switch (result) {
-                    case JobIntake.Stored stored -> onStored(submission);
+                    case JobIntake.Stored stored -> onStored(submission, stored.revision());
                     case JobIntake.ConfigurationChanged changed ->
                         rereadAndDecide(request, rereads, "configuration keeps changing");
                     case JobIntake.NotStored notStored -> {
@@ -281,14 +281,14 @@
                 });
     }
 
-    private CompletionStage<JobAnswer> onStored(JobSubmission submission) {
+    private CompletionStage<JobAnswer> onStored(JobSubmission submission, long revision) {
         telemetry.count(CounterCode.JOBS_ACCEPTED, submission.queue());
         telemetry.event(
                 EventCode.JOB_ACCEPTED,
                 "job=" + submission.id() + " queue=" + submission.queue() + " team=" + submission.team() + " steps="
                         + submission.steps().stream().map(StepSpec::summary).toList());
-        directory.addAccepted(submission);
-        otherLeader().ifPresent(leader -> dependencies.schedulerClient().notifyAccepted(leader, submission));
+        directory.addAccepted(submission, revision);
+        otherLeader().ifPresent(leader -> dependencies.schedulerClient().notifyAccepted(leader, submission, revision));
         return CompletableFuture.completedFuture(new JobAnswer.Accepted());
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
@@ -36,8 +36,8 @@
     /** Asks an entry host to take over the leadership with this fencing token, after this host has stopped acting. */
     void handOver(String host, long fencingToken);
 
-    /** Notifies the leader that a job is stored. */
-    void notifyAccepted(String leader, JobSubmission submission);
+    /** Notifies the leader that a job is stored under a revision. */
+    void notifyAccepted(String leader, JobSubmission submission, long revision);
 
     /** Notifies the leader that a cancellation is stored. */
     void notifyCancelled(String leader, String id);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -13,10 +13,12 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.StepSpec;
+import org.basilswitch.store.Transaction;
 
 /** A job that has not ended, with its work items and the state of its progress record. */
 final class ActiveJob {
     private final JobSubmission submission;
+    private final long acceptedRevision;
     private final Map<Integer, List<List<WorkItem>>> occurrences = new TreeMap<>();
     private final List<WorkItem> items = new ArrayList<>();
     private int doneItems;
@@ -35,8 +37,14 @@
     private boolean writing;
     private List<Runnable> commitActions = new ArrayList<>();
 
-    ActiveJob(JobSubmission submission) {
+    /**
+     * Creates a job without progress.
+     *
+     * @param acceptedRevision revision of the job's accepted record
+     */
+    ActiveJob(JobSubmission submission, long acceptedRevision) {
         this.submission = submission;
+        this.acceptedRevision = acceptedRevision;
     }
 
     JobSubmission submission() {
@@ -137,6 +145,16 @@
         return false;
     }
 
+    /** Calls an action with the current runs and copies of all work items. */
+    void forEachRun(Consumer<Run> action) {
+        List<Run> runs = new ArrayList<>();
+        items.forEach(item -> {
+            item.run().ifPresent(runs::add);
+            runs.addAll(item.copies());
+        });
+        runs.forEach(action);
+    }
+
     /** Returns all work items of the step that an item belongs to. */
     List<WorkItem> stepOf(ItemId item) {
         return occurrences.get(item.occurrence()).get(item.step());
@@ -290,10 +308,19 @@
         return !cancelled && !failed && !ended;
     }
 
+    long acceptedRevision() {
+        return acceptedRevision;
+    }
+
     long progressRevision() {
         return progressRevision;
     }
 
+    /** Returns whether no progress record of this job is stored. */
+    boolean hasNoProgressRecord() {
+        return progressRevision == Transaction.ABSENT;
+    }
+
     void setProgressRevision(long revision) {
         progressRevision = revision;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -71,12 +71,15 @@
     /** Jobs whose stored progress or final state can't be read; started anew, they might run twice. */
     private final Set<String> unreadableJobs = new HashSet<>();
 
-    private final List<JobSubmission> acceptedWhileLoading = new ArrayList<>();
+    private final List<Accepted> acceptedWhileLoading = new ArrayList<>();
     private final List<String> cancelledWhileLoading = new ArrayList<>();
     private boolean loaded;
     private boolean roundScheduled;
     private boolean closed;
 
+    /** A job and the revision of its accepted record. */
+    private record Accepted(JobSubmission submission, long revision) {}
+
     private JobScheduler(
             SchedulerContext context, long fencingToken, Predicate<Duration> isLeaderFor, Consumer<String> onLost) {
         this.context = context;
@@ -151,7 +154,9 @@
         // 5 % more than the lease, to cover a server clock that is 2 % slow.
         long leaseExpirySteadyNanos = context.steadyClock().monotonicNanos()
                 + context.options().lease().toNanos() * 21 / 20;
-        records.ended(context.keys().jobsEnded(), context.telemetry()).forEach(endedJobs::add);
+        records.ended(context.keys().jobsEnded(), context.telemetry())
+                .forEach((id, state) ->
+                        endedJobs.add(id, state, records.revision(context.keys().jobAccepted(id))));
         records.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
             if (!endedJobs.contains(submission.id()) && !jobs.containsKey(submission.id())) {
                 Optional<RecoveredJobRecords.Progress> stored =
@@ -159,7 +164,8 @@
                 if (records.unreadable().contains(submission.id())) {
                     return;
                 }
-                ActiveJob job = new ActiveJob(submission);
+                ActiveJob job = new ActiveJob(
+                        submission, records.revision(context.keys().jobAccepted(submission.id())));
                 stored.ifPresent(progress -> job.restore(progress.record(), progress.revision()));
                 if (records.isCancelled(context.keys().jobCancelled(submission.id()))) {
                     job.cancel();
@@ -175,7 +181,7 @@
         Duration held =
                 Duration.ofNanos(leaseExpirySteadyNanos - context.steadyClock().monotonicNanos());
         loaded = true;
-        acceptedWhileLoading.forEach(this::addJob);
+        acceptedWhileLoading.forEach(accepted -> addJob(accepted.submission(), accepted.revision()));
         cancelledWhileLoading.forEach(this::cancelJob);
         context.telemetry()
                 .event(
@@ -218,23 +224,41 @@
         return loaded && !closed;
     }
 
-    /** Adds an accepted job. */
-    public void addJob(JobSubmission submission) {
+    /**
+     * Adds an accepted job.
+     *
+     * @param revision revision of the job's accepted record
+     */
+    public void addJob(JobSubmission submission, long revision) {
         if (!loaded && !closed) {
-            acceptedWhileLoading.add(submission);
+            acceptedWhileLoading.add(new Accepted(submission, revision));
             return;
         }
-        boolean known = endedJobs.contains(submission.id()) || jobs.containsKey(submission.id());
+        // An identifier may be submitted again once its records are deleted, which the answer to the deletion confirms.
+        boolean known = endedJobs.containsAsOf(submission.id(), revision) || jobs.containsKey(submission.id());
         if (closed || known || unreadableJobs.contains(submission.id())) {
             return;
         }
-        ActiveJob job = new ActiveJob(submission);
+        endedJobs.remove(submission.id());
+        ActiveJob job = new ActiveJob(submission, revision);
         jobs.put(job.id(), job);
         jobOrder.onJobAccepted(job);
         poolBalancer.onJobAccepted(submission);
         schedulePlacement();
     }
 
+    /**
+     * Removes a job that was reported although its records were deleted.
+     *
+     * @param revision revision as of which the job's accepted record does not exist
+     */
+    public void removeDeletedJob(String id, long revision) {
+        acceptedWhileLoading.removeIf(
+                accepted -> accepted.submission().id().equals(id) && accepted.revision() <= revision);
+        job(id).filter(job -> job.acceptedRevision() <= revision && job.hasNoProgressRecord() && !job.isWriting())
+                .ifPresent(this::onDeleted);
+    }
+
     /** Stops a job whose cancellation is stored. */
     public void cancelJob(String id) {
         if (!loaded) {
@@ -343,13 +367,32 @@
         }
     }
 
+    @Override
+    public void onDeleted(ActiveJob job) {
+        context.telemetry()
+                .event(EventCode.JOB_DELETED, "job=" + job.id() + " acceptedRevision=" + job.acceptedRevision());
+        remove(job);
+        // No run has been sent a start command, as the first record of the job was not stored.
+        job.forEachRun(run -> {
+            runRegistry.remove(run);
+            run.item().endRun(false);
+        });
+        job.markEnded();
+        job.takeCommitActions().forEach(Runnable::run);
+        schedulePlacement();
+    }
+
+    private void remove(ActiveJob job) {
+        jobs.remove(job.id());
+        ticketCache.removeJob(job.id());
+        jobOrder.removeJob(job.id());
+    }
+
     @Override
     public void onWriteFinished(ActiveJob job) {
         if (job.isEnded()) {
-            jobs.remove(job.id());
-            ticketCache.removeJob(job.id());
-            jobOrder.removeJob(job.id());
-            endedJobs.add(job.id(), job.state());
+            remove(job);
+            endedJobs.add(job.id(), job.state(), job.acceptedRevision());
             context.telemetry().count(CounterCode.JOBS_ENDED, job.state().name());
             context.telemetry()
                     .event(
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressWriter.java
@@ -22,7 +22,8 @@
 
 /**
  * Stores the progress of jobs in grouped commits. Each commit is conditional on the leadership still being held, no
- * newer progress being stored and none of its jobs being cancelled.
+ * newer progress being stored and none of its jobs being cancelled. The first commit of a job is also conditional on its
+ * accepted record, so that a late report of a job whose records are deleted starts nothing.
  *
  * <p>A commit without an answer is sent again unchanged: its conditions make it idempotent.
  */
@@ -54,6 +55,9 @@
         /** Called when a job is found to be cancelled. */
         void onCancelled(ActiveJob job);
 
+        /** Called when the accepted record of a job without progress is found to be deleted. */
+        void onDeleted(ActiveJob job);
+
         /** Called when a write of a job has finished and it can be written again. */
         void onWriteFinished(ActiveJob job);
     }
@@ -102,6 +106,7 @@
         return new Write(
                 job,
                 job.nextProgressRecord(fencingToken),
+                job.hasNoProgressRecord(),
                 job.isCancelled(),
                 isFinalWrite ? Optional.of(state) : Optional.empty(),
                 actions);
@@ -115,9 +120,14 @@
             if (!write.cancelled) {
                 builder.compare(keys.jobCancelled(id), Transaction.ABSENT);
             }
+            if (write.first) {
+                builder.compare(keys.jobAccepted(id), write.job.acceptedRevision());
+            }
             if (write.finalState.isPresent()) {
                 builder.put(keys.jobEnded(id), write.finalState.get().name().getBytes(StandardCharsets.UTF_8));
-                builder.delete(keys.jobProgress(id));
+                if (!write.first) {
+                    builder.delete(keys.jobProgress(id));
+                }
             } else {
                 builder.put(keys.jobProgress(id), RecordCodec.encode(write.record));
             }
@@ -178,6 +188,7 @@
         for (Write write : group) {
             Optional<PlatformStore.Entry> progress = current.get(index++);
             boolean cancelled = !write.cancelled && current.get(index++).isPresent();
+            boolean deleted = write.first && revision(current.get(index++)) != write.job.acceptedRevision();
             if (revision(progress) != write.job.progressRevision()) {
                 // Only the leader writes this record, so the revision is that of this write, whose answer was lost.
                 onCommitted(write, revision(progress));
@@ -185,6 +196,10 @@
             }
             write.job.setWriting(false);
             write.job.restoreCommitActions(write.actions);
+            if (deleted) {
+                listener.onDeleted(write.job);
+                continue;
+            }
             if (cancelled) {
                 listener.onCancelled(write.job);
             }
@@ -196,10 +211,15 @@
         return entry.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT);
     }
 
-    /** One job's part of a commit. */
+    /**
+     * One job's part of a commit.
+     *
+     * @param first whether no earlier write of the job has been stored
+     */
     private record Write(
             ActiveJob job,
             ProgressRecord record,
+            boolean first,
             boolean cancelled,
             Optional<JobState> finalState,
             List<Runnable> actions) {}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
@@ -16,6 +16,7 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.store.PlatformStore;
+import org.basilswitch.store.Transaction;
 
 /** Job records that a new leader reads from the store. */
 final class RecoveredJobRecords {
@@ -36,6 +37,13 @@
         return byPrefix.keySet().containsAll(prefixes);
     }
 
+    /** Returns the revision of a record; {@link Transaction#ABSENT} when there is none. */
+    long revision(String key) {
+        return Optional.ofNullable(entries.get(key))
+                .map(PlatformStore.Entry::modRevision)
+                .orElse(Transaction.ABSENT);
+    }
+
     /** Returns the valid submissions under a prefix and reports invalid ones. */
     List<JobSubmission> accepted(String prefix, Telemetry telemetry) {
         List<JobSubmission> submissions = new ArrayList<>();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
@@ -669,16 +667,7 @@
 
     /** Stops all runs of a job, including copies. */
     void stopAll(ActiveJob job) {
-        forEachRun(job, this::stop);
-    }
-
-    private static void forEachRun(ActiveJob job, Consumer<Run> action) {
-        List<Run> runs = new ArrayList<>();
-        job.items().forEach(item -> {
-            item.run().ifPresent(runs::add);
-            runs.addAll(item.copies());
-        });
-        runs.forEach(action);
+        job.forEachRun(this::stop);
     }
 
     /** Adds the runs of a job that was read from the store, with the steady time at which their leases have expired. */
@@ -687,7 +676,7 @@
         if (!job.isCancelled() && job.items().stream().anyMatch(this::hasNoAttemptLeft)) {
             job.fail();
         }
-        forEachRun(job, run -> {
+        job.forEachRun(run -> {
             runRegistry.add(run);
             TrackedServer server = runRegistry.getOrCreateServer(run.incarnation());
             server.extendLeaseExpiry(leaseExpirySteadyNanos);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
@@ -53,6 +53,8 @@
     private final SimulatedTime time = SimulatedTime.create();
     private final Map<String, SimulatedServer> servers = new HashMap<>();
     private final List<HostControl.PlatformHost> hosts = new ArrayList<>();
+    private final StoreKeys keys = new StoreKeys("rehearsal");
+    private final MemoryStore store;
     private final JobScheduler scheduler;
     private int jobs;
     private int completedRuns;
@@ -61,16 +63,15 @@
         for (int i = 0; i < SERVERS_PER_POOL * POOLS.size() + STANDBY_HOSTS; i++) {
             addHost(i);
         }
-        MemoryStore store = MemoryStore.create(time, time);
-        StoreKeys keys = new StoreKeys("rehearsal");
+        store = MemoryStore.create(time, time);
         store.commit(Transaction.builder()
                 .put(keys.schedulerLeadership(), RecordCodec.encode("self"))
                 .build());
-        scheduler = JobScheduler.takeOver(context(store, keys), store.revision(), margin -> true, reason -> {});
+        scheduler = JobScheduler.takeOver(context(), store.revision(), margin -> true, reason -> {});
         submitNext();
     }
 
-    private SchedulerContext context(MemoryStore store, StoreKeys keys) {
+    private SchedulerContext context() {
         JobConfiguration configuration = configuration();
         Telemetry telemetry = Telemetry.none();
         return new SchedulerContext(
@@ -155,7 +156,9 @@
         JobSubmission submission =
                 new JobSubmission(id, queue, "team", "spec", List.of(first, second), null, time.millis());
         // Records are read back once, as after a takeover.
-        RecordCodec.decode(RecordCodec.encode(submission), JobSubmission.class).ifPresent(scheduler::addJob);
+        byte[] record = RecordCodec.encode(submission);
+        store.commit(Transaction.builder().put(keys.jobAccepted(id), record).build());
+        RecordCodec.decode(record, JobSubmission.class).ifPresent(job -> scheduler.addJob(job, store.revision()));
         time.schedule(JOB_INTERVAL, this::submitNext);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -20,6 +20,7 @@
     private Duration timeout = Duration.ofSeconds(1);
     private double lostAnswerRatio;
     private boolean reachable = true;
+    private CommitFault commitFault = CommitFault.NONE;
     private long calls;
 
     private MemoryStoreClient(MemoryStore store, Scheduler scheduler, UniformRandomProvider random) {
@@ -28,6 +29,15 @@
         this.random = random;
     }
 
+    /** Faults of commits only; other calls are answered, so that leases are kept. */
+    public enum CommitFault {
+        NONE,
+        /** The store refuses commits and does not apply them. */
+        REFUSED,
+        /** The store applies commits, and their responses are lost. */
+        ANSWER_LOST
+    }
+
     /** Creates a client without faults and with a delay of 1 ms in each direction. */
     public static MemoryStoreClient create(MemoryStore store, Scheduler scheduler, UniformRandomProvider random) {
         return new MemoryStoreClient(store, scheduler, random);
@@ -43,6 +53,11 @@
         lostAnswerRatio = ratio;
     }
 
+    /** Sets the fault of commits. */
+    public void setCommitFault(CommitFault fault) {
+        commitFault = fault;
+    }
+
     /** Disconnects or reconnects the client. */
     public void setReachable(boolean reachable) {
         this.reachable = reachable;
@@ -85,6 +100,12 @@
         return Either.left(new StoreError.Unknown(StoreError.Reason.TIMEOUT, "call timed out"));
     }
 
+    private <T> CompletionStage<Either<StoreError, T>> timedOut() {
+        CompletableFuture<Either<StoreError, T>> answer = new CompletableFuture<>();
+        scheduler.schedule(timeout, () -> answer.complete(unknown()));
+        return answer;
+    }
+
     private static <T> Either<StoreError, T> refused() {
         return Either.left(new StoreError.Refused(StoreError.Reason.UNREACHABLE, "not connected"));
     }
@@ -101,10 +122,15 @@
 
     @Override
     public CompletionStage<Either<StoreError, CommitResult>> commit(Transaction transaction) {
-        return call(() -> {
+        CommitFault fault = commitFault;
+        if (fault == CommitFault.REFUSED) {
+            return call(MemoryStoreClient::refused);
+        }
+        CompletionStage<Either<StoreError, CommitResult>> answer = call(() -> {
             OptionalLong expired = store.expiredLease(transaction);
             return expired.isPresent() ? leaseExpired(expired.getAsLong()) : Either.right(store.commit(transaction));
         });
+        return fault == CommitFault.ANSWER_LOST ? answer.thenCompose(lost -> timedOut()) : answer;
     }
 
     @Override
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
@@ -39,7 +39,7 @@
     }
 
     private Run add(String job, StepSpec spec) {
-        ActiveJob active = new ActiveJob(new JobSubmission(job, "q", "", "", List.of(spec), null, 0));
+        ActiveJob active = new ActiveJob(new JobSubmission(job, "q", "", "", List.of(spec), null, 0), 1);
         active.createDueOccurrences(0);
         WorkItem item = active.item(new ItemId(job, 0, 0, 0));
         Run run = item.beginRun(1, INCARNATION, Run.Phase.RUNNING);
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/ProgressWriterTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/ProgressWriterTest.java
@@ -33,6 +33,10 @@
                 .put(keys.schedulerLeadership(), new byte[] {1})
                 .build());
         long fencingToken = ((CommitResult.Committed) leadership).revision();
+        long accepted = ((CommitResult.Committed) store.commit(Transaction.builder()
+                        .put(keys.jobAccepted("0000000000000001"), new byte[] {1})
+                        .build()))
+                .revision();
         MemoryStoreClient client = MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(1));
         client.setOneWayDelay(Duration.ofMillis(50));
         List<String> finished = new ArrayList<>();
@@ -48,13 +52,18 @@
                         throw new AssertionError("not cancelled");
                     }
 
+                    @Override
+                    public void onDeleted(ActiveJob job) {
+                        throw new AssertionError("not deleted");
+                    }
+
                     @Override
                     public void onWriteFinished(ActiveJob job) {
                         finished.add(job.id());
                     }
                 });
-        ActiveJob job =
-                new ActiveJob(new JobSubmission("0000000000000001", "queue", "team", "spec", List.of(), null, 0));
+        ActiveJob job = new ActiveJob(
+                new JobSubmission("0000000000000001", "queue", "team", "spec", List.of(), null, 0), accepted);
         job.fail();
         job.markDirty();
         List<String> actions = new ArrayList<>();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
@@ -90,8 +90,9 @@
     }
 
     @Override
-    public void notifyAccepted(String holder, JobSubmission submission) {
-        call(HttpMethod.POST, holder, SchedulerPeerServer.ACCEPTED, Buffer.buffer(RecordCodec.encode(submission)));
+    public void notifyAccepted(String holder, JobSubmission submission, long revision) {
+        Buffer body = Buffer.buffer(RecordCodec.encode(new PeerDocument.Accepted(submission, revision)));
+        call(HttpMethod.POST, holder, SchedulerPeerServer.ACCEPTED, body);
     }
 
     @Override
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
@@ -7,6 +7,7 @@
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.job.JobState;
+import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.Recurrence;
 import org.basilswitch.job.StepSpec;
 
@@ -23,6 +24,22 @@
     /** The number of pending jobs; negative when the responding host is not the scheduler leader. */
     record Pending(long jobs) {}
 
+    /**
+     * A job that another host has stored.
+     *
+     * @param submission the job
+     * @param revision revision of the job's record
+     */
+    record Accepted(JobSubmission submission, long revision) {
+
+        /** Throws {@link IllegalArgumentException} when the job or its revision is missing. */
+        Accepted {
+            if (submission == null || revision <= 0) {
+                throw new IllegalArgumentException("accepted job without a required field");
+            }
+        }
+    }
+
     /** Actions of a forwarded call. */
     enum Action {
         SUBMIT,
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -16,7 +16,6 @@
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.intake.JobNode;
-import org.basilswitch.job.JobSubmission;
 
 /** HTTP server on which the scheduler leader serves the other entry hosts. */
 public final class SchedulerPeerServer {
@@ -57,10 +56,11 @@
         Optional.ofNullable(request.getHeader(HttpSchedulerClient.CANDIDATE)).ifPresent(node::onCandidateSeen);
         if (request.method() == HttpMethod.POST && path.equals(ACCEPTED)) {
             request.body().onSuccess(body -> {
-                Optional<JobSubmission> submission = RecordCodec.decode(body.getBytes(), JobSubmission.class);
-                submission.ifPresent(node::onPeerAccepted);
+                Optional<PeerDocument.Accepted> accepted =
+                        RecordCodec.decode(body.getBytes(), PeerDocument.Accepted.class);
+                accepted.ifPresent(job -> node.onPeerAccepted(job.submission(), job.revision()));
                 request.response()
-                        .setStatusCode(submission.isPresent() ? 204 : 400)
+                        .setStatusCode(accepted.isPresent() ? 204 : 400)
                         .end();
             });
         } else if (request.method() == HttpMethod.POST && path.equals(CALLS)) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -393,10 +393,10 @@
         }
 
         @Override
-        public void notifyAccepted(String leader, JobSubmission submission) {
+        public void notifyAccepted(String leader, JobSubmission submission, long revision) {
             if (!killed.contains(byAddress.get(leader))) {
                 byAddress.get(leader).onCandidateSeen(self);
-                byAddress.get(leader).onPeerAccepted(submission);
+                byAddress.get(leader).onPeerAccepted(submission, revision);
             }
         }
 
