Create every due occurrence after a takeover, whichever have started

Cause: a progress record holds only started occurrences, and ActiveJob continued at the number of occurrences that it knew. With occurrence 1 restored and 0 not, occurrence 0 was never created.

Change: occurrences are created in order from the first that has not been checked.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -21,6 +21,9 @@
     private final long acceptedRevision;
     private final Map<Integer, List<List<WorkItem>>> occurrences = new TreeMap<>();
     private final List<WorkItem> items = new ArrayList<>();
+    /** First occurrence of which it is not known that it has been created; those before it have been. */
+    private int firstUncheckedOccurrence;
+
     private int doneItems;
     private int startedItems;
     private long changeCount;
@@ -55,16 +58,24 @@
         return submission.id();
     }
 
-    /** Creates the work items of all occurrences that are due. */
+    /**
+     * Creates the work items of all occurrences that are due. A progress record holds only occurrences that have started,
+     * so that earlier ones may be missing after {@link #restore}.
+     */
     void createDueOccurrences(long nowMs) {
-        for (int k = occurrences.size(); k < submission.occurrences(); k++) {
-            if (submission.recurrence() != null && submission.recurrence().dueMs(k) > nowMs) {
+        while (firstUncheckedOccurrence < submission.occurrences()) {
+            if (!occurrences.containsKey(firstUncheckedOccurrence) && !isDue(firstUncheckedOccurrence, nowMs)) {
                 return;
             }
-            getOrCreateOccurrence(k);
+            getOrCreateOccurrence(firstUncheckedOccurrence);
+            firstUncheckedOccurrence++;
         }
     }
 
+    private boolean isDue(int occurrence, long nowMs) {
+        return submission.recurrence() == null || submission.recurrence().dueMs(occurrence) <= nowMs;
+    }
+
     /** Returns the work items of an occurrence by step, and creates them if necessary. */
     private List<List<WorkItem>> getOrCreateOccurrence(int occurrence) {
         return occurrences.computeIfAbsent(occurrence, k -> {
