Don't reject a call whose write may have taken effect

Cause: after a commit without an answer the call is forwarded to the leader; only its 503 became undecided, its 401 and 404 were passed on, and so was the host's own second decision when the leader did not answer.

Change: after a possible write a rejection leads to a look for the outcome, in the host's copy, at the leader and in the store. A stored job is accepted, a stored cancellation confirmed; a submission is rejected only once its write can't take effect any more; otherwise the answer is undecided.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -11,6 +11,7 @@
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
@@ -22,7 +23,9 @@
 
 /** Answers calls from the configuration, the store and the scheduler. */
 public final class JobService {
-    private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{16}");
+    private static final int JOB_ID_LENGTH = 16;
+
+    private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{" + JOB_ID_LENGTH + "}");
     /** Longest age of the configuration at which an unknown queue or key is reported without another read. */
     private static final Duration NEGATIVE_ANSWER_MAX_AGE = Duration.ofMillis(250);
     /**
@@ -111,16 +114,100 @@
                             + answer.map(found -> found.getClass().getSimpleName())
                                     .orElse("none"));
             if (answer.isEmpty()) {
-                return decide(new Request(call, deadlineNanos, false), 0).thenApply(JobService::refusedToUndecided);
+                return decide(new Request(call, deadlineNanos, false), 0)
+                        .thenCompose(second -> afterPossibleWrite(call, second, deadlineNanos));
             }
-            boolean mayBeStored = localAnswer instanceof JobAnswer.Undecided;
-            return CompletableFuture.completedFuture(mayBeStored ? refusedToUndecided(answer.get()) : answer.get());
+            return localAnswer instanceof JobAnswer.Undecided
+                    ? afterPossibleWrite(call, answer.get(), deadlineNanos)
+                    : CompletableFuture.completedFuture(answer.get());
         });
     }
 
-    /** Turns a refusal into an undecided answer, for calls of which an earlier attempt may have taken effect. */
-    private static JobAnswer refusedToUndecided(JobAnswer answer) {
-        return answer instanceof JobAnswer.Refused refused ? new JobAnswer.Undecided(refused.reason()) : answer;
+    /**
+     * Returns the answer to a call of which an earlier attempt may have taken effect. A later attempt that was rejected
+     * decides nothing, as the configuration may have changed between the two.
+     */
+    private CompletionStage<JobAnswer> afterPossibleWrite(JobCall call, JobAnswer later, long deadlineNanos) {
+        return switch (later) {
+            case JobAnswer.Refused refused ->
+                CompletableFuture.completedFuture(new JobAnswer.Undecided(refused.reason()));
+            case JobAnswer.UnknownQueue unknown -> readOutcome(call, later, deadlineNanos);
+            case JobAnswer.UnknownKey unknown -> readOutcome(call, later, deadlineNanos);
+            case JobAnswer.Invalid invalid -> readOutcome(call, later, deadlineNanos);
+            // Answers that tell the outcome, or that are undecided themselves.
+            case JobAnswer.Accepted accepted -> CompletableFuture.completedFuture(later);
+            case JobAnswer.Cancelled cancelled -> CompletableFuture.completedFuture(later);
+            case JobAnswer.State state -> CompletableFuture.completedFuture(later);
+            case JobAnswer.Pending pending -> CompletableFuture.completedFuture(later);
+            case JobAnswer.UnknownJob unknown -> CompletableFuture.completedFuture(later);
+            case JobAnswer.Undecided undecided -> CompletableFuture.completedFuture(later);
+        };
+    }
+
+    /** Looks for the record that an earlier attempt may have stored, after a later attempt was rejected. */
+    private CompletionStage<JobAnswer> readOutcome(JobCall call, JobAnswer rejection, long deadlineNanos) {
+        Optional<String> id = jobId(call);
+        JobAnswer undecided = new JobAnswer.Undecided("an earlier attempt may have taken effect");
+        return switch (call.action()) {
+            case JobCall.Query query -> CompletableFuture.completedFuture(rejection);
+            case JobCall.Submit submit ->
+                id.map(found -> readAcceptance(call, found, rejection, deadlineNanos))
+                        .orElse(CompletableFuture.completedFuture(undecided));
+            case JobCall.Cancel cancel ->
+                id.map(this::readState)
+                        .orElse(CompletableFuture.completedFuture(Optional.empty()))
+                        .thenApply(state ->
+                                state.filter(JobState::isFinal).isPresent() ? new JobAnswer.Cancelled() : undecided);
+        };
+    }
+
+    /** Returns the job identifier that ends a call's path; the queue before it may have been removed. */
+    private static Optional<String> jobId(JobCall call) {
+        int start = call.path().length() - JOB_ID_LENGTH;
+        return Optional.of(call.path())
+                .filter(path -> start >= 0)
+                .map(path -> path.substring(start))
+                .filter(id -> JOB_ID.matcher(id).matches());
+    }
+
+    /** Returns the state of a job as this host or the leader knows it; empty when neither does. */
+    private CompletionStage<Optional<JobState>> readState(String id) {
+        Optional<JobState> known =
+                directory.finalState(id).or(() -> node.scheduler().flatMap(s -> s.jobState(id)));
+        Optional<String> leader = otherLeader();
+        return known.isPresent() || leader.isEmpty()
+                ? CompletableFuture.completedFuture(known)
+                : dependencies.schedulerClient().queryState(leader.get(), id);
+    }
+
+    /**
+     * Decides a submission of which an earlier attempt may have stored the job. Without a record, the rejection is final
+     * once the configuration that admitted the earlier attempt has been replaced: the attempt compares its revision.
+     */
+    private CompletionStage<JobAnswer> readAcceptance(
+            JobCall call, String id, JobAnswer rejection, long deadlineNanos) {
+        JobAnswer undecided = new JobAnswer.Undecided("an earlier attempt may have stored the job");
+        if (directory.contains(id)) {
+            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
+        }
+        long readFromNanos = clock.monotonicNanos();
+        return readState(id).thenCompose(state -> {
+            if (state.isPresent()) {
+                return CompletableFuture.completedFuture(new JobAnswer.Accepted());
+            }
+            return jobConfiguration.refresh().thenCompose(done -> {
+                boolean replaced = jobConfiguration.snapshot().stream()
+                        .anyMatch(snapshot -> snapshot.confirmedNanos() >= readFromNanos
+                                && !isAdmitted(call, snapshot.configuration()));
+                return intake.find(id, remaining(deadlineNanos), true)
+                        .thenApply(result -> result.fold(error -> undecided, entry -> {
+                            if (entry.isPresent()) {
+                                return new JobAnswer.Accepted();
+                            }
+                            return replaced ? rejection : undecided;
+                        }));
+            });
+        });
     }
 
     private CompletionStage<JobAnswer> withinTimeout(
@@ -196,11 +283,9 @@
             return refused("no configuration has been read yet");
         }
         JobConfigurationSnapshot snapshot = jobConfiguration.snapshot().get();
-        Optional<JobQueue> queue =
-                JobQueue.findByPath(snapshot.configuration().queues().values(), call.host(), call.path());
+        Optional<JobQueue> queue = findQueue(call, snapshot.configuration());
         Optional<JobTeam> team = call.key().flatMap(snapshot.configuration()::findTeamByKey);
-        boolean admitted = queue.isPresent() && (queue.get().open() || team.isPresent());
-        if (!admitted) {
+        if (!isAdmitted(call, snapshot.configuration())) {
             Supplier<JobAnswer> answer = queue.isEmpty() ? JobAnswer.UnknownQueue::new : JobAnswer.UnknownKey::new;
             return answerNegative(request, rereads, answer);
         }
@@ -223,6 +308,18 @@
         };
     }
 
+    private static Optional<JobQueue> findQueue(JobCall call, JobConfiguration configuration) {
+        return JobQueue.findByPath(configuration.queues().values(), call.host(), call.path());
+    }
+
+    /** Returns whether a call names a queue and, if the queue is not open, the key of a team. */
+    private static boolean isAdmitted(JobCall call, JobConfiguration configuration) {
+        return findQueue(call, configuration)
+                .filter(queue -> queue.open()
+                        || call.key().flatMap(configuration::findTeamByKey).isPresent())
+                .isPresent();
+    }
+
     private CompletionStage<JobAnswer> answerNegative(Request request, int rereads, Supplier<JobAnswer> answer) {
         if (jobConfiguration.confirmedWithin(NEGATIVE_ANSWER_MAX_AGE)
                 || rereads > 0 && jobConfiguration.confirmedWithin(REREAD_NEGATIVE_ANSWER_MAX_AGE)) {
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -34,6 +34,8 @@
         NONE,
         /** The store refuses commits and does not apply them. */
         REFUSED,
+        /** Commits are lost on their way to the store. */
+        REQUEST_LOST,
         /** The store applies commits, and their responses are lost. */
         ANSWER_LOST
     }
@@ -126,6 +128,10 @@
         if (fault == CommitFault.REFUSED) {
             return call(MemoryStoreClient::refused);
         }
+        if (fault == CommitFault.REQUEST_LOST) {
+            calls++;
+            return timedOut();
+        }
         CompletionStage<Either<StoreError, CommitResult>> answer = call(() -> {
             OptionalLong expired = store.expiredLease(transaction);
             return expired.isPresent() ? leaseExpired(expired.getAsLong()) : Either.right(store.commit(transaction));
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
@@ -0,0 +1,170 @@
+package org.basilswitch.standin.jobs;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.JobNode;
+import org.basilswitch.job.JobPool;
+import org.basilswitch.job.JobState;
+import org.basilswitch.job.JobTeam;
+import org.basilswitch.job.Resources;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.store.MemoryStoreClient.CommitFault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Calls whose write got no answer of the store and that a later attempt rejects. */
+final class UndecidedWriteTest {
+    private static final String ID = JobFleet.id(1);
+
+    /** What makes the later attempt reject the call. */
+    private enum Rejection {
+        KEY_WITHDRAWN(new JobAnswer.UnknownKey()),
+        QUEUE_REMOVED(new JobAnswer.UnknownQueue());
+
+        private final JobAnswer answer;
+
+        Rejection(JobAnswer answer) {
+            this.answer = answer;
+        }
+
+        private void apply(JobFleet fleet) {
+            switch (this) {
+                case KEY_WITHDRAWN -> fleet.revokeKeys();
+                case QUEUE_REMOVED ->
+                    fleet.configure(
+                            List.of(),
+                            List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1, new Resources(0, 0, 0))),
+                            List.of(new JobPool(JobFleet.POOL, true, false)));
+            }
+        }
+    }
+
+    /** What becomes of the leader that answers the later attempt. */
+    private enum Leader {
+        ANSWERS,
+        KILLED,
+        REFUSED_BY_STORE
+    }
+
+    @DataProvider
+    public Object[][] rejections() {
+        Object[][] rows = new Object[Rejection.values().length * Leader.values().length][];
+        for (int i = 0; i < rows.length; i++) {
+            rows[i] = new Object[] {
+                Rejection.values()[i / Leader.values().length], Leader.values()[i % Leader.values().length]
+            };
+        }
+        return rows;
+    }
+
+    /** Guards against 401 or 404 for a job that is stored and runs. */
+    @Test(dataProvider = "rejections")
+    public void storedJobIsAcceptedThoughLaterAttemptIsRejected(Rejection rejection, Leader leader) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = follower(fleet);
+        JobAnswer answer = rejectedLater(
+                fleet, rejection, leader, host, CommitFault.ANSWER_LOST, () -> fleet.submit(host, ID, longStep()));
+        assertEquals(answer, new JobAnswer.Accepted(), fleet.lastEvents());
+        fleet.runFor(10_000);
+        assertEquals(fleet.model.invariants().startCount(), 2);
+    }
+
+    /** Guards against an undecided answer where the configuration rules out that the job can still be stored. */
+    @Test(dataProvider = "rejections")
+    public void jobThatCanNotBeStoredAnyMoreIsRejected(Rejection rejection, Leader leader) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = follower(fleet);
+        JobAnswer answer = rejectedLater(
+                fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.submit(host, ID, longStep()));
+        assertEquals(answer, rejection.answer, fleet.lastEvents());
+        fleet.runFor(10_000);
+        assertEquals(fleet.model.invariants().startCount(), 0);
+    }
+
+    /** Guards against a rejection by a host that can't read whether its own write has taken effect. */
+    @Test(dataProvider = "rejections")
+    public void jobIsUndecidedWhileItsRecordCanNotBeRead(Rejection rejection, Leader leader) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = follower(fleet);
+        CompletionStage<JobAnswer> call = startCall(
+                fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.submit(host, ID, longStep()));
+        fleet.clients.get(fleet.nodes.indexOf(host)).setReachable(false);
+        JobAnswer answer = fleet.answerAfter(3000, call);
+        assertTrue(answer instanceof JobAnswer.Undecided, answer + "\n" + fleet.lastEvents());
+    }
+
+    /** Guards against 401 or 404 for a cancellation that is stored. */
+    @Test(dataProvider = "rejections")
+    public void storedCancellationIsConfirmedThoughLaterAttemptIsRejected(Rejection rejection, Leader leader) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = follower(fleet);
+        fleet.answerAfter(300, fleet.submit(host, ID, longStep()));
+        JobAnswer answer =
+                rejectedLater(fleet, rejection, leader, host, CommitFault.ANSWER_LOST, () -> fleet.cancel(host, ID));
+        assertEquals(answer, new JobAnswer.Cancelled(), fleet.lastEvents());
+    }
+
+    /** Guards against a rejection of a cancellation that the store may still carry out. */
+    @Test(dataProvider = "rejections")
+    public void cancellationThatMayBeCarriedOutLaterIsUndecided(Rejection rejection, Leader leader) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = follower(fleet);
+        fleet.answerAfter(300, fleet.submit(host, ID, longStep()));
+        JobAnswer answer =
+                rejectedLater(fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.cancel(host, ID));
+        assertTrue(answer instanceof JobAnswer.Undecided, answer + "\n" + fleet.lastEvents());
+        assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
+    }
+
+    private static StepSpec longStep() {
+        return JobFleet.step(2, 1000, 8000);
+    }
+
+    private static JobNode follower(JobFleet fleet) {
+        return fleet.nodes.stream()
+                .filter(node -> node != fleet.leader())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static JobAnswer rejectedLater(
+            JobFleet fleet,
+            Rejection rejection,
+            Leader leader,
+            JobNode host,
+            CommitFault fault,
+            Supplier<CompletionStage<JobAnswer>> caller) {
+        return fleet.answerAfter(3000, startCall(fleet, rejection, leader, host, fault, caller));
+    }
+
+    /** Makes a call whose commit gets no answer; the configuration changes before the call is made again. */
+    private static CompletionStage<JobAnswer> startCall(
+            JobFleet fleet,
+            Rejection rejection,
+            Leader leader,
+            JobNode host,
+            CommitFault fault,
+            Supplier<CompletionStage<JobAnswer>> caller) {
+        int index = fleet.nodes.indexOf(host);
+        fleet.clients.get(index).setCommitFault(fault);
+        CompletionStage<JobAnswer> call = caller.get();
+        fleet.runFor(100);
+        rejection.apply(fleet);
+        JobNode answering = fleet.leader();
+        switch (leader) {
+            case ANSWERS -> {}
+            case KILLED -> fleet.killProcess(answering);
+            case REFUSED_BY_STORE ->
+                fleet.clients.get(fleet.nodes.indexOf(answering)).setCommitFault(CommitFault.REFUSED);
+        }
+        fleet.runFor(700);
+        return call;
+    }
+}
