Decide failures only with the attempts that the job's queue allows

Cause: JobScheduler.maxAttempts returned 1 for a queue that the configuration does not hold.

Change: the limit is unknown then; the failed run is counted, and the decision follows once a configuration holds the queue, before the next start. The comparison of failed runs with their limit moves to AttemptLimits.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -33,6 +33,7 @@
     private boolean exceedsShare;
     private boolean cancelled;
     private boolean failed;
+    private boolean failureDeferred;
     private boolean ended;
     private long progressRevision;
     private long sequence;
@@ -306,6 +307,18 @@
         failed = true;
     }
 
+    /** Has the scheduler decide later whether failed runs have used up the attempts of a work item. */
+    void deferFailure() {
+        failureDeferred = true;
+    }
+
+    /** Returns whether that decision was deferred, and clears the mark. */
+    boolean takeDeferredFailure() {
+        boolean deferred = failureDeferred;
+        failureDeferred = false;
+        return deferred;
+    }
+
     boolean isEnded() {
         return ended;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -286,16 +287,16 @@
     }
 
     @Override
-    public int maxAttempts(WorkItem item) {
+    public OptionalInt maxAttempts(WorkItem item) {
         if (item.spec().longRunning()) {
-            return 0;
+            return OptionalInt.of(0);
         }
         JobQueue queue = context.configuration()
                 .get()
                 .configuration()
                 .queues()
                 .get(item.job().submission().queue());
-        return queue == null ? 1 : queue.maxAttempts();
+        return queue == null ? OptionalInt.empty() : OptionalInt.of(queue.maxAttempts());
     }
 
     @Override
@@ -414,6 +415,7 @@
         }
         long plannedTimeMs = context.plannedTime().millis();
         jobs.values().forEach(job -> job.createDueOccurrences(plannedTimeMs));
+        runSupervisor.decideDeferredFailures(jobs.values());
         JobConfigurationSnapshot snapshot = context.configuration().get();
         if (maySendCommands() && context.liveServers().confirmedWithin(MAX_SERVER_LIST_AGE)) {
             long nowNanos = context.holderClock().monotonicNanos();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 
@@ -38,6 +40,7 @@
     private final RunRegistry runRegistry;
     private final Owner owner;
     private final Map<BackendServer.Incarnation, LeaseRenewer> leaseRenewers = new HashMap<>();
+    private final AttemptLimits attemptLimits;
     private final FailureAttribution failureAttribution;
     private final PaceSender paceSender;
     private final UnansweredStarts unansweredStarts = new UnansweredStarts(MAX_COMMAND_DELAY);
@@ -48,8 +51,11 @@
         /** Returns the job with this identifier, if it has not ended. */
         Optional<ActiveJob> job(String id);
 
-        /** Returns the number of failed runs after which a job has failed; 0 for no limit. */
-        int maxAttempts(WorkItem item);
+        /**
+         * Returns the number of failed runs after which a job has failed, 0 for no limit; empty while the configuration
+         * does not hold the job's queue.
+         */
+        OptionalInt maxAttempts(WorkItem item);
 
         /** Called when a run has completed; the duration is in ms. */
         void onRunCompleted(WorkItem item, double tookMs);
@@ -78,6 +84,7 @@
         this.fencingToken = fencingToken;
         this.runRegistry = runRegistry;
         this.owner = owner;
+        this.attemptLimits = new AttemptLimits(owner::maxAttempts);
         this.failureAttribution = new FailureAttribution(context, runRegistry);
         this.paceSender = new PaceSender(context, fencingToken);
     }
@@ -630,29 +637,22 @@
     }
 
     private void onFailure(TrackedServer tracked, WorkItem item) {
-        int failures = failures(item);
-        int maxAttempts = owner.maxAttempts(item);
-        context.telemetry()
-                .event(EventCode.RUN_FAILED, "item=" + item.id() + " failures=" + failures + "/" + maxAttempts);
+        context.telemetry().event(EventCode.RUN_FAILED, "item=" + item.id() + " " + attemptLimits.describe(item));
         failureAttribution.onFailure(tracked, item);
-        if (hasNoAttemptLeft(item) && !item.job().isCancelled()) {
+        if (!item.job().isCancelled() && attemptLimits.isExhausted(item)) {
             item.job().fail();
             stopAll(item.job());
         }
     }
 
-    /** Returns the number of failed runs of an item, or of all members of its gang. */
-    private static int failures(WorkItem item) {
-        return item.spec().gang()
-                ? item.job().stepOf(item.id()).stream()
-                        .mapToInt(WorkItem::failures)
-                        .sum()
-                : item.failures();
-    }
-
-    private boolean hasNoAttemptLeft(WorkItem item) {
-        int maxAttempts = owner.maxAttempts(item);
-        return maxAttempts > 0 && failures(item) >= maxAttempts;
+    /** Decides whether jobs have failed of which a run failed while the configuration did not hold their queue. */
+    void decideDeferredFailures(Collection<ActiveJob> jobs) {
+        for (ActiveJob job : jobs) {
+            if (job.takeDeferredFailure() && job.isOpen() && attemptLimits.isExhausted(job)) {
+                job.fail();
+                stopAll(job);
+            }
+        }
     }
 
     /**
@@ -673,7 +673,7 @@
     /** Adds the runs of a job that was read from the store, with the steady time at which their leases have expired. */
     void recoverRuns(ActiveJob job, long leaseExpirySteadyNanos) {
         // An earlier leader stores failures immediately, but the final state only after all runs of the job have ended.
-        if (!job.isCancelled() && job.items().stream().anyMatch(this::hasNoAttemptLeft)) {
+        if (!job.isCancelled() && attemptLimits.isExhausted(job)) {
             job.fail();
         }
         job.forEachRun(run -> {
