Start long-running work items again however they end

Change: a long-running work item is never done, also in a record of an earlier version, and a late end of an earlier run doesn't supersede its current one. Its run time no longer counts as the duration of a work item of its queue.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -301,7 +301,9 @@
 
     @Override
     public void onRunCompleted(WorkItem item, double tookMs) {
-        durationModel.add(item.job().submission().queue(), item.spec().estimateMs(), tookMs);
+        if (!item.spec().longRunning()) {
+            durationModel.add(item.job().submission().queue(), item.spec().estimateMs(), tookMs);
+        }
     }
 
     @Override
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -572,7 +572,10 @@
         }
         boolean copy = run.filter(item::endCopy).isPresent();
         boolean current = item.run().isPresent() && run.equals(item.run());
-        if (!current && end.kind() == ServerCommands.RunEndKind.DONE && !item.isDone()) {
+        boolean completes = end.kind() == ServerCommands.RunEndKind.DONE
+                && !item.isDone()
+                && !item.spec().longRunning();
+        if (!current && completes) {
             // A copy, or a run that was taken for lost or that only an earlier leader followed, has completed the item.
             supersedeRun(item);
         } else if (!current && item.run().isPresent()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -127,10 +127,12 @@
         }
     }
 
+    /** Ends the current run; a completed run makes the item done, unless it runs until its job is cancelled. */
     void endRun(boolean completed) {
         run = Optional.empty();
-        job.onItemChanged(false, completed && !done);
-        done |= completed;
+        boolean newlyDone = completed && !done && !spec.longRunning();
+        job.onItemChanged(false, newlyDone);
+        done |= newlyDone;
     }
 
     /** Counts a failed run once, even if its end is reported again to a later leader. */
@@ -169,8 +171,10 @@
     }
 
     void restore(ProgressRecord.ItemRow row) {
-        job.onItemChanged(lastRun == 0 && row.lastRun() > 0, row.done() && !done);
-        done = row.done();
+        // Earlier versions stored long-running items as done.
+        boolean rowDone = row.done() && !spec.longRunning();
+        job.onItemChanged(lastRun == 0 && row.lastRun() > 0, rowDone && !done);
+        done = rowDone;
         lastRun = row.lastRun();
         failures = row.failures();
         lastFailedRun = row.lastFailedRun();
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -181,6 +181,11 @@
         }
     }
 
+    /** Ends the active run of a work item by itself. */
+    public void endRun(ItemId item, ServerCommands.RunEndKind kind) {
+        Optional.ofNullable(activeRuns.get(item)).ifPresent(active -> endRun(item, active.runNumber, kind));
+    }
+
     private void endRun(ItemId item, int run, ServerCommands.RunEndKind kind) {
         ActiveRun active = activeRuns.get(item);
         if (crashed || active == null || active.runNumber != run) {
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -0,0 +1,127 @@
+package org.basilswitch.standin.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobState;
+import org.basilswitch.schedule.ServerCommands.RunEndKind;
+import org.basilswitch.store.Transaction;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Ends of long-running work items, which are started again until their job is cancelled. */
+final class LongRunningEndTest {
+    private static final String ID = JobFleet.id(1);
+    private static final int ITEMS = 3;
+
+    @DataProvider
+    public Object[][] ends() {
+        return new Object[][] {
+            {RunEndKind.DONE, false},
+            {RunEndKind.DONE, true},
+            {RunEndKind.FAILED, false},
+            {RunEndKind.FAILED, true},
+            {RunEndKind.STOPPED, false},
+            {RunEndKind.LAPSED, false},
+            {RunEndKind.BROKEN, true},
+            {RunEndKind.ALONE, false},
+        };
+    }
+
+    /** Guards against a long-running work item that stays away after an end, and a job that completes by such ends. */
+    @Test(dataProvider = "ends")
+    public void itemsAreStartedAgainHoweverTheyEnd(RunEndKind kind, boolean leaderReplaced) {
+        JobFleet fleet = fleetWithJob();
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, kind);
+        }
+        if (leaderReplaced) {
+            fleet.killProcess(fleet.leader());
+            fleet.runFor(5000);
+        }
+        fleet.runFor(3000);
+        assertAllRun(fleet);
+        assertEquals(fleet.model.invariants().startCount(), 2 * ITEMS);
+    }
+
+    /** Guards against an item that ends as done only once it has ended so again under the next leader. */
+    @Test
+    public void itemsStoredAsDoneByEarlierVersionAreStartedAgain() {
+        JobFleet fleet = fleetWithJob();
+        fleet.killProcess(fleet.leader());
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, RunEndKind.DONE);
+        }
+        String rows = "[0,0,0,true,1,0,0,\"\",null,0,0],[0,0,1,true,1,0,0,\"\",null,0,0]";
+        byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
+        fleet.store.commit(Transaction.builder()
+                .put("/basilswitch/test/progress/" + ID, record)
+                .build());
+        fleet.runFor(8000);
+        assertAllRun(fleet);
+    }
+
+    /** Guards against a stop of the current run when an end of an earlier one is reported late. */
+    @Test
+    public void lateEndOfEarlierRunKeepsCurrentRun() {
+        JobFleet fleet = fleetWithJob();
+        String first = fleet.serverOf(item(0));
+        fleet.model.setUnreachable(first, true);
+        end(fleet, 0, RunEndKind.DONE);
+        fleet.runFor(12_000);
+        assertAllRun(fleet);
+        int starts = fleet.model.invariants().startCount();
+        fleet.model.setUnreachable(first, false);
+        fleet.runFor(5000);
+        assertAllRun(fleet);
+        assertEquals(fleet.model.invariants().startCount(), starts, fleet.lastEvents());
+    }
+
+    /** Guards against a start after the cancellation, and against another final state than cancelled. */
+    @Test(dataProvider = "ends")
+    public void itemsOfCancelledJobAreNotStartedAgain(RunEndKind kind, boolean leaderReplaced) {
+        JobFleet fleet = fleetWithJob();
+        fleet.answerAfter(20, fleet.cancel(fleet.leader(), ID));
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, kind);
+        }
+        if (leaderReplaced) {
+            fleet.killProcess(fleet.leader());
+            fleet.runFor(5000);
+        }
+        fleet.runFor(3000);
+        assertEquals(fleet.model.invariants().startCount(), ITEMS, fleet.lastEvents());
+        assertEquals(fleet.answerAfter(500, fleet.query(fleet.leader(), ID)), new JobAnswer.State(JobState.CANCELLED));
+    }
+
+    private static JobFleet fleetWithJob() {
+        JobFleet fleet = JobFleet.running(3, 3);
+        fleet.answerAfter(500, fleet.submit(fleet.leader(), ID, JobFleet.longRunning(ITEMS, 30_000, 0)));
+        assertEquals(fleet.model.activeRunCount(), ITEMS);
+        return fleet;
+    }
+
+    private static ItemId item(int index) {
+        return new ItemId(ID, 0, 0, index);
+    }
+
+    /** Ends the run of an item; a stop that is in progress may have ended it already. */
+    private static void end(JobFleet fleet, int index, RunEndKind kind) {
+        if (fleet.model.invariants().isRunning(item(index))) {
+            fleet.model.server(fleet.serverOf(item(index))).endRun(item(index), kind);
+        }
+    }
+
+    private static void assertAllRun(JobFleet fleet) {
+        for (int i = 0; i < ITEMS; i++) {
+            assertTrue(fleet.model.invariants().isRunning(item(i)), "item " + i + "\n" + fleet.lastEvents());
+        }
+        assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
+        assertEquals(fleet.model.invariants().violations(), List.of());
+    }
+}
