Confirm a known job only with a configuration that is recent enough

Cause: JobService.submit answered for a known job before it looked at the age of the configuration, and a commit that found the job stored counted as success though the configuration had changed.

Change: a known job is confirmed within the key age only, else the leader answers; a commit that finds the job compares the configuration too. The host doesn't refuse with 503 a job that it knows to be stored, but answers undecided.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
@@ -1,6 +1,7 @@
 package org.basilswitch.intake;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -187,7 +188,9 @@
                 case CommitResult.Committed committed -> new Stored(committed.revision());
                 case CommitResult.Conflict conflict -> {
                     Optional<PlatformStore.Entry> current = conflict.current().get(0);
-                    if (current.isPresent() || conflictMeansStored) {
+                    boolean stored = current.filter(entry -> isAdmittedBy(conflict, entry))
+                            .isPresent();
+                    if (stored || conflictMeansStored) {
                         yield new Stored(
                                 current.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT));
                     }
@@ -196,5 +199,18 @@
                 }
             };
         }
+
+        /** Returns whether a stored job is this one, or is found under the configuration that admitted this call. */
+        private boolean isAdmittedBy(CommitResult.Conflict conflict, PlatformStore.Entry stored) {
+            boolean ours = transaction.writes().stream()
+                    .anyMatch(write ->
+                            write instanceof Transaction.Put put && Arrays.equals(put.value(), stored.value()));
+            Transaction.Compare configuration = transaction.compares().get(1);
+            return ours
+                    || conflict.current()
+                            .get(1)
+                            .filter(entry -> entry.modRevision() == configuration.modRevision())
+                            .isPresent();
+        }
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -56,7 +56,7 @@
      * @param address address at which other entry hosts reach this one; stored as the value of the leadership record
      * @param configurationKey store key of the configuration record
      * @param configurationDecoder decoder of the configuration record
-     * @param keyAge longest age of the configuration at which an API key is trusted for queries and cancellations
+     * @param keyAge longest age of the configuration at which an API key is trusted by a call that stores no job
      * @param candidacyDelay delay before this host campaigns for a vacant leadership, so that larger hosts come first
      */
     public record Dependencies(
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -80,10 +80,21 @@
                         new Request(call, deadlineNanos, otherLeader().isPresent()), 0)
                 .thenCompose(localAnswer -> isFinal(localAnswer)
                         ? CompletableFuture.completedFuture(localAnswer)
-                        : forwardToLeader(call, localAnswer, deadlineNanos));
+                        : forwardToLeader(call, localAnswer, deadlineNanos))
+                .thenApply(answer -> isSubmissionOfStoredJob(call) ? refusedToUndecided(answer) : answer);
         return withinTimeout(call, timeout, decided);
     }
 
+    /** Returns whether a call submits a job that is stored, so that a refusal would deny a job that runs. */
+    private boolean isSubmissionOfStoredJob(JobCall call) {
+        return call.action() instanceof JobCall.Submit
+                && jobId(call).filter(directory::contains).isPresent();
+    }
+
+    private static JobAnswer refusedToUndecided(JobAnswer answer) {
+        return answer instanceof JobAnswer.Refused refused ? new JobAnswer.Undecided(refused.reason()) : answer;
+    }
+
     /** Answers a call that another entry host has forwarded; does not forward it again. */
     CompletionStage<JobAnswer> answerForPeer(JobCall call) {
         Duration timeout = boundedTimeout(call);
@@ -129,8 +140,7 @@
      */
     private CompletionStage<JobAnswer> afterPossibleWrite(JobCall call, JobAnswer later, long deadlineNanos) {
         return switch (later) {
-            case JobAnswer.Refused refused ->
-                CompletableFuture.completedFuture(new JobAnswer.Undecided(refused.reason()));
+            case JobAnswer.Refused refused -> CompletableFuture.completedFuture(refusedToUndecided(refused));
             case JobAnswer.UnknownQueue unknown -> readOutcome(call, later, deadlineNanos);
             case JobAnswer.UnknownKey unknown -> readOutcome(call, later, deadlineNanos);
             case JobAnswer.Invalid invalid -> readOutcome(call, later, deadlineNanos);
@@ -349,7 +359,7 @@
             String id,
             JobCall.Submit submit) {
         if (directory.contains(id)) {
-            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
+            return answerKnownJob(request, rereads, queue);
         }
         JobSubmission submission = new JobSubmission(
                 id,
@@ -378,6 +388,16 @@
                 });
     }
 
+    /** Answers the repeated submission of a stored job, for which no write checks that the key is still valid. */
+    private CompletionStage<JobAnswer> answerKnownJob(Request request, int rereads, JobQueue queue) {
+        if (queue.open() || jobConfiguration.confirmedWithin(dependencies.keyAge())) {
+            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
+        }
+        return request.mayForward()
+                ? refused("configuration is too old to trust the key")
+                : rereadAndDecide(request, rereads, "configuration is too old to trust the key");
+    }
+
     private CompletionStage<JobAnswer> onStored(JobSubmission submission, long revision) {
         telemetry.count(CounterCode.JOBS_ACCEPTED, submission.queue());
         telemetry.event(
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
@@ -5,12 +5,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
+import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.Resources;
+import org.basilswitch.store.Transaction;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -105,6 +107,58 @@
         assertTrue(answer instanceof JobAnswer.Refused, "" + answer);
     }
 
+    @DataProvider
+    public Object[][] configurationChanges() {
+        return new Object[][] {{true, true}, {true, false}, {false, true}, {false, false}};
+    }
+
+    /**
+     * Guards against success for a key withdrawn before, at a host that knows the job and is cut off from the store; the
+     * answer may be a refusal or a rejection, but not that the job is not stored while the host can't know.
+     */
+    @Test(dataProvider = "configurationChanges")
+    public void repeatedSubmissionAtHostCutOffBeyondTheKeyAge(boolean keyWithdrawn, boolean leaderAnswers) {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode host = fleet.nodes.stream()
+                .filter(node -> node != fleet.leader())
+                .findFirst()
+                .orElseThrow();
+        String id = JobFleet.id(1);
+        assertEquals(
+                fleet.answerAfter(300, fleet.submit(host, id, JobFleet.step(1, 1000, 60_000))),
+                new JobAnswer.Accepted());
+        fleet.clients.get(fleet.nodes.indexOf(host)).setReachable(false);
+        fleet.runFor(100);
+        if (keyWithdrawn) {
+            fleet.revokeKeys();
+        }
+        fleet.runFor(5500);
+        if (!leaderAnswers) {
+            fleet.killProcess(fleet.leader());
+        }
+        JobAnswer answer = fleet.answerAfter(3000, fleet.submit(host, id, JobFleet.step(1, 1000, 60_000)));
+        if (!leaderAnswers) {
+            assertTrue(answer instanceof JobAnswer.Undecided, answer + "\n" + fleet.lastEvents());
+        } else {
+            assertEquals(answer, keyWithdrawn ? new JobAnswer.UnknownKey() : new JobAnswer.Accepted());
+        }
+    }
+
+    /** Guards against success for a withdrawn key where the store finds the job and another configuration. */
+    @Test
+    public void repeatedSubmissionWithWithdrawnKeyIsRejectedByHostThatDoesNotKnowTheJob() {
+        JobFleet fleet = JobFleet.running(2, 2);
+        JobNode host = fleet.nodes.get(0);
+        JobSubmission stored = new JobSubmission(
+                JobFleet.id(1), "queue", "team", "spec", List.of(JobFleet.step(1, 1000, 100)), null, 0);
+        fleet.revokeKeys();
+        fleet.store.commit(Transaction.builder()
+                .put("/basilswitch/test/jobs/accepted/" + stored.id(), RecordCodec.encode(stored))
+                .build());
+        JobAnswer answer = fleet.answerAfter(500, fleet.submit(host, stored.id(), JobFleet.step(1, 1000, 100)));
+        assertEquals(answer, new JobAnswer.UnknownKey());
+    }
+
     @Test
     public void hostWithoutConfirmedConfigurationIsNotReady() {
         JobFleet fleet = fleet();
