Count a job as pending until a backend server has begun it

Cause: ActiveJob counted a work item as started from the placement of its run on.

Change: a work item has begun once its server has confirmed a start, lists its run or reports its end; the progress record holds this, so that a new leader knows. The state running follows the same rule.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -25,7 +25,8 @@
     private int firstUncheckedOccurrence;
 
     private int doneItems;
-    private int startedItems;
+    private int begunItems;
+    private boolean restored;
     private long changeCount;
     private long firstStartMs;
     private int starts;
@@ -89,13 +90,17 @@
         });
     }
 
-    /** Called by a work item when its run starts or ends. */
-    void onItemChanged(boolean newlyStarted, boolean newlyDone) {
+    /** Called by a work item when its run is placed or ends. */
+    void onItemChanged(boolean newlyDone) {
         changeCount++;
-        startedItems += newlyStarted ? 1 : 0;
         doneItems += newlyDone ? 1 : 0;
     }
 
+    /** Called by a work item when it is first known that a backend server has begun it. */
+    void onItemBegun() {
+        begunItems++;
+    }
+
     /**
      * Returns the number of changes to the work items; a cached value derived from the items is out of date when it
      * differs.
@@ -114,6 +119,7 @@
     /** Restores the work items from the progress record of an earlier leader. */
     void restore(ProgressRecord record, long revision) {
         progressRevision = revision;
+        restored = true;
         for (ProgressRecord.ItemRow row : record.items()) {
             List<List<WorkItem>> steps = getOrCreateOccurrence(row.occurrence());
             if (row.step() < steps.size() && row.index() < steps.get(row.step()).size()) {
@@ -182,8 +188,9 @@
         return item.index() < 0 || item.index() >= step.size() ? null : step.get(item.index());
     }
 
-    boolean isStarted() {
-        return startedItems > 0;
+    /** Returns whether a backend server has begun any work item; a start that was sent may be rejected. */
+    boolean hasBegun() {
+        return begunItems > 0 || restored && items.stream().anyMatch(WorkItem::mayHaveBegun);
     }
 
     /** Returns whether all occurrences have been created and all their work items are done. */
@@ -249,7 +256,7 @@
         if (isComplete()) {
             return JobState.COMPLETED;
         }
-        return isStarted() ? JobState.RUNNING : JobState.QUEUED;
+        return hasBegun() ? JobState.RUNNING : JobState.QUEUED;
     }
 
     /** Returns the state that callers may be told: COMPLETED and FAILED are reported only once they are stored. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -274,10 +274,10 @@
         return job != null ? Optional.of(job.storedState()) : endedJobs.state(id);
     }
 
-    /** Returns the number of open jobs of a queue that have not started any work item. */
+    /** Returns the number of open jobs of a queue of which no work item has begun. */
     public long pendingJobs(String queue) {
         return jobs.values().stream()
-                .filter(job -> job.submission().queue().equals(queue) && job.isOpen() && !job.isStarted())
+                .filter(job -> job.submission().queue().equals(queue) && job.isOpen() && !job.hasBegun())
                 .count();
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
@@ -42,6 +42,7 @@
      * @param serverBornMs start of that server's incarnation, Unix milliseconds
      * @param holdMs time for which the next leader keeps the current run if its server does not answer, ms; 0 for the
      *     usual time. Records of earlier versions do not have it.
+     * @param begun whether a server is known to have begun a run. Records of earlier versions do not have it.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record ItemRow(
@@ -55,7 +56,8 @@
             String checkpoint,
             String serverId,
             long serverBornMs,
-            long holdMs) {
+            long holdMs,
+            boolean begun) {
 
         /** Throws {@link IllegalArgumentException} when the row can't be that of a started work item. */
         ItemRow {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -248,6 +248,7 @@
         switch (result) {
             case ServerCommands.Done done -> {
                 run.confirm(nowNanos);
+                run.item().markBegun();
                 if (run.phase() == Run.Phase.START_SENT) {
                     run.setPhase(Run.Phase.RUNNING);
                 }
@@ -550,6 +551,7 @@
             return;
         }
         Run run = known.get();
+        run.item().markBegun();
         run.observe(status.percent(), status.load(), serverClockMs);
         run.item().saveCheckpoint(status.checkpoint());
         if (run.phase() != Run.Phase.RUNNING && !run.isStopping()) {
@@ -570,6 +572,7 @@
             tracked.markEndStored(end.number());
             return;
         }
+        item.markBegun();
         boolean copy = run.filter(item::endCopy).isPresent();
         boolean current = item.run().isPresent() && run.equals(item.run());
         boolean completes = end.kind() == ServerCommands.RunEndKind.DONE
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -16,6 +16,7 @@
     private final ActiveJob job;
     private final StepSpec spec;
     private boolean done;
+    private boolean begun;
     private int lastRun;
     private int failures;
     private int lastFailedRun;
@@ -78,7 +79,7 @@
     void demoteRunToCopy() {
         run.ifPresent(copies::add);
         run = Optional.empty();
-        job.onItemChanged(false, false);
+        job.onItemChanged(false);
     }
 
     /** Removes a run from the copies; returns whether it was one. */
@@ -115,7 +116,7 @@
 
     Run beginRun(int number, BackendServer.Incarnation incarnation, Run.Phase phase) {
         Run begun = Run.create(this, number, incarnation, phase);
-        job.onItemChanged(lastRun == 0, false);
+        job.onItemChanged(false);
         lastRun = Math.max(lastRun, number);
         run = Optional.of(begun);
         return begun;
@@ -131,7 +132,7 @@
     void endRun(boolean completed) {
         run = Optional.empty();
         boolean newlyDone = completed && !done && !spec.longRunning();
-        job.onItemChanged(false, newlyDone);
+        job.onItemChanged(newlyDone);
         done |= newlyDone;
     }
 
@@ -150,7 +151,20 @@
         failures++;
     }
 
-    /** Returns whether the item has been started at least once. */
+    /** Records that a backend server has begun a run. */
+    void markBegun() {
+        if (!begun) {
+            begun = true;
+            job.onItemBegun();
+        }
+    }
+
+    /** Returns whether the start of an earlier leader may have been carried out; its server has not reported yet. */
+    boolean mayHaveBegun() {
+        return run.filter(current -> current.phase() == Run.Phase.RECOVERED).isPresent();
+    }
+
+    /** Returns whether a run has been placed at least once. */
     boolean isStarted() {
         return lastRun > 0;
     }
@@ -167,14 +181,18 @@
                 checkpoint,
                 run.map(r -> r.incarnation().serverId()).orElse(null),
                 run.map(r -> r.incarnation().startedAtMs()).orElse(0L),
-                run.map(r -> r.hold().toMillis()).orElse(0L));
+                run.map(r -> r.hold().toMillis()).orElse(0L),
+                begun);
     }
 
     void restore(ProgressRecord.ItemRow row) {
         // Earlier versions stored long-running items as done.
         boolean rowDone = row.done() && !spec.longRunning();
-        job.onItemChanged(lastRun == 0 && row.lastRun() > 0, rowDone && !done);
+        job.onItemChanged(rowDone && !done);
         done = rowDone;
+        if (row.begun() || row.done() || row.failures() > 0 || !row.checkpoint().isEmpty()) {
+            markBegun();
+        }
         lastRun = row.lastRun();
         failures = row.failures();
         lastFailedRun = row.lastFailedRun();
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -46,6 +46,7 @@
     private final Set<String> delayedStarts = new HashSet<>();
     private final Set<String> lostStartAnswers = new HashSet<>();
     private final Set<String> drainingServers = new HashSet<>();
+    private final Set<String> rejectingServers = new HashSet<>();
     private final SchedulerInvariants invariants = new SchedulerInvariants(this);
     private final List<WaveRequest> waves = new ArrayList<>();
     private final List<String> maintainedHosts = new ArrayList<>();
@@ -174,6 +175,15 @@
         drainingServers.add(id);
     }
 
+    /** Has a server reject all starts as unhealthy, or accept them again. */
+    public void setRejecting(String id, boolean rejecting) {
+        if (rejecting) {
+            rejectingServers.add(id);
+        } else {
+            rejectingServers.remove(id);
+        }
+    }
+
     /** Delays the next start command to a server by 2 s and drops its response. */
     public void loseNextStart(String id) {
         delayedStarts.add(id);
@@ -284,7 +294,11 @@
                         NETWORK_DELAY, () -> findModel(server).ifPresent(model -> model.start(fencingToken, command)));
                 return unanswered();
             }
-            return call(server, model -> model.start(fencingToken, command));
+            return call(
+                    server,
+                    model -> rejectingServers.contains(server.id())
+                            ? new Rejected(Reason.UNHEALTHY)
+                            : model.start(fencingToken, command));
         }
 
         @Override
