--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
@@ -188,9 +188,10 @@
                 case CommitResult.Committed committed -> new Stored(committed.revision());
                 case CommitResult.Conflict conflict -> {
                     Optional<PlatformStore.Entry> current = conflict.current().get(0);
-                    boolean stored = current.filter(entry -> isAdmittedBy(conflict, entry))
-                            .isPresent();
-                    if (stored || conflictMeansStored) {
+                    boolean stored = conflictMeansStored
+                            || current.filter(entry -> confirmsJob(conflict, entry))
+                                    .isPresent();
+                    if (stored) {
                         yield new Stored(
                                 current.map(PlatformStore.Entry::modRevision).orElse(Transaction.ABSENT));
                     }
@@ -201,7 +202,7 @@
         }
 
         /** Returns whether a stored job is this one, or is found under the configuration that admitted this call. */
-        private boolean isAdmittedBy(CommitResult.Conflict conflict, PlatformStore.Entry stored) {
+        private boolean confirmsJob(CommitResult.Conflict conflict, PlatformStore.Entry stored) {
             boolean ours = transaction.writes().stream()
                     .anyMatch(write ->
                             write instanceof Transaction.Put put && Arrays.equals(put.value(), stored.value()));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
@@ -95,13 +95,15 @@
                 context.telemetry(),
                 "deletion of jobs",
                 result -> {
-                    result.peek(outcome -> onOutcome(expired, outcome))
-                            .peekLeft(error -> context.telemetry().event(EventCode.JOBS_NOT_DELETED, error.detail()));
-                    if (result.isRight()) {
-                        deleting = false;
-                    } else {
+                    if (result.isLeft()) {
+                        context.telemetry()
+                                .event(
+                                        EventCode.JOBS_NOT_DELETED,
+                                        result.getLeft().detail());
                         retryLater();
+                        return;
                     }
+                    onOutcome(expired, result.get());
                 },
                 this::retryLater);
     }
@@ -128,7 +130,10 @@
 
     private void onOutcome(List<Ended> expired, CommitResult outcome) {
         switch (outcome) {
-            case CommitResult.Committed committed -> expired.forEach(ended -> remove(ended.id()));
+            case CommitResult.Committed committed -> {
+                expired.forEach(ended -> remove(ended.id()));
+                deleting = false;
+            }
             case CommitResult.Conflict conflict -> {
                 // An earlier deletion, whose answer was lost, has deleted the records of jobs that do not match.
                 for (int i = 0; i < expired.size(); i++) {
@@ -139,6 +144,7 @@
                         remove(expired.get(i).id());
                     }
                 }
+                retryLater();
             }
         }
     }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/jobs/PeerDocumentTest.java
@@ -11,6 +11,7 @@
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.job.JobState;
+import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.Recurrence;
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
@@ -43,6 +44,24 @@
                 0);
     }
 
+    private static JobSubmission submission() {
+        return new JobSubmission("00000000000000a1", "queue", "team", "text", List.of(STEP_0), null, 5);
+    }
+
+    @Test
+    public void acceptedJobRoundTripsUnchanged() {
+        PeerDocument.Accepted accepted = new PeerDocument.Accepted(submission(), 17);
+        assertEquals(
+                RecordCodec.decode(RecordCodec.encode(accepted), PeerDocument.Accepted.class), Optional.of(accepted));
+    }
+
+    /** Guards against a job without the revision of its record, as hosts of an earlier version report it. */
+    @Test
+    public void acceptedJobOfEarlierVersionIsIgnored() {
+        assertEquals(
+                RecordCodec.decode(RecordCodec.encode(submission()), PeerDocument.Accepted.class), Optional.empty());
+    }
+
     @DataProvider
     public Object[][] calls() {
         return new Object[][] {
