Read the workers' execution records over HTTP/1.1

Cause: the JDK's client offers an upgrade to HTTP/2, the stand-in worker takes it, and the client then takes parts of a large body for frames.

Change: LoadCommand asks for HTTP/1.1, which is what the workers' interface is.

--- a/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/LoadCommand.java
+++ b/basilswitch-cli/src/main/java/org/basilswitch/cli/bench/LoadCommand.java
@@ -189,12 +189,17 @@
         return limits;
     }
 
-    private static ExecutionLog.Snapshot read(String address) throws IOException, InterruptedException {
+    /**
+     * Reads the execution record of a worker, without an upgrade to HTTP/2: the JDK's client may take the body of an
+     * upgraded response for frames.
+     */
+    static ExecutionLog.Snapshot read(String address) throws IOException, InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/control/record"))
                 .build();
-        byte[] body = HttpClient.newHttpClient()
-                .send(request, HttpResponse.BodyHandlers.ofByteArray())
-                .body();
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        byte[] body =
+                client.send(request, HttpResponse.BodyHandlers.ofByteArray()).body();
         return RecordCodec.decode(body, ExecutionLog.Snapshot.class)
                 .orElseThrow(() -> new IOException("no execution record at " + address));
     }
