Read the answers to key probes on the thread that receives them

Cause: the probe's, not the entry hosts'. The first probes of a sample are sent from the main thread; where it lost the processor between the request and the registration for the body, the body had been delivered already and was never completed.

Change: the probe makes its requests on an event loop, where the registration comes before the delivery.

--- a/basilswitch-bench/src/main/java/org/basilswitch/bench/withdraw/KeyProbe.java
+++ b/basilswitch-bench/src/main/java/org/basilswitch/bench/withdraw/KeyProbe.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
@@ -21,12 +23,14 @@
 
     private final Vertx vertx;
     private final HttpClient client;
+    private final Context context;
     private final List<Integer> ports;
     private final AtomicLong unanswered = new AtomicLong();
 
     private KeyProbe(Vertx vertx, List<Integer> ports) {
         this.vertx = vertx;
         this.client = vertx.createHttpClient();
+        this.context = vertx.getOrCreateContext();
         this.ports = ports;
     }
 
@@ -91,9 +95,13 @@
                 .setURI("/v1/queues/" + WithdrawBench.QUEUE + "/requests")
                 .putHeader("Authorization", "Bearer " + secret)
                 .putHeader("Basilswitch-Deadline-Ms", DEADLINE_MS);
-        return client.request(options)
+        Promise<Integer> status = Promise.promise();
+        // On another thread, the end of the response could come before the call of body(), which then never completes.
+        context.runOnContext(ignored -> client.request(options)
                 .compose(request -> request.send("{}"))
-                .compose(response -> response.body().map(body -> response.statusCode()));
+                .compose(response -> response.body().map(body -> response.statusCode()))
+                .onComplete(status));
+        return status.future();
     }
 
     @Override
