Move the search for a write's outcome out of JobService

WriteOutcomes finds what became of a write without an answer, JobStateLookup asks this host and the leader for a job's state, Admission holds the queue and team of a call. The search logs what it found (OUTCOME_FOUND). No change of what callers see.

Measured: UndecidedWriteTest, JobIntakeTest and the other tests of the scheduler pass unchanged.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -93,6 +93,10 @@
             Severity.WARN,
             "the store does not confirm the leadership but answers another host, which takes over"),
     JOB_DELETED(1934, Severity.INFO, "job was reported after its records had been deleted; it is not run"),
+    OUTCOME_FOUND(
+            1935,
+            Severity.INFO,
+            "a later attempt of a call was rejected after a write without an answer; the outcome was looked for"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -5,13 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
-import java.util.regex.Pattern;
 
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
-import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
@@ -23,9 +21,6 @@
 
 /** Answers calls from the configuration, the store and the scheduler. */
 public final class JobService {
-    private static final int JOB_ID_LENGTH = 16;
-
-    private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{" + JOB_ID_LENGTH + "}");
     /** Longest age of the configuration at which an unknown queue or key is reported without another read. */
     private static final Duration NEGATIVE_ANSWER_MAX_AGE = Duration.ofMillis(250);
     /**
@@ -49,6 +44,8 @@
     private final JobConfigurationFollower jobConfiguration;
     private final JobIntake intake;
     private final JobDirectory directory;
+    private final JobStateLookup states;
+    private final WriteOutcomes writeOutcomes;
     private final Telemetry telemetry;
 
     JobService(
@@ -65,6 +62,8 @@
         this.intake = intake;
         this.directory = directory;
         this.telemetry = dependencies.telemetry();
+        this.states = new JobStateLookup(node, directory, dependencies.schedulerClient(), dependencies.address());
+        this.writeOutcomes = new WriteOutcomes(clock, jobConfiguration, intake, directory, states, telemetry);
     }
 
     /** Returns the latest configuration, which holds the limits of requests; empty until one has been read. */
@@ -77,22 +76,18 @@
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
         CompletionStage<JobAnswer> decided = decide(
-                        new Request(call, deadlineNanos, otherLeader().isPresent()), 0)
+                        new Request(call, deadlineNanos, states.otherLeader().isPresent()), 0)
                 .thenCompose(localAnswer -> isFinal(localAnswer)
                         ? CompletableFuture.completedFuture(localAnswer)
                         : forwardToLeader(call, localAnswer, deadlineNanos))
-                .thenApply(answer -> isSubmissionOfStoredJob(call) ? refusedToUndecided(answer) : answer);
+                .thenApply(answer -> isSubmissionOfStoredJob(call) ? WriteOutcomes.refusedToUndecided(answer) : answer);
         return withinTimeout(call, timeout, decided);
     }
 
     /** Returns whether a call submits a job that is stored, so that a refusal would deny a job that runs. */
     private boolean isSubmissionOfStoredJob(JobCall call) {
         return call.action() instanceof JobCall.Submit
-                && jobId(call).filter(directory::contains).isPresent();
-    }
-
-    private static JobAnswer refusedToUndecided(JobAnswer answer) {
-        return answer instanceof JobAnswer.Refused refused ? new JobAnswer.Undecided(refused.reason()) : answer;
+                && call.jobId().filter(directory::contains).isPresent();
     }
 
     /** Answers a call that another entry host has forwarded; does not forward it again. */
@@ -112,7 +107,7 @@
      * the call again. The call is refused only when neither host may have stored anything.
      */
     private CompletionStage<JobAnswer> forwardToLeader(JobCall call, JobAnswer localAnswer, long deadlineNanos) {
-        Optional<String> leader = otherLeader();
+        Optional<String> leader = states.otherLeader();
         Duration remaining = remaining(deadlineNanos);
         if (leader.isEmpty() || remaining.compareTo(ANSWER_TRANSIT_MARGIN) < 0) {
             return CompletableFuture.completedFuture(localAnswer);
@@ -121,105 +116,19 @@
         return dependencies.schedulerClient().forward(leader.get(), forwarded).thenCompose(answer -> {
             telemetry.event(
                     EventCode.CALL_HANDED_OVER,
-                    describe(call) + " holder=" + leader.get() + " answer="
+                    call.describe() + " holder=" + leader.get() + " answer="
                             + answer.map(found -> found.getClass().getSimpleName())
                                     .orElse("none"));
             if (answer.isEmpty()) {
                 return decide(new Request(call, deadlineNanos, false), 0)
-                        .thenCompose(second -> afterPossibleWrite(call, second, deadlineNanos));
+                        .thenCompose(second -> writeOutcomes.answer(call, second, deadlineNanos));
             }
             return localAnswer instanceof JobAnswer.Undecided
-                    ? afterPossibleWrite(call, answer.get(), deadlineNanos)
+                    ? writeOutcomes.answer(call, answer.get(), deadlineNanos)
                     : CompletableFuture.completedFuture(answer.get());
         });
     }
 
-    /**
-     * Returns the answer to a call of which an earlier attempt may have taken effect. A later attempt that was rejected
-     * decides nothing, as the configuration may have changed between the two.
-     */
-    private CompletionStage<JobAnswer> afterPossibleWrite(JobCall call, JobAnswer later, long deadlineNanos) {
-        return switch (later) {
-            case JobAnswer.Refused refused -> CompletableFuture.completedFuture(refusedToUndecided(refused));
-            case JobAnswer.UnknownQueue unknown -> readOutcome(call, later, deadlineNanos);
-            case JobAnswer.UnknownKey unknown -> readOutcome(call, later, deadlineNanos);
-            case JobAnswer.Invalid invalid -> readOutcome(call, later, deadlineNanos);
-            // Answers that tell the outcome, or that are undecided themselves.
-            case JobAnswer.Accepted accepted -> CompletableFuture.completedFuture(later);
-            case JobAnswer.Cancelled cancelled -> CompletableFuture.completedFuture(later);
-            case JobAnswer.State state -> CompletableFuture.completedFuture(later);
-            case JobAnswer.Pending pending -> CompletableFuture.completedFuture(later);
-            case JobAnswer.UnknownJob unknown -> CompletableFuture.completedFuture(later);
-            case JobAnswer.Undecided undecided -> CompletableFuture.completedFuture(later);
-        };
-    }
-
-    /** Looks for the record that an earlier attempt may have stored, after a later attempt was rejected. */
-    private CompletionStage<JobAnswer> readOutcome(JobCall call, JobAnswer rejection, long deadlineNanos) {
-        Optional<String> id = jobId(call);
-        JobAnswer undecided = new JobAnswer.Undecided("an earlier attempt may have taken effect");
-        return switch (call.action()) {
-            case JobCall.Query query -> CompletableFuture.completedFuture(rejection);
-            case JobCall.Submit submit ->
-                id.map(found -> readAcceptance(call, found, rejection, deadlineNanos))
-                        .orElse(CompletableFuture.completedFuture(undecided));
-            case JobCall.Cancel cancel ->
-                id.map(this::readState)
-                        .orElse(CompletableFuture.completedFuture(Optional.empty()))
-                        .thenApply(state ->
-                                state.filter(JobState::isFinal).isPresent() ? new JobAnswer.Cancelled() : undecided);
-        };
-    }
-
-    /** Returns the job identifier that ends a call's path; the queue before it may have been removed. */
-    private static Optional<String> jobId(JobCall call) {
-        int start = call.path().length() - JOB_ID_LENGTH;
-        return Optional.of(call.path())
-                .filter(path -> start >= 0)
-                .map(path -> path.substring(start))
-                .filter(id -> JOB_ID.matcher(id).matches());
-    }
-
-    /** Returns the state of a job as this host or the leader knows it; empty when neither does. */
-    private CompletionStage<Optional<JobState>> readState(String id) {
-        Optional<JobState> known =
-                directory.finalState(id).or(() -> node.scheduler().flatMap(s -> s.jobState(id)));
-        Optional<String> leader = otherLeader();
-        return known.isPresent() || leader.isEmpty()
-                ? CompletableFuture.completedFuture(known)
-                : dependencies.schedulerClient().queryState(leader.get(), id);
-    }
-
-    /**
-     * Decides a submission of which an earlier attempt may have stored the job. Without a record, the rejection is final
-     * once the configuration that admitted the earlier attempt has been replaced: the attempt compares its revision.
-     */
-    private CompletionStage<JobAnswer> readAcceptance(
-            JobCall call, String id, JobAnswer rejection, long deadlineNanos) {
-        JobAnswer undecided = new JobAnswer.Undecided("an earlier attempt may have stored the job");
-        if (directory.contains(id)) {
-            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
-        }
-        long readFromNanos = clock.monotonicNanos();
-        return readState(id).thenCompose(state -> {
-            if (state.isPresent()) {
-                return CompletableFuture.completedFuture(new JobAnswer.Accepted());
-            }
-            return jobConfiguration.refresh().thenCompose(done -> {
-                boolean replaced = jobConfiguration.snapshot().stream()
-                        .anyMatch(snapshot -> snapshot.confirmedNanos() >= readFromNanos
-                                && !isAdmitted(call, snapshot.configuration()));
-                return intake.find(id, remaining(deadlineNanos), true)
-                        .thenApply(result -> result.fold(error -> undecided, entry -> {
-                            if (entry.isPresent()) {
-                                return new JobAnswer.Accepted();
-                            }
-                            return replaced ? rejection : undecided;
-                        }));
-            });
-        });
-    }
-
     private CompletionStage<JobAnswer> withinTimeout(
             JobCall call, Duration timeout, CompletionStage<JobAnswer> decided) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
@@ -229,7 +138,7 @@
                 if (answer.complete(timeoutAnswer(call))) {
                     telemetry.event(
                             EventCode.CALL_TIMED_OUT,
-                            describe(call) + " timeoutMs=" + timeout.toMillis() + " " + describeConfiguration());
+                            call.describe() + " timeoutMs=" + timeout.toMillis() + " " + describeConfiguration());
                 }
             });
         }
@@ -244,15 +153,6 @@
      */
     private record Request(JobCall call, long deadlineNanos, boolean mayForward) {}
 
-    private static String describe(JobCall call) {
-        String action = switch (call.action()) {
-            case JobCall.Query query -> "query";
-            case JobCall.Submit submit -> "submit";
-            case JobCall.Cancel cancel -> "cancel";
-        };
-        return action + " path=" + call.path();
-    }
-
     /** Describes the version and age of the configuration for log events. */
     private String describeConfiguration() {
         return jobConfiguration
@@ -265,7 +165,7 @@
     private JobAnswer logNotAdmitted(JobCall call, JobAnswer answer) {
         telemetry.event(
                 EventCode.CALL_NOT_ADMITTED,
-                describe(call) + " answer=" + answer.getClass().getSimpleName() + " " + describeConfiguration());
+                call.describe() + " answer=" + answer.getClass().getSimpleName() + " " + describeConfiguration());
         return answer;
     }
 
@@ -293,9 +193,9 @@
             return refused("no configuration has been read yet");
         }
         JobConfigurationSnapshot snapshot = jobConfiguration.snapshot().get();
-        Optional<JobQueue> queue = findQueue(call, snapshot.configuration());
-        Optional<JobTeam> team = call.key().flatMap(snapshot.configuration()::findTeamByKey);
-        if (!isAdmitted(call, snapshot.configuration())) {
+        Admission admission = Admission.of(call, snapshot.configuration());
+        Optional<JobQueue> queue = admission.queue();
+        if (!admission.isGranted()) {
             Supplier<JobAnswer> answer = queue.isEmpty() ? JobAnswer.UnknownQueue::new : JobAnswer.UnknownKey::new;
             return answerNegative(request, rereads, answer);
         }
@@ -307,29 +207,17 @@
         if (id.isEmpty() && call.action() instanceof JobCall.Query) {
             return queryPending(queue.get());
         }
-        if (!JOB_ID.matcher(id).matches()) {
+        if (!JobCall.isJobId(id)) {
             return CompletableFuture.completedFuture(
                     new JobAnswer.Invalid("a job's identifier has 16 hexadecimal digits"));
         }
         return switch (call.action()) {
-            case JobCall.Submit submit -> submit(request, rereads, snapshot, queue.get(), team, id, submit);
+            case JobCall.Submit submit -> submit(request, rereads, snapshot, admission, id, submit);
             case JobCall.Query query -> query(id, request);
             case JobCall.Cancel cancel -> cancel(id, request);
         };
     }
 
-    private static Optional<JobQueue> findQueue(JobCall call, JobConfiguration configuration) {
-        return JobQueue.findByPath(configuration.queues().values(), call.host(), call.path());
-    }
-
-    /** Returns whether a call names a queue and, if the queue is not open, the key of a team. */
-    private static boolean isAdmitted(JobCall call, JobConfiguration configuration) {
-        return findQueue(call, configuration)
-                .filter(queue -> queue.open()
-                        || call.key().flatMap(configuration::findTeamByKey).isPresent())
-                .isPresent();
-    }
-
     private CompletionStage<JobAnswer> answerNegative(Request request, int rereads, Supplier<JobAnswer> answer) {
         if (jobConfiguration.confirmedWithin(NEGATIVE_ANSWER_MAX_AGE)
                 || rereads > 0 && jobConfiguration.confirmedWithin(REREAD_NEGATIVE_ANSWER_MAX_AGE)) {
@@ -354,17 +242,17 @@
             Request request,
             int rereads,
             JobConfigurationSnapshot snapshot,
-            JobQueue queue,
-            Optional<JobTeam> team,
+            Admission admission,
             String id,
             JobCall.Submit submit) {
+        JobQueue queue = admission.queue().orElseThrow();
         if (directory.contains(id)) {
             return answerKnownJob(request, rereads, queue);
         }
         JobSubmission submission = new JobSubmission(
                 id,
                 queue.name(),
-                team.map(JobTeam::name).orElse(""),
+                admission.team().map(JobTeam::name).orElse(""),
                 submit.spec(),
                 submit.steps(),
                 submit.recurrence().orElse(null),
@@ -405,14 +293,11 @@
                 "job=" + submission.id() + " queue=" + submission.queue() + " team=" + submission.team() + " steps="
                         + submission.steps().stream().map(StepSpec::summary).toList());
         directory.addAccepted(submission, revision);
-        otherLeader().ifPresent(leader -> dependencies.schedulerClient().notifyAccepted(leader, submission, revision));
+        states.otherLeader()
+                .ifPresent(leader -> dependencies.schedulerClient().notifyAccepted(leader, submission, revision));
         return CompletableFuture.completedFuture(new JobAnswer.Accepted());
     }
 
-    private Optional<String> otherLeader() {
-        return directory.leader().filter(leader -> !leader.equals(dependencies.address()));
-    }
-
     private CompletionStage<JobAnswer> cancel(String id, Request request) {
         return intake.cancel(id, remaining(request.deadlineNanos()), request.mayForward())
                 .thenApply(result -> switch (result) {
@@ -421,7 +306,7 @@
                             telemetry.event(EventCode.JOB_CANCELLED, "job=" + id);
                         }
                         directory.addCancelled(id);
-                        otherLeader()
+                        states.otherLeader()
                                 .ifPresent(
                                         leader -> dependencies.schedulerClient().notifyCancelled(leader, id));
                         yield new JobAnswer.Cancelled();
@@ -434,21 +319,10 @@
     }
 
     private CompletionStage<JobAnswer> query(String id, Request request) {
-        Optional<JobState> known =
-                directory.finalState(id).or(() -> node.scheduler().flatMap(s -> s.jobState(id)));
-        if (known.isPresent()) {
-            return CompletableFuture.completedFuture(new JobAnswer.State(known.get()));
-        }
-        Optional<String> leader = otherLeader();
-        if (leader.isEmpty()) {
-            return queryStore(id, request);
-        }
-        return dependencies.schedulerClient().queryState(leader.get(), id).thenCompose(state -> {
-            if (state.isPresent()) {
-                return CompletableFuture.completedFuture(new JobAnswer.State(state.get()));
-            }
-            return queryStore(id, request);
-        });
+        return states.find(id)
+                .thenCompose(state -> state.isPresent()
+                        ? CompletableFuture.completedFuture(new JobAnswer.State(state.get()))
+                        : queryStore(id, request));
     }
 
     private CompletionStage<JobAnswer> queryStore(String id, Request request) {
@@ -468,7 +342,7 @@
             return CompletableFuture.completedFuture(
                     new JobAnswer.Pending(localScheduler.get().pendingJobs(queue.name())));
         }
-        Optional<String> leader = otherLeader();
+        Optional<String> leader = states.otherLeader();
         if (leader.isEmpty()) {
             return CompletableFuture.completedFuture(new JobAnswer.Pending(directory.unfinishedCount(queue.name())));
         }
