--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/EndedJobRecordsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/EndedJobRecordsTest.java
@@ -25,6 +25,7 @@
     /** Outage during which the retention ends, ms. */
     private static final long OUTAGE_MS = 8000;
 
+    /** Final states, and whether the leader is replaced. */
     @DataProvider
     public Object[][] ends() {
         return new Object[][] {
@@ -49,8 +50,7 @@
         assertEquals(fleet.answerAfter(500, fleet.query(fleet.readyNode(0), ID)), new JobAnswer.State(end));
         setCommitFault(fleet, CommitFault.NONE);
         if (leaderKilled) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(5000);
+            fleet.replaceLeader();
         }
         readJobsAgain(fleet);
         fleet.runFor(RETENTION_MS + 5000);
@@ -81,13 +81,8 @@
         assertEquals(fleet.answerAfter(500, fleet.query(other, ID)), new JobAnswer.State(JobState.COMPLETED));
     }
 
-    @DataProvider
-    public Object[][] endsAndLeaders() {
-        return ends();
-    }
-
     /** Guards against a run of a deleted job that a read from before the deletion reports, also to a new leader. */
-    @Test(dataProvider = "endsAndLeaders")
+    @Test(dataProvider = "ends")
     public void lateReportOfDeletedJobStartsNothing(JobState end, boolean leaderKilled) {
         JobFleet fleet = fleetWithEndedJob(end);
         int starts = fleet.model.invariants().startCount();
@@ -96,8 +91,7 @@
                 RecordCodec.decode(accepted.value(), JobSubmission.class).orElseThrow();
         fleet.runFor(RETENTION_MS + 5000);
         if (leaderKilled) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(5000);
+            fleet.replaceLeader();
         }
         fleet.leader().onAccepted(submission, accepted.modRevision());
         fleet.runFor(5000);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -45,6 +45,9 @@
     /** Last events that a failure message shows. */
     private static final int SHOWN_EVENTS = 40;
 
+    /** Time within which a killed leader is replaced: its lease, the reading of the jobs and reports of the servers, ms. */
+    private static final long TAKEOVER_MS = 5000;
+
     /** Time of a message between two entry hosts. */
     private static final Duration PEER_DELAY = Duration.ofMillis(1);
 
@@ -220,6 +223,12 @@
         timeOf(node).kill();
     }
 
+    /** Kills the leader's process and runs until another entry host has taken over and read the jobs. */
+    void replaceLeader() {
+        killProcess(leader());
+        runFor(TAKEOVER_MS);
+    }
+
     NodeTime timeOf(JobNode node) {
         return nodeTimes.get(nodes.indexOf(node));
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -19,6 +19,7 @@
     private static final String ID = JobFleet.id(1);
     private static final int ITEMS = 3;
 
+    /** Kinds of ends, and whether the leader is replaced. */
     @DataProvider
     public Object[][] ends() {
         return new Object[][] {
@@ -41,8 +42,7 @@
             end(fleet, i, kind);
         }
         if (leaderReplaced) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(5000);
+            fleet.replaceLeader();
         }
         fleet.runFor(3000);
         assertAllRun(fleet);
@@ -91,8 +91,7 @@
             end(fleet, i, kind);
         }
         if (leaderReplaced) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(5000);
+            fleet.replaceLeader();
         }
         fleet.runFor(3000);
         assertEquals(fleet.model.invariants().startCount(), ITEMS, fleet.lastEvents());
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/MissingQueueTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/MissingQueueTest.java
@@ -94,8 +94,7 @@
         fleet.runFor(FAILING_RUN_MS + 1500);
         assertEquals(fleet.model.invariants().failures(failingItem()), failuresBefore + 1, fleet.lastEvents());
         if (leaderReplaced) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(5000);
+            fleet.replaceLeader();
         }
         return fleet;
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/OccurrenceRecoveryTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/OccurrenceRecoveryTest.java
@@ -45,8 +45,7 @@
     public void occurrencesMissingFromProgressRun(List<Integer> started, boolean replacedTwice) {
         JobFleet fleet = fleetWithRecoveredJob(started);
         if (replacedTwice) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(4000);
+            fleet.replaceLeader();
         }
         fleet.runFor(20_000);
         for (int k = 0; k < OCCURRENCES; k++) {
@@ -63,8 +62,7 @@
         JobFleet fleet = fleetWithRecoveredJob(started);
         assertEquals(fleet.answerAfter(100, fleet.cancel(fleet.leader(), ID)), new JobAnswer.Cancelled());
         if (replacedTwice) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(4000);
+            fleet.replaceLeader();
         }
         fleet.runFor(20_000);
         assertEquals(fleet.model.invariants().startCount(), FILLER_ITEMS, fleet.lastEvents());
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/PendingJobsTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/PendingJobsTest.java
@@ -100,8 +100,7 @@
 
     private static void replaceLeader(JobFleet fleet, boolean replaced) {
         if (replaced) {
-            fleet.killProcess(fleet.leader());
-            fleet.runFor(6000);
+            fleet.replaceLeader();
         }
     }
 
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobNode;
@@ -11,7 +11,6 @@
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
-import org.basilswitch.job.StepSpec;
 import org.basilswitch.store.MemoryStoreClient.CommitFault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -68,9 +67,8 @@
     @Test(dataProvider = "rejections")
     public void storedJobIsAcceptedThoughLaterAttemptIsRejected(Rejection rejection, Leader leader) {
         JobFleet fleet = JobFleet.running(3, 2);
-        JobNode host = follower(fleet);
-        JobAnswer answer = rejectedLater(
-                fleet, rejection, leader, host, CommitFault.ANSWER_LOST, () -> fleet.submit(host, ID, longStep()));
+        JobAnswer answer = fleet.answerAfter(
+                3000, startCall(fleet, rejection, leader, CommitFault.ANSWER_LOST, submission(fleet)));
         assertEquals(answer, new JobAnswer.Accepted(), fleet.lastEvents());
         fleet.runFor(10_000);
         assertEquals(fleet.model.invariants().startCount(), 2);
@@ -80,9 +78,8 @@
     @Test(dataProvider = "rejections")
     public void jobThatCanNotBeStoredAnyMoreIsRejected(Rejection rejection, Leader leader) {
         JobFleet fleet = JobFleet.running(3, 2);
-        JobNode host = follower(fleet);
-        JobAnswer answer = rejectedLater(
-                fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.submit(host, ID, longStep()));
+        JobAnswer answer = fleet.answerAfter(
+                3000, startCall(fleet, rejection, leader, CommitFault.REQUEST_LOST, submission(fleet)));
         assertEquals(answer, rejection.answer, fleet.lastEvents());
         fleet.runFor(10_000);
         assertEquals(fleet.model.invariants().startCount(), 0);
@@ -92,10 +89,10 @@
     @Test(dataProvider = "rejections")
     public void jobIsUndecidedWhileItsRecordCanNotBeRead(Rejection rejection, Leader leader) {
         JobFleet fleet = JobFleet.running(3, 2);
-        JobNode host = follower(fleet);
-        CompletionStage<JobAnswer> call = startCall(
-                fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.submit(host, ID, longStep()));
-        fleet.clients.get(fleet.nodes.indexOf(host)).setReachable(false);
+        int follower = follower(fleet);
+        CompletionStage<JobAnswer> call =
+                startCall(fleet, rejection, leader, CommitFault.REQUEST_LOST, submission(fleet));
+        fleet.clients.get(follower).setReachable(false);
         JobAnswer answer = fleet.answerAfter(3000, call);
         assertTrue(answer instanceof JobAnswer.Undecided, answer + "\n" + fleet.lastEvents());
     }
@@ -103,58 +100,51 @@
     /** Guards against 401 or 404 for a cancellation that is stored. */
     @Test(dataProvider = "rejections")
     public void storedCancellationIsConfirmedThoughLaterAttemptIsRejected(Rejection rejection, Leader leader) {
-        JobFleet fleet = JobFleet.running(3, 2);
-        JobNode host = follower(fleet);
-        fleet.answerAfter(300, fleet.submit(host, ID, longStep()));
-        JobAnswer answer =
-                rejectedLater(fleet, rejection, leader, host, CommitFault.ANSWER_LOST, () -> fleet.cancel(host, ID));
+        JobFleet fleet = fleetWithJob();
+        JobAnswer answer = fleet.answerAfter(
+                3000, startCall(fleet, rejection, leader, CommitFault.ANSWER_LOST, cancellation(fleet)));
         assertEquals(answer, new JobAnswer.Cancelled(), fleet.lastEvents());
     }
 
     /** Guards against a rejection of a cancellation that the store may still carry out. */
     @Test(dataProvider = "rejections")
     public void cancellationThatMayBeCarriedOutLaterIsUndecided(Rejection rejection, Leader leader) {
-        JobFleet fleet = JobFleet.running(3, 2);
-        JobNode host = follower(fleet);
-        fleet.answerAfter(300, fleet.submit(host, ID, longStep()));
-        JobAnswer answer =
-                rejectedLater(fleet, rejection, leader, host, CommitFault.REQUEST_LOST, () -> fleet.cancel(host, ID));
+        JobFleet fleet = fleetWithJob();
+        JobAnswer answer = fleet.answerAfter(
+                3000, startCall(fleet, rejection, leader, CommitFault.REQUEST_LOST, cancellation(fleet)));
         assertTrue(answer instanceof JobAnswer.Undecided, answer + "\n" + fleet.lastEvents());
         assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
     }
 
-    private static StepSpec longStep() {
-        return JobFleet.step(2, 1000, 8000);
+    private static JobFleet fleetWithJob() {
+        JobFleet fleet = JobFleet.running(3, 2);
+        assertEquals(fleet.answerAfter(300, submission(fleet).apply(fleet.leader())), new JobAnswer.Accepted());
+        return fleet;
     }
 
-    private static JobNode follower(JobFleet fleet) {
-        return fleet.nodes.stream()
-                .filter(node -> node != fleet.leader())
-                .findFirst()
-                .orElseThrow();
+    private static Function<JobNode, CompletionStage<JobAnswer>> submission(JobFleet fleet) {
+        return host -> fleet.submit(host, ID, JobFleet.step(2, 1000, 8000));
     }
 
-    private static JobAnswer rejectedLater(
-            JobFleet fleet,
-            Rejection rejection,
-            Leader leader,
-            JobNode host,
-            CommitFault fault,
-            Supplier<CompletionStage<JobAnswer>> caller) {
-        return fleet.answerAfter(3000, startCall(fleet, rejection, leader, host, fault, caller));
+    private static Function<JobNode, CompletionStage<JobAnswer>> cancellation(JobFleet fleet) {
+        return host -> fleet.cancel(host, ID);
+    }
+
+    /** Returns the number of an entry host that does not lead. */
+    private static int follower(JobFleet fleet) {
+        return fleet.nodes.get(0) == fleet.leader() ? 1 : 0;
     }
 
-    /** Makes a call whose commit gets no answer; the configuration changes before the call is made again. */
+    /** Makes a call at a follower, whose commit gets no answer; the configuration changes before the next attempt. */
     private static CompletionStage<JobAnswer> startCall(
             JobFleet fleet,
             Rejection rejection,
             Leader leader,
-            JobNode host,
             CommitFault fault,
-            Supplier<CompletionStage<JobAnswer>> caller) {
-        int index = fleet.nodes.indexOf(host);
-        fleet.clients.get(index).setCommitFault(fault);
-        CompletionStage<JobAnswer> call = caller.get();
+            Function<JobNode, CompletionStage<JobAnswer>> caller) {
+        int follower = follower(fleet);
+        fleet.clients.get(follower).setCommitFault(fault);
+        CompletionStage<JobAnswer> call = caller.apply(fleet.nodes.get(follower));
         fleet.runFor(100);
         rejection.apply(fleet);
         JobNode answering = fleet.leader();
