--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
@@ -4,10 +4,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.JobPool;
+import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
@@ -25,7 +27,11 @@
     /** What makes the later attempt reject the call. */
     private enum Rejection {
         KEY_WITHDRAWN(new JobAnswer.UnknownKey()),
-        QUEUE_REMOVED(new JobAnswer.UnknownQueue());
+        QUEUE_REMOVED(new JobAnswer.UnknownQueue()),
+        /** The path no longer ends in an identifier after the queue's prefix. */
+        PREFIX_LENGTHENED(new JobAnswer.Invalid("a job's identifier has 16 hexadecimal digits")),
+        /** The configuration stays, and the later attempt is refused if at all. */
+        NONE(new JobAnswer.Undecided("no answer of the store in time"));
 
         private final JobAnswer answer;
 
@@ -36,13 +42,22 @@
         private void apply(JobFleet fleet) {
             switch (this) {
                 case KEY_WITHDRAWN -> fleet.revokeKeys();
-                case QUEUE_REMOVED ->
-                    fleet.configure(
-                            List.of(),
-                            List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1, new Resources(0, 0, 0))),
-                            List.of(new JobPool(JobFleet.POOL, true, false)));
+                case QUEUE_REMOVED -> configureQueues(fleet, List.of());
+                case PREFIX_LENGTHENED ->
+                    configureQueues(
+                            fleet,
+                            List.of(new JobQueue(
+                                    "queue", "host", "/q/0", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false)));
+                case NONE -> {}
             }
         }
+
+        private static void configureQueues(JobFleet fleet, List<JobQueue> queues) {
+            fleet.configure(
+                    queues,
+                    List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1, new Resources(0, 0, 0))),
+                    List.of(new JobPool(JobFleet.POOL, true, false)));
+        }
     }
 
     /** What becomes of the leader that answers the later attempt. */
@@ -54,13 +69,19 @@
 
     @DataProvider
     public Object[][] rejections() {
-        Object[][] rows = new Object[Rejection.values().length * Leader.values().length][];
-        for (int i = 0; i < rows.length; i++) {
-            rows[i] = new Object[] {
-                Rejection.values()[i / Leader.values().length], Leader.values()[i % Leader.values().length]
-            };
-        }
-        return rows;
+        return withEachLeader(Rejection.KEY_WITHDRAWN, Rejection.QUEUE_REMOVED, Rejection.PREFIX_LENGTHENED);
+    }
+
+    /** Rejections after which the configuration does not admit the call any more. */
+    @DataProvider
+    public Object[][] lostAdmissions() {
+        return withEachLeader(Rejection.KEY_WITHDRAWN, Rejection.QUEUE_REMOVED);
+    }
+
+    private static Object[][] withEachLeader(Rejection... rejections) {
+        return Stream.of(rejections)
+                .flatMap(rejection -> Stream.of(Leader.values()).map(leader -> new Object[] {rejection, leader}))
+                .toArray(Object[][]::new);
     }
 
     /** Guards against 401 or 404 for a job that is stored and runs. */
@@ -75,7 +96,7 @@
     }
 
     /** Guards against an undecided answer where the configuration rules out that the job can still be stored. */
-    @Test(dataProvider = "rejections")
+    @Test(dataProvider = "lostAdmissions")
     public void jobThatCanNotBeStoredAnyMoreIsRejected(Rejection rejection, Leader leader) {
         JobFleet fleet = JobFleet.running(3, 2);
         JobAnswer answer = fleet.answerAfter(
@@ -116,6 +137,22 @@
         assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
     }
 
+    /** Guards against a refusal, which says that nothing was stored, of a call whose write may have taken effect. */
+    @Test
+    public void refusalByLeaderLeavesCallsUndecided() {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobAnswer submitted = fleet.answerAfter(
+                3000,
+                startCall(fleet, Rejection.NONE, Leader.REFUSED_BY_STORE, CommitFault.REQUEST_LOST, submission(fleet)));
+        assertTrue(submitted instanceof JobAnswer.Undecided, submitted + "\n" + fleet.lastEvents());
+        fleet = fleetWithJob();
+        JobAnswer cancelled = fleet.answerAfter(
+                3000,
+                startCall(
+                        fleet, Rejection.NONE, Leader.REFUSED_BY_STORE, CommitFault.REQUEST_LOST, cancellation(fleet)));
+        assertTrue(cancelled instanceof JobAnswer.Undecided, cancelled + "\n" + fleet.lastEvents());
+    }
+
     private static JobFleet fleetWithJob() {
         JobFleet fleet = JobFleet.running(3, 2);
         assertEquals(fleet.answerAfter(300, submission(fleet).apply(fleet.leader())), new JobAnswer.Accepted());
