--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -52,6 +52,7 @@
     private final List<String> maintainedHosts = new ArrayList<>();
     /** Waves and hosts whose maintenance was started, as "number host". */
     private final Set<String> commandedByWave = new HashSet<>();
+
     private BiFunction<ItemId, BackendServer, Duration> workTimes;
     private FailurePolicy failurePolicy = (item, run, server) -> false;
     private int maxHostsDown;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -65,6 +65,28 @@
         assertEquals(faults, List.of(), faults.size() + " phases\n" + String.join("\n", faults));
     }
 
+    /** Guards against later runs of a gang that go on, on room believed free, after an earlier run has completed it. */
+    @Test(groups = "known-red")
+    public void laterRunOfGangIsStoppedWhenEarlierOneCompletedIt() {
+        JobFleet fleet = JobFleet.running(1, 4);
+        String id = JobFleet.id(1);
+        fleet.model.setWorkTimes((item, server) -> Duration.ofMillis(3000));
+        fleet.answerAfter(300, fleet.submit(fleet.leader(), id, JobFleet.gang(2, 40_000, 3000)));
+        List<String> first = List.of(fleet.serverOf(new ItemId(id, 0, 0, 0)), fleet.serverOf(new ItemId(id, 0, 0, 1)));
+        first.forEach(server -> fleet.model.setUnreachable(server, true));
+        fleet.model.setWorkTimes((item, server) -> Duration.ofSeconds(60));
+        for (int i = 0; i < 1000 && fleet.model.invariants().startCount() < 4; i++) {
+            fleet.runFor(10);
+        }
+        assertEquals(fleet.model.activeRunCount(), 2, fleet.lastEvents());
+        fleet.model.setUnreachable(first.get(0), false);
+        for (int i = 0; i < 300 && fleet.model.activeRunCount() == 2; i++) {
+            fleet.runFor(10);
+        }
+        fleet.runFor(300);
+        assertEquals(fleet.model.activeRunCount(), 0, fleet.lastEvents());
+    }
+
     /** Guards against acknowledgements that stop because an end arrived while the job's final record was written. */
     @Test
     public void endThatArrivesDuringFinalWriteIsAcknowledged() {
