Stand-in servers keep checkpoints and paces; a gang's members must start with one checkpoint

The stand-ins reported no checkpoint and forgot the pace of a run, so that no test could see what a run resumes from. The invariants now hold a gang's members to the same checkpoint, as PROTOCOL.md asks: "all must carry the same value". serverOf also finds work on servers that joined after a move of their host.

--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -317,7 +317,7 @@
         @Override
         public CompletionStage<CommandResult> setPace(
                 BackendServer server, long fencingToken, ItemId item, int run, int percent) {
-            return call(server, model -> new Done());
+            return call(server, model -> model.setPace(fencingToken, item, run, percent));
         }
 
         private CompletionStage<CommandResult> call(
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/SchedulerInvariants.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/SchedulerInvariants.java
@@ -28,6 +28,9 @@
     private final Set<ItemId> rerunAllowed = new HashSet<>();
     private final Map<ItemId, Integer> failures = new HashMap<>();
     private final Map<ItemId, Away> away = new HashMap<>();
+    /** Checkpoints that the members of a gang's run were started with, by step and run number. */
+    private final Map<String, String> gangCheckpoints = new HashMap<>();
+
     private final Set<String> cancelled = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
     private int startCount;
@@ -39,7 +42,7 @@
         this.fleet = fleet;
     }
 
-    void runStarted(ItemId item, int run, BackendServer server) {
+    void runStarted(ItemId item, int run, String checkpoint, BackendServer server) {
         startCount++;
         StepSpec spec = fleet.step(item).orElseThrow();
         Set<String> serverIds = runningServers.computeIfAbsent(item, key -> new HashSet<>());
@@ -52,6 +55,12 @@
         if (endKnownNanos != null && !rerunAllowed.contains(item) && fleet.nowNanos() - endKnownNanos >= allowedNanos) {
             violations.add("run after the work item was done: " + item + "#" + run);
         }
+        if (spec.gang()) {
+            String first = gangCheckpoints.computeIfAbsent(item.stepName() + "#" + run, key -> checkpoint);
+            if (!first.equals(checkpoint)) {
+                violations.add("gang members with different checkpoints: " + item + "#" + run);
+            }
+        }
         if (cancelled.contains(item.job())) {
             violations.add("run after the job's cancellation: " + item + "#" + run);
         }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -45,13 +45,16 @@
         private final StepSpec spec;
         private final long startedNanos;
         private final Duration work;
+        private String checkpoint;
+        private int pacePercent = 100;
         private boolean stopping;
 
-        private ActiveRun(int runNumber, StepSpec spec, long startedNanos, Duration work) {
+        private ActiveRun(int runNumber, StepSpec spec, long startedNanos, Duration work, String checkpoint) {
             this.runNumber = runNumber;
             this.spec = spec;
             this.startedNanos = startedNanos;
             this.work = work;
+            this.checkpoint = checkpoint;
         }
 
         private int percent(long nowNanos) {
@@ -133,8 +136,10 @@
             return new ServerCommands.Rejected(ServerCommands.Reason.NO_ROOM);
         }
         Duration work = spec.get().longRunning() ? Duration.ZERO : fleet.workTime(command.item(), entry);
-        activeRuns.put(command.item(), new ActiveRun(command.run(), spec.get(), clock.monotonicNanos(), work));
-        fleet.invariants().runStarted(command.item(), command.run(), entry);
+        activeRuns.put(
+                command.item(),
+                new ActiveRun(command.run(), spec.get(), clock.monotonicNanos(), work, command.checkpoint()));
+        fleet.invariants().runStarted(command.item(), command.run(), command.checkpoint(), entry);
         if (spec.get().longRunning()) {
             scheduler.schedule(STARTUP, () -> reportAtWork(command.item(), command.run()));
         }
@@ -204,6 +209,27 @@
         }
     }
 
+    ServerCommands.CommandResult setPace(long fencingToken, ItemId item, int run, int percent) {
+        Optional<ServerCommands.CommandResult> rejection = checkFencingToken(fencingToken);
+        if (rejection.isPresent()) {
+            return rejection.get();
+        }
+        Optional.ofNullable(activeRuns.get(item))
+                .filter(active -> active.runNumber == run)
+                .ifPresent(active -> active.pacePercent = percent);
+        return new ServerCommands.Done();
+    }
+
+    /** Returns the pace of the active run of a work item, as a percentage of full speed. */
+    public int pacePercent(ItemId item) {
+        return activeRuns.get(item).pacePercent;
+    }
+
+    /** Has the active run of a work item report a checkpoint from now on. */
+    public void saveCheckpoint(ItemId item, String checkpoint) {
+        activeRuns.get(item).checkpoint = checkpoint;
+    }
+
     /** Ends the active run of a work item by itself. */
     public void endRun(ItemId item, ServerCommands.RunEndKind kind) {
         Optional.ofNullable(activeRuns.get(item)).ifPresent(active -> endRun(item, active.runNumber, kind));
@@ -216,7 +242,7 @@
         }
         activeRuns.remove(item);
         highestEndedRuns.merge(item, run, Math::max);
-        unacknowledgedEnds.add(new ServerCommands.RunEnd(nextEndNumber++, item, run, kind, ""));
+        unacknowledgedEnds.add(new ServerCommands.RunEnd(nextEndNumber++, item, run, kind, active.checkpoint));
         fleet.invariants().runEnded(item, run, entry, kind);
         answerWaitingRenewals();
     }
@@ -263,8 +289,8 @@
 
     private ServerCommands.RenewalResult report() {
         List<ServerCommands.RunStatus> statuses = new ArrayList<>();
-        activeRuns.forEach((item, run) -> statuses.add(
-                new ServerCommands.RunStatus(item, run.runNumber, "", run.percent(clock.monotonicNanos()), 0)));
+        activeRuns.forEach((item, run) -> statuses.add(new ServerCommands.RunStatus(
+                item, run.runNumber, run.checkpoint, run.percent(clock.monotonicNanos()), 0)));
         return new ServerCommands.Report(
                 entry.startedAtMs(), clockMs(), statuses, List.copyOf(unacknowledgedEnds), true);
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -96,9 +96,9 @@
 
     /** Returns the server on which a work item runs. */
     String serverOf(ItemId item) {
-        for (int i = 0; model.server("s" + i) != null; i++) {
-            if (model.server("s" + i).isRunning(item)) {
-                return "s" + i;
+        for (String id : model.serverIds()) {
+            if (model.server(id).isRunning(item)) {
+                return id;
             }
         }
         throw new AssertionError(item + " does not run\n" + lastEvents());
@@ -106,11 +106,15 @@
 
     /** Returns the server of the first start that was ordered. */
     String serverOfFirstOrder() {
-        String ordered = events.stream()
+        return serversOfOrders().get(0);
+    }
+
+    /** Returns the servers of the starts that were ordered. */
+    List<String> serversOfOrders() {
+        return events.stream()
                 .filter(event -> event.contains(" RUN_ORDERED "))
-                .findFirst()
-                .orElseThrow();
-        return ordered.replaceAll(".*@(s[0-9]+).*", "$1");
+                .map(event -> event.replaceAll(".*@(\\S+).*", "$1"))
+                .toList();
     }
 
     /** Stores a configuration with one queue, one team and two pools. */
@@ -289,6 +293,14 @@
         return spec(count, cpuMillis, 0, List.of(), false, false, true, maxUnavailable);
     }
 
+    static StepSpec longRunningGang(int count, long cpuMillis) {
+        return spec(count, cpuMillis, 0, List.of(), true, false, true, 0);
+    }
+
+    static StepSpec longRunningSpeculative(int count, long cpuMillis) {
+        return spec(count, cpuMillis, 0, List.of(), false, true, true, 0);
+    }
+
     private static StepSpec spec(
             int count,
             long cpuMillis,
