Start no copies of long-running work, nor of members of a gang

Callers' long-running work items of a speculative step ran twice for good once their server had been silent for 1.3 s, on room and within the team's limit that other work was waiting for.

Cause: StragglerRestarter.mayHaveCopy looked at speculative alone. A copy ends when the first run of its item completes, which long-running work never does. A copy of one member of a gang can't be started, as a gang starts as a whole; its run was demoted and nothing took its place.

LongRunningEndTest.noCopyIsStartedWhileServerIsSilent failed without the fix. stepAfterLongRunningOneIsNotStarted, which was missing, passed already.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StragglerRestarter.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StragglerRestarter.java
@@ -79,7 +79,10 @@
     /** Returns whether a second run may be started while this one may continue. */
     private static boolean mayHaveCopy(Run run) {
         WorkItem item = run.item();
+        // A copy of long-running work would never end, and a gang can't be started in part.
         return item.spec().speculative()
+                && !item.spec().longRunning()
+                && !item.spec().gang()
                 && item.run().filter(run::equals).isPresent()
                 && run.phase() != Run.Phase.RECORDING
                 && !run.isStopping()
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -6,6 +6,7 @@
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobState;
+import org.basilswitch.job.StepSpec;
 import org.basilswitch.schedule.ServerCommands.RunEndKind;
 import org.basilswitch.store.Transaction;
 import org.testng.annotations.DataProvider;
@@ -57,11 +58,7 @@
         for (int i = 0; i < ITEMS; i++) {
             end(fleet, i, RunEndKind.DONE);
         }
-        String rows = "[0,0,0,true,1,0,0,\"\",null,0,0],[0,0,1,true,1,0,0,\"\",null,0,0]";
-        byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
-        fleet.store.commit(Transaction.builder()
-                .put("/basilswitch/test/progress/" + ID, record)
-                .build());
+        storeProgress(fleet, "[0,0,0,true,1,0,0,\"\",null,0,0],[0,0,1,true,1,0,0,\"\",null,0,0]");
         fleet.runFor(8000);
         assertAllRun(fleet);
     }
@@ -98,9 +95,48 @@
         assertEquals(fleet.answerAfter(500, fleet.query(fleet.leader(), ID)), new JobAnswer.State(JobState.CANCELLED));
     }
 
+    /** Guards against copies of long-running work that no completed run ever ends. */
+    @Test
+    public void noCopyIsStartedWhileServerIsSilent() {
+        JobFleet fleet = fleetWith(JobFleet.longRunningSpeculative(ITEMS, 30_000));
+        String silent = fleet.serverOf(item(0));
+        fleet.model.setUnreachable(silent, true);
+        fleet.runFor(2500);
+        fleet.model.setUnreachable(silent, false);
+        fleet.runFor(5000);
+        assertAllRun(fleet);
+        assertEquals(fleet.model.activeRunCount(), ITEMS, fleet.lastEvents());
+    }
+
+    /** Guards against a step that is started although a step before it lasts and is started again. */
+    @Test(dataProvider = "ends")
+    public void stepAfterLongRunningOneIsNotStarted(RunEndKind kind, boolean leaderReplaced) {
+        JobFleet fleet = fleetWith(JobFleet.longRunning(ITEMS, 30_000, 0), JobFleet.step(2, 1000, 100, 0));
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, kind);
+        }
+        if (leaderReplaced) {
+            fleet.replaceLeader();
+        }
+        fleet.runFor(3000);
+        assertAllRun(fleet);
+        assertEquals(fleet.model.invariants().startCount(), 2 * ITEMS, fleet.lastEvents());
+    }
+
+    private static void storeProgress(JobFleet fleet, String rows) {
+        byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
+        fleet.store.commit(Transaction.builder()
+                .put("/basilswitch/test/progress/" + ID, record)
+                .build());
+    }
+
     private static JobFleet fleetWithJob() {
+        return fleetWith(JobFleet.longRunning(ITEMS, 30_000, 0));
+    }
+
+    private static JobFleet fleetWith(StepSpec... steps) {
         JobFleet fleet = JobFleet.running(3, 3);
-        fleet.answerAfter(500, fleet.submit(fleet.leader(), ID, JobFleet.longRunning(ITEMS, 30_000, 0)));
+        fleet.answerAfter(500, fleet.submit(fleet.leader(), ID, steps));
         assertEquals(fleet.model.activeRunCount(), ITEMS);
         return fleet;
     }
