Go on with a step that an earlier version started after a long-running one

Earlier versions took a long-running step for done once its work items had ended as done, and started the steps after it. Since the long-running step is never done, so that work items of the later step that were waiting or had failed stayed away for good under the first leader of the new version.

Cause: ActiveJob.isReady asked only whether the earlier steps are done now. A step that has started is now ready.

LongRunningEndTest.stepThatEarlierVersionStartedGoesOn failed without the fix.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -132,17 +132,18 @@
     void forEachReadyStep(Consumer<List<WorkItem>> action) {
         for (List<List<WorkItem>> steps : occurrences.values()) {
             for (List<WorkItem> step : steps) {
-                if (!step.isEmpty() && isReady(steps, step.get(0).spec())) {
+                if (!step.isEmpty() && isReady(steps, step)) {
                     action.accept(step);
                 }
             }
         }
     }
 
-    private static boolean isReady(List<List<WorkItem>> steps, StepSpec spec) {
-        for (int earlier : spec.after()) {
+    private static boolean isReady(List<List<WorkItem>> steps, List<WorkItem> step) {
+        for (int earlier : step.get(0).spec().after()) {
             if (!isDone(steps.get(earlier))) {
-                return false;
+                // Earlier versions took long-running steps for done, and started the steps after them.
+                return step.stream().anyMatch(WorkItem::isStarted);
             }
         }
         return true;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -123,6 +123,24 @@
         assertEquals(fleet.model.invariants().startCount(), 2 * ITEMS, fleet.lastEvents());
     }
 
+    /** Guards against a step that stays away after an earlier version has started it after a long-running one. */
+    @Test
+    public void stepThatEarlierVersionStartedGoesOn() {
+        JobFleet fleet = fleetWith(JobFleet.longRunning(ITEMS, 10_000, 0), JobFleet.step(2, 1000, 100, 0));
+        fleet.killProcess(fleet.leader());
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, RunEndKind.DONE);
+            rows.append("[0,0,").append(i).append(",true,1,0,0,\"\",null,0,0],");
+        }
+        // One item of the second step has failed once, the other one has not been started.
+        storeProgress(fleet, rows + "[0,1,0,false,1,1,1,\"\",null,0,0]");
+        fleet.runFor(8000);
+        assertTrue(fleet.model.invariants().isDone(new ItemId(ID, 0, 1, 0)), fleet.lastEvents());
+        assertTrue(fleet.model.invariants().isDone(new ItemId(ID, 0, 1, 1)), fleet.lastEvents());
+        assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
+    }
+
     private static void storeProgress(JobFleet fleet, String rows) {
         byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
         fleet.store.commit(Transaction.builder()
