Run long-running jobs on that an earlier version stored as completed

Cause: the final state was taken as it was stored. No state but cancelled, or failed by a step that ends, can be the final one of a job with a long-running step. A stored COMPLETED is now left out by the scheduler, which resumes the job and logs JOB_RESUMED, and by the copy of the records from which hosts answer. A cancellation of such a job is stored beside the record; before, it was confirmed and not stored. A cancellation that a host of an earlier version confirmed is not in the store and can't be known; the caller has to cancel again.

LongRunningEndTest.jobStoredAsCompletedByEarlierVersionRunsOn and ...IsCancelled (3 cases) failed without the fix.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -97,6 +97,10 @@
             1935,
             Severity.INFO,
             "a later attempt of a call was rejected after a write without an answer; the outcome was looked for"),
+    JOB_RESUMED(
+            1936,
+            Severity.WARN,
+            "an earlier version stored a long-running job as completed; it runs on until it is cancelled"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
     STORE_WATCH_INTERRUPTED(1802, Severity.WARN, "store watch interrupted; opening it again"),
     STORE_WATCH_COMPACTED(1803, Severity.WARN, "store watch starts before the oldest kept revision; reading again"),
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -29,6 +29,7 @@
     private final Telemetry telemetry;
     private final Listener listener;
     private final Map<String, String> queueByJobId = new HashMap<>();
+    private final Set<String> longRunningJobs = new HashSet<>();
     private final Set<String> cancelledJobs = new HashSet<>();
     private final Map<String, JobState> finalStates = new HashMap<>();
     private Optional<String> leader = Optional.empty();
@@ -103,6 +104,7 @@
     private void replaceAll(PlatformStore.Range range) {
         Set<String> previousIds = Set.copyOf(queueByJobId.keySet());
         queueByJobId.clear();
+        longRunningJobs.clear();
         cancelledJobs.clear();
         finalStates.clear();
         Optional<String> previousLeader = leader;
@@ -157,6 +159,7 @@
         if (key.startsWith(keys.jobsAccepted())) {
             String id = key.substring(keys.jobsAccepted().length());
             queueByJobId.remove(id);
+            longRunningJobs.remove(id);
             listener.onDeleted(id, revision);
         } else if (key.startsWith(keys.jobsCancelled())) {
             cancelledJobs.remove(key.substring(keys.jobsCancelled().length()));
@@ -174,6 +177,9 @@
      */
     public void addAccepted(JobSubmission submission, long revision) {
         queueByJobId.put(submission.id(), submission.queue());
+        if (submission.isLongRunning()) {
+            longRunningJobs.add(submission.id());
+        }
         listener.onAccepted(submission, revision);
     }
 
@@ -221,6 +227,10 @@
     /** Returns the stored final state, or {@code CANCELLED} if only a cancellation is stored; empty if neither is. */
     public Optional<JobState> finalState(String id) {
         JobState state = finalStates.get(id);
+        if (state == JobState.COMPLETED && longRunningJobs.contains(id)) {
+            // Stored by an earlier version; the scheduler resumes the job.
+            state = null;
+        }
         return state == null && cancelledJobs.contains(id)
                 ? Optional.of(JobState.CANCELLED)
                 : Optional.ofNullable(state);
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobIntake.java
@@ -95,7 +95,8 @@
     }
 
     /**
-     * Stores the cancellation of a job unless the job is cancelled or has a final state.
+     * Stores the cancellation of a job unless the job is cancelled or has a final state. That of a long-running job is
+     * stored beside a final state as well, as one that an earlier version has stored need not be final.
      *
      * @param mayForward whether to stop retrying after a short time because the call can be forwarded to another host
      */
@@ -109,12 +110,17 @@
             if (found.get().isEmpty()) {
                 return CompletableFuture.completedFuture(new JobNotFound());
             }
-            Transaction transaction = Transaction.builder()
+            boolean longRunning = found.get()
+                    .flatMap(entry -> RecordCodec.decode(entry.value(), JobSubmission.class))
+                    .filter(JobSubmission::isLongRunning)
+                    .isPresent();
+            Transaction.Builder transaction = Transaction.builder()
                     .compare(keys.jobCancelled(id), Transaction.ABSENT)
-                    .compare(keys.jobEnded(id), Transaction.ABSENT)
-                    .put(keys.jobCancelled(id), new byte[0])
-                    .build();
-            return new CommitAttempt(transaction, deadlineNanos, true, mayForward).start();
+                    .put(keys.jobCancelled(id), new byte[0]);
+            if (!longRunning) {
+                transaction.compare(keys.jobEnded(id), Transaction.ABSENT);
+            }
+            return new CommitAttempt(transaction.build(), deadlineNanos, true, mayForward).start();
         });
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -155,10 +155,11 @@
         // 5 % more than the lease, to cover a server clock that is 2 % slow.
         long leaseExpirySteadyNanos = context.steadyClock().monotonicNanos()
                 + context.options().lease().toNanos() * 21 / 20;
-        records.ended(context.keys().jobsEnded(), context.telemetry())
+        List<JobSubmission> submissions = records.accepted(context.keys().jobsAccepted(), context.telemetry());
+        records.ended(context.keys().jobsEnded(), submissions, context.telemetry())
                 .forEach((id, state) ->
                         endedJobs.add(id, state, records.revision(context.keys().jobAccepted(id))));
-        records.accepted(context.keys().jobsAccepted(), context.telemetry()).forEach(submission -> {
+        submissions.forEach(submission -> {
             if (!endedJobs.contains(submission.id()) && !jobs.containsKey(submission.id())) {
                 Optional<RecoveredJobRecords.Progress> stored =
                         records.progress(submission, context.keys().jobProgress(submission.id()), context.telemetry());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RecoveredJobRecords.java
@@ -3,12 +3,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.event.EventCode;
@@ -56,8 +58,17 @@
         return submissions;
     }
 
-    /** Returns the final states under a prefix by job identifier and reports invalid ones. */
-    Map<String, JobState> ended(String prefix, Telemetry telemetry) {
+    /**
+     * Returns the final states under a prefix by job identifier and reports invalid ones. A state that a job can't have
+     * ended with, which an earlier version stored, is reported and left out.
+     *
+     * @param accepted valid submissions
+     */
+    Map<String, JobState> ended(String prefix, Collection<JobSubmission> accepted, Telemetry telemetry) {
+        Set<String> longRunning = accepted.stream()
+                .filter(JobSubmission::isLongRunning)
+                .map(JobSubmission::id)
+                .collect(Collectors.toSet());
         Map<String, JobState> states = new HashMap<>();
         for (PlatformStore.Entry entry : byPrefix.getOrDefault(prefix, List.of())) {
             String id = entry.key().substring(prefix.length());
@@ -65,7 +76,15 @@
             Arrays.stream(JobState.values())
                     .filter(state -> state.isFinal() && state.name().equals(name))
                     .findFirst()
-                    .ifPresentOrElse(state -> states.put(id, state), () -> addUnreadable(id, entry.key(), telemetry));
+                    .ifPresentOrElse(
+                            state -> {
+                                if (state == JobState.COMPLETED && longRunning.contains(id)) {
+                                    telemetry.event(EventCode.JOB_RESUMED, "job=" + id);
+                                } else {
+                                    states.put(id, state);
+                                }
+                            },
+                            () -> addUnreadable(id, entry.key(), telemetry));
         }
         return states;
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.JobNode;
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.StepSpec;
@@ -141,6 +142,55 @@
         assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
     }
 
+    /** Guards against a long-running job that is shown as completed and stays away, as an earlier version stored it so. */
+    @Test
+    public void jobStoredAsCompletedByEarlierVersionRunsOn() {
+        JobFleet fleet = fleetWithJobStoredAsCompleted();
+        fleet.runFor(8000);
+        assertAllRun(fleet);
+        for (JobNode node : List.of(fleet.readyNode(0), fleet.readyNode(1))) {
+            assertEquals(
+                    fleet.answerAfter(500, fleet.query(node, ID)),
+                    new JobAnswer.State(JobState.RUNNING),
+                    fleet.lastEvents());
+        }
+    }
+
+    /** Guards against a cancellation that is confirmed and not stored, as the job is stored as completed. */
+    @Test(dataProvider = "beforeTakeover")
+    public void jobStoredAsCompletedByEarlierVersionIsCancelled(boolean beforeTakeover) {
+        JobFleet fleet = fleetWithJobStoredAsCompleted();
+        fleet.runFor(beforeTakeover ? 0 : 8000);
+        assertEquals(fleet.answerAfter(1000, fleet.cancel(fleet.readyNode(0), ID)), new JobAnswer.Cancelled());
+        int starts = fleet.model.invariants().startCount();
+        fleet.runFor(8000);
+        assertEquals(fleet.model.activeRunCount(), 0, fleet.lastEvents());
+        assertEquals(fleet.model.invariants().startCount(), starts, fleet.lastEvents());
+        assertEquals(
+                fleet.answerAfter(500, fleet.query(fleet.readyNode(0), ID)), new JobAnswer.State(JobState.CANCELLED));
+    }
+
+    @DataProvider
+    public Object[][] beforeTakeover() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** Returns a fleet whose leader was killed after its version has stored the job as completed. */
+    private static JobFleet fleetWithJobStoredAsCompleted() {
+        JobFleet fleet = fleetWithJob();
+        fleet.killProcess(fleet.leader());
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, RunEndKind.DONE);
+        }
+        fleet.store.commit(Transaction.builder()
+                .put(
+                        "/basilswitch/test/jobs/ended/" + ID,
+                        JobState.COMPLETED.name().getBytes(StandardCharsets.UTF_8))
+                .delete("/basilswitch/test/progress/" + ID)
+                .build());
+        return fleet;
+    }
+
     private static void storeProgress(JobFleet fleet, String rows) {
         byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
         fleet.store.commit(Transaction.builder()
