Count each failed run once, by its number

A job failed before its attempts were used up, or got one attempt too many: - a copy's failure that one leader had stored counted again when the server reported it to the next leader; - a run that failed after a later one was not counted by a leader that did not know it as a copy; - a gang of which two members failed in one run had used up two attempts.

Cause: an item kept the number of failures and the last failed run. Neither tells whether an earlier run was counted, and the properties speculative (failures out of order) and gang (failures together) were not looked at. Records of earlier versions go on with their count.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AttemptLimits.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AttemptLimits.java
@@ -42,12 +42,12 @@
                 + (limit.isPresent() ? Integer.toString(limit.getAsInt()) : "unknown");
     }
 
-    /** Returns the number of failed runs of an item, or of all members of its gang. */
+    /** Returns the number of failed runs of an item, or of its gang. */
     private static int failures(WorkItem item) {
         return item.spec().gang()
-                ? item.job().stepOf(item.id()).stream()
-                        .mapToInt(WorkItem::failures)
-                        .sum()
+                ? FailedRuns.countOfGang(item.job().stepOf(item.id()).stream()
+                        .map(WorkItem::failedRuns)
+                        .toList())
                 : item.failures();
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ProgressRecord.java
@@ -43,6 +43,7 @@
      * @param holdMs time for which the next leader keeps the current run if its server does not answer, ms; 0 for the
      *     usual time. Records of earlier versions do not have it.
      * @param begun whether a server is known to have begun a run. Records of earlier versions do not have it.
+     * @param failedRuns numbers of the failed runs. Records of earlier versions do not have them.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record ItemRow(
@@ -57,13 +58,15 @@
             String serverId,
             long serverBornMs,
             long holdMs,
-            boolean begun) {
+            boolean begun,
+            List<Integer> failedRuns) {
 
         /** Throws {@link IllegalArgumentException} when the row can't be that of a started work item. */
         ItemRow {
             if (occurrence < 0 || step < 0 || index < 0 || lastRun < 1 || failures < 0 || checkpoint == null) {
                 throw new IllegalArgumentException("row of " + occurrence + "." + step + "." + index);
             }
+            failedRuns = failedRuns == null ? List.of() : List.copyOf(failedRuns);
         }
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -573,7 +573,7 @@
             return;
         }
         item.markBegun();
-        boolean copy = run.filter(item::endCopy).isPresent();
+        run.ifPresent(item::endCopy);
         boolean current = item.run().isPresent() && run.equals(item.run());
         boolean completes = end.kind() == ServerCommands.RunEndKind.DONE
                 && !item.isDone()
@@ -583,11 +583,7 @@
             supersedeRun(item);
         } else if (!current && item.run().isPresent()) {
             if (end.kind() == ServerCommands.RunEndKind.FAILED) {
-                if (copy) {
-                    item.countFailureOfCopy(tracked.incarnation().serverId());
-                } else {
-                    item.countFailure(end.run(), tracked.incarnation().serverId());
-                }
+                item.countFailure(end.run(), tracked.incarnation().serverId());
                 onFailure(tracked, item);
             }
             job.get().runAfterCommit(() -> tracked.markEndStored(end.number()));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -18,8 +18,7 @@
     private boolean done;
     private boolean begun;
     private int lastRun;
-    private int failures;
-    private int lastFailedRun;
+    private FailedRuns failedRuns = FailedRuns.none();
     private String checkpoint = "";
     private double durationMs;
     private int restarts;
@@ -59,7 +58,11 @@
     }
 
     int failures() {
-        return failures;
+        return failedRuns.count();
+    }
+
+    FailedRuns failedRuns() {
+        return failedRuns;
     }
 
     String checkpoint() {
@@ -136,19 +139,10 @@
         done |= newlyDone;
     }
 
-    /** Counts a failed run once, even if its end is reported again to a later leader. */
+    /** Counts a failed run, a copy or not, once, even if its end is reported again to a later leader. */
     void countFailure(int run, String serverId) {
         failedOnServers.add(serverId);
-        if (run > lastFailedRun) {
-            lastFailedRun = run;
-            failures++;
-        }
-    }
-
-    /** Counts the failure of a copy, whose run number does not show whether it was counted before. */
-    void countFailureOfCopy(String serverId) {
-        failedOnServers.add(serverId);
-        failures++;
+        failedRuns.add(run);
     }
 
     /** Records that a backend server has begun a run. */
@@ -176,13 +170,14 @@
                 id.index(),
                 done,
                 lastRun,
-                failures,
-                lastFailedRun,
+                failedRuns.count(),
+                failedRuns.last(),
                 checkpoint,
                 run.map(r -> r.incarnation().serverId()).orElse(null),
                 run.map(r -> r.incarnation().startedAtMs()).orElse(0L),
                 run.map(r -> r.hold().toMillis()).orElse(0L),
-                begun);
+                begun,
+                failedRuns.numbers());
     }
 
     void restore(ProgressRecord.ItemRow row) {
@@ -194,8 +189,7 @@
             markBegun();
         }
         lastRun = row.lastRun();
-        failures = row.failures();
-        lastFailedRun = row.lastFailedRun();
+        failedRuns = FailedRuns.of(row);
         checkpoint = row.checkpoint();
         if (!done && row.serverId() != null) {
             BackendServer.Incarnation incarnation = new BackendServer.Incarnation(row.serverId(), row.serverBornMs());
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/GangEndTest.java
@@ -0,0 +1,70 @@
+package org.basilswitch.standin.jobs;
+
+import java.util.List;
+
+import org.basilswitch.job.ItemId;
+import org.basilswitch.job.JobState;
+import org.basilswitch.job.StepSpec;
+import org.basilswitch.schedule.ServerCommands.RunEndKind;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Ends of gangs, whose members run, end and resume together. */
+final class GangEndTest {
+    private static final String ID = JobFleet.id(1);
+    private static final int MEMBERS = 2;
+    /** Processors of a member, of which a server has room for one, thousandths of a core. */
+    private static final long MEMBER_CPU_MILLIS = 40_000;
+
+    @DataProvider
+    public Object[][] leaders() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** Guards against a gang that is taken for failed early: the failures of two members of one run are one attempt. */
+    @Test(dataProvider = "leaders")
+    public void failuresOfMembersOfOneRunAreOneAttempt(boolean leaderReplaced) {
+        JobFleet fleet = fleetWith(4, JobFleet.gang(MEMBERS, MEMBER_CPU_MILLIS, 60_000));
+        for (int run = 1; run <= 2; run++) {
+            endAll(fleet, RunEndKind.FAILED);
+            fleet.runFor(2000);
+            assertAllRun(fleet, (run + 1) * MEMBERS);
+        }
+        if (leaderReplaced) {
+            fleet.replaceLeader();
+        }
+        endAll(fleet, RunEndKind.FAILED);
+        fleet.runFor(2000);
+        assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.FAILED, fleet.lastEvents());
+        assertEquals(fleet.model.invariants().startCount(), 3 * MEMBERS, fleet.lastEvents());
+    }
+
+    private static JobFleet fleetWith(int servers, StepSpec gang) {
+        JobFleet fleet = JobFleet.running(3, servers);
+        fleet.answerAfter(500, fleet.submit(fleet.leader(), ID, gang));
+        assertEquals(fleet.model.activeRunCount(), MEMBERS);
+        return fleet;
+    }
+
+    private static ItemId member(int index) {
+        return new ItemId(ID, 0, 0, index);
+    }
+
+    private static void endAll(JobFleet fleet, RunEndKind kind) {
+        for (int i = 0; i < MEMBERS; i++) {
+            fleet.model.server(fleet.serverOf(member(i))).endRun(member(i), kind);
+        }
+    }
+
+    private static void assertAllRun(JobFleet fleet, int starts) {
+        for (int i = 0; i < MEMBERS; i++) {
+            assertTrue(fleet.model.invariants().isRunning(member(i)), "member " + i + "\n" + fleet.lastEvents());
+        }
+        assertEquals(fleet.leader().jobState(ID).orElseThrow(), JobState.RUNNING);
+        assertEquals(fleet.model.invariants().startCount(), starts, fleet.lastEvents());
+        assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
+    }
+}
