Start the members of a gang with the same checkpoint

The members of a gang that resumed carried the checkpoint that each of them had reported last, and so different ones.

Cause: checkpointing was looked at for each work item and not for its gang. The latest value that any member reports is now that of all members, also where an earlier version has stored different ones.

GangEndTest.membersResumeFromTheSameCheckpoint (2 of 2) and membersStoredWithDifferentCheckpointsResumeFromTheSame failed without the fix.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/WorkItem.java
@@ -125,8 +125,14 @@
         return begun;
     }
 
+    /** Keeps the latest checkpoint; that of any member of a gang is valid for all, which have to resume from the same. */
     void saveCheckpoint(String value) {
-        if (!value.isEmpty()) {
+        if (value.isEmpty()) {
+            return;
+        }
+        if (spec.gang()) {
+            job.stepOf(id).forEach(member -> member.checkpoint = value);
+        } else {
             checkpoint = value;
         }
     }
@@ -190,7 +196,7 @@
         }
         lastRun = row.lastRun();
         failedRuns = FailedRuns.of(row);
-        checkpoint = row.checkpoint();
+        saveCheckpoint(row.checkpoint());
         if (!done && row.serverId() != null) {
             BackendServer.Incarnation incarnation = new BackendServer.Incarnation(row.serverId(), row.serverBornMs());
             beginRun(lastRun, incarnation, Run.Phase.RECOVERED).setHold(Duration.ofMillis(row.holdMs()));
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/GangEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/GangEndTest.java
@@ -1,11 +1,13 @@
 package org.basilswitch.standin.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.StepSpec;
 import org.basilswitch.schedule.ServerCommands.RunEndKind;
+import org.basilswitch.store.Transaction;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -24,6 +26,33 @@
         return new Object[][] {{false}, {true}};
     }
 
+    /** Guards against a gang whose members are started with different checkpoints, which none of them may have. */
+    @Test(dataProvider = "leaders")
+    public void membersResumeFromTheSameCheckpoint(boolean leaderReplaced) {
+        JobFleet fleet = fleetWith(4, JobFleet.gang(MEMBERS, MEMBER_CPU_MILLIS, 60_000));
+        for (int i = 0; i < MEMBERS; i++) {
+            fleet.model.server(fleet.serverOf(member(i))).saveCheckpoint(member(i), "saved by " + i);
+        }
+        fleet.runFor(2000);
+        endAll(fleet, RunEndKind.BROKEN);
+        if (leaderReplaced) {
+            fleet.replaceLeader();
+        }
+        fleet.runFor(2000);
+        assertAllRun(fleet, 2 * MEMBERS);
+    }
+
+    /** Guards against the same where an earlier version stored a checkpoint for each member. */
+    @Test
+    public void membersStoredWithDifferentCheckpointsResumeFromTheSame() {
+        JobFleet fleet = fleetWith(4, JobFleet.gang(MEMBERS, MEMBER_CPU_MILLIS, 60_000));
+        fleet.killProcess(fleet.leader());
+        endAll(fleet, RunEndKind.LAPSED);
+        storeProgress(fleet, "[0,0,0,false,1,0,0,\"saved by 0\",null,0,0],[0,0,1,false,1,0,0,\"saved by 1\",null,0,0]");
+        fleet.runFor(8000);
+        assertAllRun(fleet, 2 * MEMBERS);
+    }
+
     /** Guards against a gang that is taken for failed early: the failures of two members of one run are one attempt. */
     @Test(dataProvider = "leaders")
     public void failuresOfMembersOfOneRunAreOneAttempt(boolean leaderReplaced) {
@@ -59,6 +88,13 @@
         }
     }
 
+    private static void storeProgress(JobFleet fleet, String rows) {
+        byte[] record = ("{\"fence\":1,\"sequence\":1,\"items\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
+        fleet.store.commit(Transaction.builder()
+                .put("/basilswitch/test/progress/" + ID, record)
+                .build());
+    }
+
     private static void assertAllRun(JobFleet fleet, int starts) {
         for (int i = 0; i < MEMBERS; i++) {
             assertTrue(fleet.model.invariants().isRunning(member(i)), "member " + i + "\n" + fleet.lastEvents());
