Start no member of a gang when another one can't be started

When a server drained between the record of a gang's run and its start, the other members were started and waited alone for gangMs (rule GANG), on room that other work could use.

Cause: RunSupervisor.sendStart dropped only the run whose server had changed; the other members were ended only after a rejected start. Both paths now end the gang's run as a whole.

GangEndTest.noMemberIsStartedWhenServerOfAnotherOneDrains failed without the fix.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -209,6 +209,7 @@
                 || tracked.isEnded()
                 || leaseEnd.isEmpty()) {
             loseRun(run, "start conditions no longer met");
+            abandonGang(run);
             return;
         }
         run.setPhase(Run.Phase.START_SENT);
@@ -296,12 +297,26 @@
             case OLD_RUN, LEASE_PASSED -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
         }
         loseRun(run, "start rejected: " + reason);
-        if (run.item().spec().gang()) {
-            run.item().job().stepOf(run.id()).forEach(member -> member.run().ifPresent(this::stop));
-        }
+        abandonGang(run);
         wakeLeaseRenewer(tracked);
     }
 
+    /** Ends the other members' runs of a gang of which one member can't start. */
+    private void abandonGang(Run run) {
+        if (!run.item().spec().gang()) {
+            return;
+        }
+        for (WorkItem member : run.item().job().stepOf(run.id())) {
+            member.run().filter(other -> other.number() == run.number()).ifPresent(other -> {
+                if (other.phase() == Run.Phase.RECORDING) {
+                    loseRun(other, "another member of the gang can't start");
+                } else {
+                    stop(other);
+                }
+            });
+        }
+    }
+
     /** Has a new incarnation of a server reject starts that were sent to an earlier one and have no answer. */
     private void blockUnansweredStarts(TrackedServer tracked, BackendServer server) {
         unansweredStarts
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/GangEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/GangEndTest.java
@@ -1,6 +1,7 @@
 package org.basilswitch.standin.jobs;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -133,6 +134,20 @@
         assertEquals(fleet.model.invariants().startCount(), 3 * MEMBERS, fleet.lastEvents());
     }
 
+    /** Guards against members that wait alone because the server of another one drains before its start is sent. */
+    @Test
+    public void noMemberIsStartedWhenServerOfAnotherOneDrains() {
+        JobFleet fleet = JobFleet.running(1, MEMBERS);
+        fleet.clients.get(0).setOneWayDelay(Duration.ofMillis(400));
+        fleet.submit(fleet.leader(), ID, JobFleet.gang(MEMBERS, MEMBER_CPU_MILLIS, 60_000));
+        fleet.runFor(900);
+        assertEquals(fleet.model.invariants().startCount(), 0, fleet.lastEvents());
+        fleet.model.markDraining("s1");
+        fleet.runFor(3000);
+        assertTrue(fleet.events.stream().anyMatch(event -> event.contains("start conditions no longer met")));
+        assertEquals(fleet.model.activeRunCount(), 0, fleet.lastEvents());
+    }
+
     private static JobFleet fleetWith(int servers, StepSpec gang) {
         JobFleet fleet = JobFleet.running(3, servers);
         fleet.answerAfter(500, fleet.submit(fleet.leader(), ID, gang));
