Set the pace of work on spare capacity that an earlier leader has paused

Work that uses spare capacity and was paused when the leader changed stood still for good: its job never completed.

Cause: the next leader took every run to be at full pace, the default, and sent only changes. The pace of a recovered run is now unknown, as after a command without a result: it is set to full speed where the tail allows it, and paused near the target, as half of an unknown pace may be more than the pace itself. Reports don't tell the pace.

PaceControllerTest.runOfEarlierLeaderIsSetToFullSpeed and ...IsPausedNearTheTailTarget failed without the fix. The test's methods no longer share a server.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceController.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceController.java
@@ -83,12 +83,13 @@
     }
 
     private static int nextPercent(int percent, double tailRatio) {
-        if (tailRatio > PAUSE_ABOVE) {
-            return 0;
-        }
+        boolean known = percent != Run.UNKNOWN_PACE_PERCENT;
         if (tailRatio > SLOW_ABOVE) {
-            return percent / 2;
+            return known && tailRatio <= PAUSE_ABOVE ? percent / 2 : 0;
+        }
+        if (tailRatio < SPEED_UP_BELOW) {
+            return known ? Math.min(FULL_PERCENT, percent + STEP_PERCENT) : FULL_PERCENT;
         }
-        return tailRatio < SPEED_UP_BELOW ? Math.min(FULL_PERCENT, percent + STEP_PERCENT) : percent;
+        return percent;
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceSender.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceSender.java
@@ -8,12 +8,6 @@
 
 /** Sends the pace changes that the reports of servers require. */
 final class PaceSender {
-    /**
-     * Recorded pace of a run after a pace command without a confirmed result. It differs from any pace that is set, so
-     * the next change is sent.
-     */
-    private static final int UNKNOWN_PACE_PERCENT = 99;
-
     private final SchedulerContext context;
     private final long fencingToken;
     private final PaceController paceController = new PaceController();
@@ -40,7 +34,7 @@
         Completions.thenAcceptOrLog(call, context.telemetry(), "pace", result -> {
             if (!(result instanceof ServerCommands.Done)) {
                 context.telemetry().event(EventCode.PACE_FAILED, "run=" + run + " result=" + result);
-                run.setPacePercent(UNKNOWN_PACE_PERCENT);
+                run.setPacePercent(Run.UNKNOWN_PACE_PERCENT);
             }
         });
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -18,6 +18,10 @@
      */
     private static final Duration STALLED_AFTER = Duration.ofMillis(1000);
 
+    private static final int FULL_PACE_PERCENT = 100;
+    /** Pace of a run while it is not known: that of an earlier leader, or after a command without a result. */
+    static final int UNKNOWN_PACE_PERCENT = -1;
+
     private final WorkItem item;
     private final int number;
     private final BackendServer.Incarnation incarnation;
@@ -34,7 +38,7 @@
 
     private int progressSincePercent;
     private Optional<Double> percentPerMs = Optional.empty();
-    private int pacePercent = 100;
+    private int pacePercent;
     private boolean reported;
     private Duration hold = Duration.ZERO;
     private boolean stopping;
@@ -63,6 +67,7 @@
         this.incarnation = incarnation;
         this.phase = phase;
         this.recovered = phase == Phase.RECOVERED;
+        this.pacePercent = recovered ? UNKNOWN_PACE_PERCENT : FULL_PACE_PERCENT;
     }
 
     static Run create(WorkItem item, int number, BackendServer.Incarnation incarnation, Phase phase) {
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
@@ -7,6 +7,7 @@
 import org.basilswitch.job.JobSubmission;
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -15,8 +16,14 @@
     private static final long SECOND = 1_000_000_000L;
     private static final BackendServer.Incarnation INCARNATION = new BackendServer.Incarnation("s", 1);
 
-    private final TrackedServer server = new TrackedServer(INCARNATION, Optional.empty());
-    private final PaceController pace = new PaceController();
+    private TrackedServer server;
+    private PaceController pace;
+
+    @BeforeMethod
+    public void createServer() {
+        server = new TrackedServer(INCARNATION, Optional.empty());
+        pace = new PaceController();
+    }
 
     private static StepSpec step(long tailTargetMs, boolean usesSpareCapacity) {
         return new StepSpec(
@@ -39,10 +46,14 @@
     }
 
     private Run add(String job, StepSpec spec) {
+        return add(job, spec, Run.Phase.RUNNING);
+    }
+
+    private Run add(String job, StepSpec spec, Run.Phase phase) {
         ActiveJob active = new ActiveJob(new JobSubmission(job, "q", "", "", List.of(spec), null, 0), 1);
         active.createDueOccurrences(0);
         WorkItem item = active.item(new ItemId(job, 0, 0, 0));
-        Run run = item.beginRun(1, INCARNATION, Run.Phase.RUNNING);
+        Run run = item.beginRun(1, INCARNATION, phase);
         server.add(run);
         return run;
     }
@@ -70,4 +81,22 @@
         add("a", step(0, true));
         assertEquals(pace.changes(server, SECOND), List.of());
     }
+
+    /** Guards against work that stands still for good after an earlier leader has paused it. */
+    @Test
+    public void runOfEarlierLeaderIsSetToFullSpeed() {
+        Run recovered = add("a", step(0, true), Run.Phase.RECOVERED);
+        recovered.setPhase(Run.Phase.RUNNING);
+        assertEquals(pace.changes(server, SECOND), List.of(new PaceController.PaceChange(recovered, 100)));
+    }
+
+    /** Guards against speeding up work that an earlier leader has slowed down while the tail is near its target. */
+    @Test
+    public void runOfEarlierLeaderIsPausedNearTheTailTarget() {
+        Run serving = add("a", step(100, false));
+        Run recovered = add("b", step(0, true), Run.Phase.RECOVERED);
+        recovered.setPhase(Run.Phase.RUNNING);
+        serving.observe(100, 85, 0);
+        assertEquals(pace.changes(server, SECOND), List.of(new PaceController.PaceChange(recovered, 0)));
+    }
 }
