--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/EndedJobs.java
@@ -80,13 +80,16 @@
 
     /** Deletes the records of jobs whose retention has ended, a limited number at a time. */
     void deleteExpired() {
+        if (deleting) {
+            return;
+        }
         long beforeSteadyNanos = context.steadyClock().monotonicNanos()
                 - context.options().retention().toNanos();
         List<Ended> expired = byTime.stream()
                 .limit(JOBS_PER_COMMIT)
                 .takeWhile(ended -> ended.atSteadyNanos() <= beforeSteadyNanos)
                 .toList();
-        if (deleting || expired.isEmpty()) {
+        if (expired.isEmpty()) {
             return;
         }
         deleting = true;
