--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -41,7 +41,7 @@
     private final Owner owner;
     private final Map<BackendServer.Incarnation, LeaseRenewer> leaseRenewers = new HashMap<>();
     private final AttemptLimits attemptLimits;
-    private final FailureAttribution failureAttribution;
+    private final RunEnds runEnds;
     private final PaceSender paceSender;
     private final UnansweredStarts unansweredStarts = new UnansweredStarts(MAX_COMMAND_DELAY);
     private boolean closed;
@@ -85,7 +85,7 @@
         this.runRegistry = runRegistry;
         this.owner = owner;
         this.attemptLimits = new AttemptLimits(owner::maxAttempts);
-        this.failureAttribution = new FailureAttribution(context, runRegistry);
+        this.runEnds = new RunEnds(context, runRegistry, owner, attemptLimits, this::stop);
         this.paceSender = new PaceSender(context, fencingToken);
     }
 
@@ -524,7 +524,7 @@
         for (ServerCommands.RunEnd end : report.ended()) {
             if (tracked.addEnd(end.number())) {
                 placementChanged = true;
-                onRunEnd(tracked, end);
+                runEnds.onRunEnd(tracked, end);
             }
         }
         Set<TrackedServer.RunKey> listed = new HashSet<>();
@@ -578,110 +578,6 @@
         }
     }
 
-    private void onRunEnd(TrackedServer tracked, ServerCommands.RunEnd end) {
-        Optional<ActiveJob> job = owner.job(end.item().job());
-        WorkItem item = job.map(j -> j.item(end.item())).orElse(null);
-        Optional<Run> run = tracked.run(end.item(), end.run());
-        run.ifPresent(runRegistry::remove);
-        if (item == null) {
-            tracked.markEndStored(end.number());
-            return;
-        }
-        item.markBegun();
-        run.ifPresent(item::endCopy);
-        boolean current = item.run().isPresent() && run.equals(item.run());
-        boolean completes = end.kind() == ServerCommands.RunEndKind.DONE
-                && !item.isDone()
-                && !item.spec().longRunning();
-        if (!current && completes) {
-            // A copy, or a run that was taken for lost or that only an earlier leader followed, has completed the item.
-            supersedeRun(item);
-        } else if (!current && item.run().isPresent()) {
-            if (end.kind() == ServerCommands.RunEndKind.FAILED) {
-                item.countFailure(end.run(), tracked.incarnation().serverId());
-                onFailure(tracked, item);
-            }
-            job.get().runAfterCommit(() -> tracked.markEndStored(end.number()));
-            return;
-        }
-        if (!item.isDone()) {
-            applyRunEnd(tracked, item, end);
-        }
-        if (item.isDone()) {
-            item.copies().forEach(this::stop);
-        }
-        job.get().runAfterCommit(() -> tracked.markEndStored(end.number()));
-    }
-
-    /** Makes the current run of an item a copy, which is stopped later; a run that was not sent yet is dropped. */
-    private void supersedeRun(WorkItem item) {
-        item.run().filter(run -> run.phase() == Run.Phase.RECORDING).ifPresent(run -> {
-            runRegistry.remove(run);
-            item.endRun(false);
-        });
-        item.demoteRunToCopy();
-    }
-
-    private void applyRunEnd(TrackedServer tracked, WorkItem item, ServerCommands.RunEnd end) {
-        item.saveCheckpoint(end.checkpoint());
-        context.telemetry().count(CounterCode.RUNS_ENDED, end.kind().name());
-        switch (end.kind()) {
-            case DONE -> {
-                tracked.countSuccess(context.holderClock().monotonicNanos());
-                item.run().filter(run -> run.startedNanos() > 0).ifPresent(run -> {
-                    double tookMs = (context.holderClock().monotonicNanos() - run.startedNanos()) / 1e6;
-                    item.setDurationMs(tookMs);
-                    owner.onRunCompleted(item, tookMs);
-                });
-                item.endRun(true);
-                if (item.spec().gang()) {
-                    item.job().stepOf(item.id()).forEach(member -> endGangMember(member, end.run()));
-                }
-            }
-            case FAILED -> {
-                item.countFailure(end.run(), tracked.incarnation().serverId());
-                item.endRun(false);
-                onFailure(tracked, item);
-            }
-            case STOPPED, LAPSED, BROKEN, ALONE -> item.endRun(false);
-        }
-    }
-
-    /**
-     * Ends a gang member's part in a run of which one member is done; the members of a run end as done together. The
-     * member may be in a later run if this one was taken for lost.
-     */
-    private void endGangMember(WorkItem member, int number) {
-        Optional<Run> current = member.run();
-        if (current.filter(run -> run.number() != number).isEmpty()) {
-            current.ifPresent(runRegistry::remove);
-            member.endRun(true);
-        } else if (!member.spec().longRunning()) {
-            supersedeRun(member);
-            member.endRun(true);
-            member.copies().forEach(this::stop);
-        }
-    }
-
-    private void onFailure(TrackedServer tracked, WorkItem item) {
-        context.telemetry().event(EventCode.RUN_FAILED, "item=" + item.id() + " " + attemptLimits.describe(item));
-        failureAttribution.onFailure(tracked, item);
-        if (!item.job().isCancelled() && attemptLimits.isExhausted(item)) {
-            item.job().fail();
-            stopAll(item.job());
-        }
-    }
-
-    /** Decides whether jobs have failed of which a run failed while the configuration did not hold their queue. */
-    void decideDeferredFailures(Collection<ActiveJob> jobs) {
-        for (ActiveJob job : jobs) {
-            if (job.takeDeferredFailure() && job.isOpen() && attemptLimits.isExhausted(job)) {
-                job.fail();
-                stopAll(job);
-            }
-        }
-    }
-
     /**
      * Demotes the current run of a work item to a copy, so that the item can be started again; the first run that
      * completes counts.
@@ -692,6 +588,11 @@
         owner.schedulePlacement();
     }
 
+    /** Decides whether jobs have failed of which a run failed while the configuration did not hold their queue. */
+    void decideDeferredFailures(Collection<ActiveJob> jobs) {
+        runEnds.decideDeferredFailures(jobs);
+    }
+
     /** Stops all runs of a job, including copies. */
     void stopAll(ActiveJob job) {
         job.forEachRun(this::stop);
