Forward calls to the next leader from hosts that the store turns away with the former one

Callers of entry hosts that the store turned away together with the leader got 504 after 2.5 s, or 503, until the store took these hosts back, although the leader had handed over within a second.

Cause: such a host forwards its calls to the leader that it read last. The former leader, which can't read the store either, knew no successor and did not pass calls on. It now takes the host that it handed over to for the leader until it reads another one, and passes forwarded calls on to it; no other host does, so that calls don't go in circles.

LeadershipHandoverTest.callsAtHostsTurnedAwayWithTheLeaderReachTheNextOne failed without the fix: undecided at the former leader.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -33,6 +33,9 @@
     private final Set<String> cancelledJobs = new HashSet<>();
     private final Map<String, JobState> finalStates = new HashMap<>();
     private Optional<String> leader = Optional.empty();
+    /** Whether the leader is the host that this one has handed over to, and was not read from the store. */
+    private boolean handedOver;
+
     private Optional<PlatformStore.Watch> watch = Optional.empty();
     private boolean loaded;
     private boolean closed;
@@ -109,6 +112,7 @@
         finalStates.clear();
         Optional<String> previousLeader = leader;
         leader = Optional.empty();
+        handedOver = false;
         range.entries().forEach(this::applyPut);
         previousIds.stream()
                 .filter(id -> !queueByJobId.containsKey(id))
@@ -201,6 +205,7 @@
 
     private void setLeader(Optional<String> newLeader) {
         leader = newLeader;
+        handedOver = false;
         listener.onLeaderChanged(newLeader);
     }
 
@@ -214,6 +219,17 @@
         return leader;
     }
 
+    /** Records that this host has handed the leadership over; the store, which turns it away, may not tell it so. */
+    void onHandedOver(String nextLeader) {
+        leader = Optional.of(nextLeader);
+        handedOver = true;
+    }
+
+    /** Returns whether this host was the leader, and has handed over without a word of the store since. */
+    boolean hasHandedOver() {
+        return handedOver;
+    }
+
     /** Returns whether the record of a job is in this copy. */
     public boolean contains(String id) {
         return queueByJobId.containsKey(id);
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -108,7 +108,8 @@
                 dependencies.timers());
         this.directory = JobDirectory.open(
                 dependencies.store(), dependencies.keys(), dependencies.timers(), dependencies.telemetry(), this);
-        this.handover = new LeadershipHandover(dependencies, clock, leaderElector, this::stopScheduling);
+        this.handover = new LeadershipHandover(
+                dependencies, clock, leaderElector, this::stopScheduling, directory::onHandedOver);
         this.service = new JobService(this, dependencies, clock, configurationFollower, intake, directory);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -75,26 +75,35 @@
     public CompletionStage<JobAnswer> answer(JobCall call) {
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
-        CompletionStage<JobAnswer> decided = decide(
-                        new Request(call, deadlineNanos, states.otherLeader().isPresent()), 0)
-                .thenCompose(localAnswer -> isFinal(localAnswer)
-                        ? CompletableFuture.completedFuture(localAnswer)
-                        : forwardToLeader(call, localAnswer, deadlineNanos))
+        CompletionStage<JobAnswer> decided = decideOrForward(call, deadlineNanos)
                 .thenApply(answer -> isSubmissionOfStoredJob(call) ? WriteOutcomes.refusedToUndecided(answer) : answer);
         return withinTimeout(call, timeout, decided);
     }
 
+    private CompletionStage<JobAnswer> decideOrForward(JobCall call, long deadlineNanos) {
+        return decide(new Request(call, deadlineNanos, states.otherLeader().isPresent()), 0)
+                .thenCompose(localAnswer -> isFinal(localAnswer)
+                        ? CompletableFuture.completedFuture(localAnswer)
+                        : forwardToLeader(call, localAnswer, deadlineNanos));
+    }
+
     /** Returns whether a call submits a job that is stored, so that a refusal would deny a job that runs. */
     private boolean isSubmissionOfStoredJob(JobCall call) {
         return call.action() instanceof JobCall.Submit
                 && call.jobId().filter(directory::contains).isPresent();
     }
 
-    /** Answers a call that another entry host has forwarded; does not forward it again. */
+    /**
+     * Answers a call that another entry host has forwarded. It is forwarded again only by a former leader that the store
+     * turns away, to the host that it has handed over to: the other host may be turned away as well, and not know that one.
+     */
     CompletionStage<JobAnswer> answerForPeer(JobCall call) {
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
-        return withinTimeout(call, timeout, decide(new Request(call, deadlineNanos, false), 0));
+        CompletionStage<JobAnswer> decided = directory.hasHandedOver()
+                ? decideOrForward(call, deadlineNanos)
+                : decide(new Request(call, deadlineNanos, false), 0);
+        return withinTimeout(call, timeout, decided);
     }
 
     /** Returns whether an answer is final, so that the call need not be forwarded to the leader. */
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/LeadershipHandover.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.EventCode;
@@ -48,6 +49,7 @@
     private final Clock clock;
     private final LeaderElector leaderElector;
     private final Runnable stopScheduling;
+    private final Consumer<String> handedOverListener;
     /** Hosts that may take over; the one that was heard last comes last. */
     private final Set<String> candidates = new LinkedHashSet<>();
 
@@ -58,12 +60,22 @@
 
     private boolean closed;
 
+    /**
+     * Creates a handover.
+     *
+     * @param onHandedOver called with the address of the host that takes over, after this host has stopped acting
+     */
     LeadershipHandover(
-            JobNode.Dependencies dependencies, Clock clock, LeaderElector leaderElector, Runnable stopScheduling) {
+            JobNode.Dependencies dependencies,
+            Clock clock,
+            LeaderElector leaderElector,
+            Runnable stopScheduling,
+            Consumer<String> onHandedOver) {
         this.dependencies = dependencies;
         this.clock = clock;
         this.leaderElector = leaderElector;
         this.stopScheduling = stopScheduling;
+        this.handedOverListener = onHandedOver;
     }
 
     void start() {
@@ -130,6 +142,7 @@
         stopScheduling.run();
         dependencies.telemetry().event(EventCode.LEADERSHIP_HANDED_OVER, "fence=" + fencingToken + " host=" + host);
         leaderElector.abandon("handed over to " + host);
+        handedOverListener.accept(host);
         dependencies.schedulerClient().handOver(host, fencingToken);
     }
 
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LeadershipHandoverTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LeadershipHandoverTest.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobNode;
+import org.basilswitch.job.JobState;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -19,10 +21,14 @@
     private static final int MAX_GAP_MS = 1300;
 
     private static JobFleet busyFleet() {
-        JobFleet fleet = JobFleet.running(3, SERVERS);
+        return busyFleet(3);
+    }
+
+    private static JobFleet busyFleet(int nodes) {
+        JobFleet fleet = JobFleet.running(nodes, SERVERS);
         for (int i = 1; i <= 12; i++) {
             fleet.submit(
-                    fleet.nodes.get(i % 3),
+                    fleet.nodes.get(i % nodes),
                     JobFleet.id(i),
                     JobFleet.step(4, 2000, 1500),
                     JobFleet.step(4, 2000, 1500, 0));
@@ -76,6 +82,31 @@
         assertEquals(slow, List.of());
     }
 
+    /**
+     * Guards against calls that are left undecided for seconds at the former leader, and at a host that the store turns
+     * away as well and that does not know the next leader.
+     */
+    @Test
+    public void callsAtHostsTurnedAwayWithTheLeaderReachTheNextOne() {
+        JobFleet fleet = busyFleet(4);
+        JobNode former = fleet.leader();
+        JobNode other =
+                fleet.nodes.stream().filter(node -> node != former).findFirst().orElseThrow();
+        cutFromStore(fleet, former);
+        cutFromStore(fleet, other);
+        msUntilOtherLeader(fleet, former);
+        fleet.runFor(300);
+        for (JobNode node : List.of(former, other)) {
+            String id = JobFleet.id(100 + fleet.nodes.indexOf(node));
+            assertEquals(
+                    fleet.answerAfter(1100, fleet.submit(node, id, JobFleet.step(1, 1000, 5000))),
+                    new JobAnswer.Accepted(),
+                    fleet.lastEvents());
+            assertEquals(fleet.answerAfter(1100, fleet.query(node, id)), new JobAnswer.State(JobState.RUNNING));
+            assertEquals(fleet.answerAfter(1100, fleet.cancel(node, id)), new JobAnswer.Cancelled());
+        }
+    }
+
     /** Guards against a leader that gives up while the store serves nobody, when leases would lapse sooner. */
     @Test
     public void leaderStaysWhileStoreServesNobody() {
