Look for started items only of steps after long-running ones

A step that was not ready was searched for started items in each placement round, where only those after a long-running step can have any.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ActiveJob.java
@@ -141,14 +141,18 @@
 
     private static boolean isReady(List<List<WorkItem>> steps, List<WorkItem> step) {
         for (int earlier : step.get(0).spec().after()) {
-            if (!isDone(steps.get(earlier))) {
-                // Earlier versions took long-running steps for done, and started the steps after them.
-                return step.stream().anyMatch(WorkItem::isStarted);
+            if (!isDone(steps.get(earlier)) && !wasTakenForDone(steps.get(earlier), step)) {
+                return false;
             }
         }
         return true;
     }
 
+    /** Returns whether an earlier version took a long-running step for done and started a step after it. */
+    private static boolean wasTakenForDone(List<WorkItem> earlier, List<WorkItem> step) {
+        return earlier.get(0).spec().longRunning() && step.stream().anyMatch(WorkItem::isStarted);
+    }
+
     /** Returns all work items of the occurrences created so far. */
     List<WorkItem> items() {
         return Collections.unmodifiableList(items);
