--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -225,6 +225,11 @@
         return activeRuns.get(item).pacePercent;
     }
 
+    /** Returns the checkpoint that the active run of a work item was started with, or has reported since. */
+    public String checkpoint(ItemId item) {
+        return activeRuns.get(item).checkpoint;
+    }
+
     /** Has the active run of a work item report a checkpoint from now on. */
     public void saveCheckpoint(ItemId item, String checkpoint) {
         activeRuns.get(item).checkpoint = checkpoint;
