Take only recovered work on spare capacity for work at an unknown pace

Since the progress of every recovered run no longer told whether its server is slow, as that of work at a reduced pace does not: after a change of leader slow servers were found by new runs only.

PaceControllerTest.otherRunsOfEarlierLeaderAreAtFullSpeed.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -67,7 +67,7 @@
         this.incarnation = incarnation;
         this.phase = phase;
         this.recovered = phase == Phase.RECOVERED;
-        this.pacePercent = recovered ? UNKNOWN_PACE_PERCENT : FULL_PACE_PERCENT;
+        this.pacePercent = recovered && item.spec().usesSpareCapacity() ? UNKNOWN_PACE_PERCENT : FULL_PACE_PERCENT;
     }
 
     static Run create(WorkItem item, int number, BackendServer.Incarnation incarnation, Phase phase) {
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
@@ -99,4 +99,10 @@
         serving.observe(100, 85, 0);
         assertEquals(pace.changes(server, SECOND), List.of(new PaceController.PaceChange(recovered, 0)));
     }
+
+    /** Guards against recovered work that no longer shows whether its server is slow, as work at a reduced pace does not. */
+    @Test
+    public void otherRunsOfEarlierLeaderAreAtFullSpeed() {
+        assertEquals(add("a", step(100, false), Run.Phase.RECOVERED).pacePercent(), 100);
+    }
 }
