--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobDirectory.java
@@ -219,13 +219,13 @@
         return leader;
     }
 
-    /** Records that this host has handed the leadership over; the store, which turns it away, may not tell it so. */
+    /** Records which host this one has handed the leadership to, as a store that turns this host away does not tell it. */
     void onHandedOver(String nextLeader) {
         leader = Optional.of(nextLeader);
         handedOver = true;
     }
 
-    /** Returns whether this host was the leader, and has handed over without a word of the store since. */
+    /** Returns whether this host has handed over the leadership and has not read a leader from the store since. */
     boolean hasHandedOver() {
         return handedOver;
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -429,7 +429,7 @@
                         "server=" + tracked.incarnation().serverId() + " " + reason);
         for (Run run : tracked.runs()) {
             if (next.isPresent() && mayRunOnNextIncarnation(run)) {
-                blockOnNextIncarnation(run, next.get());
+                moveToNextIncarnation(run, next.get());
             } else {
                 loseRun(run, reason);
             }
@@ -465,7 +465,7 @@
      * lease end that the command names on the earlier clock does not limit the lease. Its first report decides: a listed
      * run continues, a missing one is stopped, so that a start that arrives later is rejected.
      */
-    private void blockOnNextIncarnation(Run run, BackendServer.Incarnation next) {
+    private void moveToNextIncarnation(Run run, BackendServer.Incarnation next) {
         runRegistry.remove(run);
         if (run.item().run().filter(run::equals).isEmpty()) {
             return;
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LongRunningEndTest.java
@@ -40,13 +40,7 @@
     @Test(dataProvider = "ends")
     public void itemsAreStartedAgainHoweverTheyEnd(RunEndKind kind, boolean leaderReplaced) {
         JobFleet fleet = fleetWithJob();
-        for (int i = 0; i < ITEMS; i++) {
-            end(fleet, i, kind);
-        }
-        if (leaderReplaced) {
-            fleet.replaceLeader();
-        }
-        fleet.runFor(3000);
+        endAll(fleet, kind, leaderReplaced);
         assertAllRun(fleet);
         assertEquals(fleet.model.invariants().startCount(), 2 * ITEMS);
     }
@@ -85,13 +79,7 @@
     public void itemsOfCancelledJobAreNotStartedAgain(RunEndKind kind, boolean leaderReplaced) {
         JobFleet fleet = fleetWithJob();
         fleet.answerAfter(20, fleet.cancel(fleet.leader(), ID));
-        for (int i = 0; i < ITEMS; i++) {
-            end(fleet, i, kind);
-        }
-        if (leaderReplaced) {
-            fleet.replaceLeader();
-        }
-        fleet.runFor(3000);
+        endAll(fleet, kind, leaderReplaced);
         assertEquals(fleet.model.invariants().startCount(), ITEMS, fleet.lastEvents());
         assertEquals(fleet.answerAfter(500, fleet.query(fleet.leader(), ID)), new JobAnswer.State(JobState.CANCELLED));
     }
@@ -113,13 +101,7 @@
     @Test(dataProvider = "ends")
     public void stepAfterLongRunningOneIsNotStarted(RunEndKind kind, boolean leaderReplaced) {
         JobFleet fleet = fleetWith(JobFleet.longRunning(ITEMS, 30_000, 0), JobFleet.step(2, 1000, 100, 0));
-        for (int i = 0; i < ITEMS; i++) {
-            end(fleet, i, kind);
-        }
-        if (leaderReplaced) {
-            fleet.replaceLeader();
-        }
-        fleet.runFor(3000);
+        endAll(fleet, kind, leaderReplaced);
         assertAllRun(fleet);
         assertEquals(fleet.model.invariants().startCount(), 2 * ITEMS, fleet.lastEvents());
     }
@@ -220,6 +202,16 @@
         }
     }
 
+    private static void endAll(JobFleet fleet, RunEndKind kind, boolean leaderReplaced) {
+        for (int i = 0; i < ITEMS; i++) {
+            end(fleet, i, kind);
+        }
+        if (leaderReplaced) {
+            fleet.replaceLeader();
+        }
+        fleet.runFor(3000);
+    }
+
     private static void assertAllRun(JobFleet fleet) {
         for (int i = 0; i < ITEMS; i++) {
             assertTrue(fleet.model.invariants().isRunning(item(i)), "item " + i + "\n" + fleet.lastEvents());
