--- a/review/second/Nodes.java
+++ b/review/second/Nodes.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -13,9 +14,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Entry hosts, started as separate processes with the command of the deploy file. */
 final class Nodes implements AutoCloseable {
+    private static final int MIN_PORT = 12_000;
+    private static final int MAX_PORT = 30_000;
+
     private final Path folder;
     private final List<Process> processes = new ArrayList<>();
     private final List<Integer> frontendPorts = new ArrayList<>();
@@ -75,15 +80,17 @@
         internalPorts.add(ports[2]);
     }
 
+    /** Returns four ports in a row that are free, below those that the system gives to outgoing connections. */
     private static int[] freePorts() throws IOException {
         while (true) {
-            try (ServerSocket a = open(0);
-                    ServerSocket b = open(0);
-                    ServerSocket c = open(0);
-                    ServerSocket d = open(c.getLocalPort() + 1)) {
-                return new int[] {a.getLocalPort(), b.getLocalPort(), c.getLocalPort()};
-            } catch (IOException e) {
-                // The port after the third one is in use.
+            int first = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket a = open(first);
+                    ServerSocket b = open(first + 1);
+                    ServerSocket c = open(first + 2);
+                    ServerSocket d = open(first + 3)) {
+                return new int[] {first, first + 1, first + 2};
+            } catch (BindException e) {
+                // One of them is in use.
             }
         }
     }
