--- a/review/second/HeldUpOrders.java
+++ b/review/second/HeldUpOrders.java
@@ -12,15 +12,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The machine that leads is cut off from the platform for 5.5 s, up to five times. Orders for machines that it has sent
+ * The machine that leads is cut off from the platform for 5.5 s, up to seven times. Orders for machines that it has sent
  * on open channels are held up and arrive after the next leader's orders for the same machines.
  */
 public final class HeldUpOrders {
     private static final int HOSTS = 6;
     private static final int MACHINES = 14;
-    private static final int CUTS = 5;
+    private static final int CUTS = 7;
     private static final long CUT_MS = 5500;
-    private static final long CALM_MS = 8000;
+    private static final long CALM_MS = 4000;
     /** Time from the start of a peak of demand to the cut; the peak is over and machines are about to be given back. */
     private static final long PEAK_TO_CUT_MS = 2300;
 
