Wait for the longest lease that the next incarnation of a server may have taken

Cause: the renewal for the ended incarnation was carried out by the next one, whose clock starts anew, so that the lease end was only limited by the longest lease. Its answer counted as proof of the shorter lease that was meant. The answer to a start, which does not name its incarnation, counted the same.

LeaseGrants now keeps what each incarnation was sent and what the next one may have taken. Servers without runs are sent no lease end. Stand-in servers limit a lease to the longest one, as the platform's do.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -58,7 +58,7 @@
     private final Consumer<String> leadershipLostListener;
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final EndedJobs endedJobs;
-    private final RunRegistry runRegistry = new RunRegistry();
+    private final RunRegistry runRegistry;
     private final RunSupervisor runSupervisor;
     private final ProgressWriter progressWriter;
     private final HostOperations hostOperations;
@@ -87,6 +87,7 @@
         this.fencingToken = fencingToken;
         this.isLeaderFor = isLeaderFor;
         this.leadershipLostListener = onLost;
+        this.runRegistry = new RunRegistry(context.options().maxLease());
         this.runSupervisor = new RunSupervisor(context, fencingToken, runRegistry, this);
         this.endedJobs = new EndedJobs(context, fencingToken);
         this.ticketCache = new TicketCache(context, this::schedulePlacement);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -51,7 +51,11 @@
     /** Receives the result of each call. */
     interface Listener {
         /** Handles the result of a call that was sent at a monotonic time. */
-        void onRenewalResult(TrackedServer tracked, long sentNanos, ServerCommands.RenewalResult result);
+        void onRenewalResult(
+                TrackedServer tracked,
+                long sentNanos,
+                ServerCommands.LeaseRenewal command,
+                ServerCommands.RenewalResult result);
     }
 
     LeaseRenewer(
@@ -106,12 +110,14 @@
                 ? Duration.ZERO
                 : PaceController.isShared(tracked) ? SHARED_WAIT : MAX_WAIT;
         // After an unanswered call the lease is not extended, so that its end is known while the server stays silent. A
-        // leader whose leadership has expired does not extend it either, as the next leader waits for its end.
-        Optional<Long> leaseEnd = lastCallUnanswered || !mayExtend.getAsBoolean()
+        // leader whose leadership has expired does not extend it either, as the next leader waits for its end. Without
+        // runs there is nothing to extend, and the next incarnation of the server could take the lease for its own
+        // runs.
+        Optional<Long> leaseEnd = lastCallUnanswered || !tracked.hasRuns() || !mayExtend.getAsBoolean()
                 ? Optional.empty()
                 : tracked.leaseEnd(lease, steadyClock.monotonicNanos());
         if (leaseEnd.isPresent()) {
-            tracked.grantSent(steadyClock.monotonicNanos());
+            tracked.leaseGrants().renewalSent(steadyClock.monotonicNanos());
         }
         ServerCommands.LeaseRenewal command = new ServerCommands.LeaseRenewal(
                 leaseEnd, tracked.lastStoredEnd(), lastCallUnanswered ? Duration.ZERO : wait);
@@ -126,7 +132,7 @@
     private void onFailure() {
         calling = false;
         lastCallUnanswered = true;
-        tracked.grantUnanswered();
+        tracked.leaseGrants().renewalUnanswered();
         if (!closed && !tracked.isEnded()) {
             timer.ifPresent(Scheduler.Timer::cancel);
             timer = Optional.of(scheduler.schedule(RETRY_INTERVAL, this::send));
@@ -137,14 +143,14 @@
         calling = false;
         lastCallUnanswered = result instanceof ServerCommands.RenewalUnanswered;
         if (lastCallUnanswered) {
-            tracked.grantUnanswered();
+            tracked.leaseGrants().renewalUnanswered();
         } else {
-            tracked.grantAnswered();
+            tracked.leaseGrants().renewalAnswered();
         }
         if (closed) {
             return;
         }
-        listener.onRenewalResult(tracked, sentNanos, result);
+        listener.onRenewalResult(tracked, sentNanos, command, result);
         if (closed || tracked.isEnded()) {
             return;
         }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
@@ -1,5 +1,6 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -13,6 +14,12 @@
     private final Map<BackendServer.Incarnation, TrackedServer> servers = new LinkedHashMap<>();
     private final Map<String, TrackedServer> listedServers = new HashMap<>();
     private final Map<String, Resources> teamUsage = new HashMap<>();
+    private final Duration maxLease;
+
+    /** Creates an empty registry of servers that grant leases up to the given length. */
+    RunRegistry(Duration maxLease) {
+        this.maxLease = maxLease;
+    }
 
     Collection<TrackedServer> servers() {
         return servers.values();
@@ -24,7 +31,7 @@
 
     /** Returns a server incarnation, and adds it without a listing if it is not tracked yet. */
     TrackedServer getOrCreateServer(BackendServer.Incarnation incarnation) {
-        return servers.computeIfAbsent(incarnation, key -> new TrackedServer(key, Optional.empty()));
+        return servers.computeIfAbsent(incarnation, key -> new TrackedServer(key, Optional.empty(), maxLease));
     }
 
     /** Returns the server incarnation that is listed under an identifier and has not ended. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -32,8 +32,6 @@
      * servers.
      */
     private static final Duration UNHEALTHY_PAUSE = Duration.ofMillis(1000);
-    /** Time within which a command without an answer may still be carried out; the platform speaks of seconds. */
-    private static final Duration MAX_COMMAND_DELAY = Duration.ofSeconds(12);
 
     private final SchedulerContext context;
     private final long fencingToken;
@@ -43,7 +41,7 @@
     private final AttemptLimits attemptLimits;
     private final RunEnds runEnds;
     private final PaceSender paceSender;
-    private final UnansweredStarts unansweredStarts = new UnansweredStarts(MAX_COMMAND_DELAY);
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts(LeaseGrants.MAX_CALL_DELAY);
     private boolean closed;
 
     /** Scheduler that the runs belong to. */
@@ -142,7 +140,7 @@
         long nowSteadyNanos = context.steadyClock().monotonicNanos();
         for (TrackedServer tracked : new ArrayList<>(runRegistry.servers())) {
             boolean silent = !tracked.answeredWithin(context.options().lease(), nowNanos);
-            if (silent && nowSteadyNanos > tracked.leaseExpirySteadyNanos()) {
+            if (silent && nowSteadyNanos > tracked.leaseGrants().expiryNanos()) {
                 for (Run run : tracked.runs()) {
                     if (run.phase() != Run.Phase.RECORDING) {
                         loseRun(run, "lease expired " + leaseDetail(tracked, nowNanos, nowSteadyNanos));
@@ -151,7 +149,7 @@
                 if (tracked.listing().isEmpty() && tracked.runs().isEmpty()) {
                     closeLeaseRenewer(tracked);
                     // The next incarnation has to know of commands that it may still carry out.
-                    if (delayedGrantExpiry(tracked).orElse(nowSteadyNanos) <= nowSteadyNanos) {
+                    if (tracked.leaseGrants().expiryOnNextNanos(nowSteadyNanos).isEmpty()) {
                         runRegistry.removeServer(tracked);
                     }
                 }
@@ -163,7 +161,8 @@
         String reportAgeMs = tracked.reportAge(nowNanos)
                 .map(age -> Long.toString(age.toMillis()))
                 .orElse("none");
-        Duration overdue = Duration.ofNanos(nowSteadyNanos - tracked.leaseExpirySteadyNanos());
+        Duration overdue =
+                Duration.ofNanos(nowSteadyNanos - tracked.leaseGrants().expiryNanos());
         return "reportAgeMs=" + reportAgeMs + " overdueMs=" + overdue.toMillis();
     }
 
@@ -176,19 +175,10 @@
         Optional.ofNullable(leaseRenewers.remove(tracked.incarnation())).ifPresent(LeaseRenewer::close);
     }
 
-    /**
-     * Returns the steady time until which runs of the next incarnation may last because of a command for this one that
-     * was not answered.
-     */
-    private Optional<Long> delayedGrantExpiry(TrackedServer tracked) {
-        return tracked.lastGrantThatMayBeDelayed()
-                .map(sentNanos -> sentNanos + maxDelayedRun().toNanos());
-    }
-
     /** Creates a run whose start command is sent after its record is stored. */
     void beginRun(WorkItem item, TrackedServer server, int number) {
         Run run = item.beginRun(number, server.incarnation(), Run.Phase.RECORDING);
-        run.setHold(server.delayedGrantHold(context.steadyClock().monotonicNanos()));
+        run.setHold(server.leaseGrants().inheritedHold(context.steadyClock().monotonicNanos()));
         run.setRack(server.listing().flatMap(BackendServer::rack));
         runRegistry.add(run);
         item.job().runAfterCommit(() -> sendStart(run));
@@ -231,8 +221,8 @@
                 context.telemetry(),
                 "start",
                 result -> {
+                    recordLeaseOfStart(tracked, sentSteadyNanos, result);
                     if (result instanceof ServerCommands.NoAnswer) {
-                        tracked.grantUnanswered(sentSteadyNanos);
                         unansweredStarts.add(
                                 tracked.incarnation().serverId(),
                                 new UnansweredStarts.Start(run.id(), run.number(), sentSteadyNanos));
@@ -241,6 +231,26 @@
                 });
     }
 
+    private void recordLeaseOfStart(TrackedServer tracked, long sentSteadyNanos, ServerCommands.CommandResult result) {
+        if (result instanceof ServerCommands.NoAnswer) {
+            tracked.leaseGrants().startUnanswered(sentSteadyNanos);
+        } else if (result instanceof ServerCommands.Done
+                || result instanceof ServerCommands.Rejected rejected && takesLease(rejected.reason())) {
+            tracked.leaseGrants()
+                    .startAnswered(
+                            context.steadyClock().monotonicNanos(),
+                            context.holderClock().monotonicNanos());
+        }
+    }
+
+    /** Returns whether a server takes the lease end of a start that it rejects for this reason. */
+    private static boolean takesLease(ServerCommands.Reason reason) {
+        return switch (reason) {
+            case OLD_RUN, NO_ROOM -> true;
+            case FENCED, LEASE_PASSED, NO_TICKET, UNHEALTHY, OTHER_LIFETIME, UNREACHABLE, INVALID -> false;
+        };
+    }
+
     private void onStarted(Run run, TrackedServer tracked, ServerCommands.CommandResult result) {
         if (closed) {
             return;
@@ -283,7 +293,7 @@
                     context.serverCommands().renewLease(server, fencingToken, query),
                     context.telemetry(),
                     "look",
-                    result -> onRenewalResult(tracked, sentNanos, result));
+                    result -> onRenewalResult(tracked, sentNanos, query, result));
         });
     }
 
@@ -418,7 +428,7 @@
      * @param next the incarnation that replaced it under the same identifier, if any
      */
     private void endIncarnation(TrackedServer tracked, Optional<BackendServer.Incarnation> next, String reason) {
-        next.ifPresent(incarnation -> expectDelayedGrants(tracked, incarnation));
+        next.ifPresent(incarnation -> passOnLeases(tracked, incarnation));
         if (tracked.isEnded()) {
             return;
         }
@@ -439,15 +449,12 @@
         }
     }
 
-    /** Passes on to the next incarnation which commands for this one may still be carried out. */
-    private void expectDelayedGrants(TrackedServer tracked, BackendServer.Incarnation next) {
-        long nowSteadyNanos = context.steadyClock().monotonicNanos();
-        long expirySteadyNanos = Math.max(
-                delayedGrantExpiry(tracked).orElse(nowSteadyNanos),
-                nowSteadyNanos + tracked.delayedGrantHold(nowSteadyNanos).toNanos());
-        if (expirySteadyNanos > nowSteadyNanos) {
-            runRegistry.getOrCreateServer(next).expectDelayedGrant(expirySteadyNanos);
-        }
+    /** Passes on to the next incarnation how long it may hold runs because of calls for this one. */
+    private void passOnLeases(TrackedServer tracked, BackendServer.Incarnation next) {
+        tracked.leaseGrants()
+                .expiryOnNextNanos(context.steadyClock().monotonicNanos())
+                .ifPresent(expiryNanos ->
+                        runRegistry.getOrCreateServer(next).leaseGrants().inherit(expiryNanos));
     }
 
     /** Returns whether the next incarnation may carry out the start command of this run, or has already done so. */
@@ -473,11 +480,11 @@
         Run.Phase phase = run.phase() == Run.Phase.RECOVERED ? Run.Phase.RECOVERED : Run.Phase.UNCONFIRMED;
         Run moved = run.item().beginRun(run.number(), next, phase);
         runRegistry.add(moved);
-        runRegistry
-                .getOrCreateServer(next)
-                .expectDelayedGrant(
-                        context.steadyClock().monotonicNanos() + maxDelayedRun().toNanos());
-        moved.setHold(maxDelayedRun());
+        LeaseGrants grants = runRegistry.getOrCreateServer(next).leaseGrants();
+        // An answered start was carried out, by this or the next incarnation; any other may be carried out late.
+        Duration hold = run.phase() == Run.Phase.RUNNING ? grants.maxRun() : grants.maxDelayedRun();
+        grants.inherit(context.steadyClock().monotonicNanos() + hold.toNanos());
+        moved.setHold(hold);
         run.item().job().markDirty();
         if (phase == Run.Phase.UNCONFIRMED) {
             moved.markUnconfirmed(context.holderClock().monotonicNanos());
@@ -488,18 +495,16 @@
         owner.schedulePlacement();
     }
 
-    /** Returns the time after which a run whose start command is delayed has ended, on a server whose clock is slow. */
-    private Duration maxDelayedRun() {
-        double maxLeaseNanos = context.options().maxLease().toNanos() / TrackedServer.SLOWEST_CLOCK_RATE;
-        return MAX_COMMAND_DELAY.plusNanos((long) maxLeaseNanos);
-    }
-
-    private void onRenewalResult(TrackedServer tracked, long sentNanos, ServerCommands.RenewalResult result) {
+    private void onRenewalResult(
+            TrackedServer tracked,
+            long sentNanos,
+            ServerCommands.LeaseRenewal command,
+            ServerCommands.RenewalResult result) {
         if (closed) {
             return;
         }
         switch (result) {
-            case ServerCommands.Report report -> onReport(tracked, sentNanos, report);
+            case ServerCommands.Report report -> onReport(tracked, sentNanos, command, report);
             case ServerCommands.RenewalRejected rejected -> {
                 if (rejected.reason() == ServerCommands.Reason.FENCED) {
                     owner.leadershipLost("a backend server has seen a higher fencing token");
@@ -514,14 +519,22 @@
         }
     }
 
-    private void onReport(TrackedServer tracked, long sentNanos, ServerCommands.Report report) {
+    private void onReport(
+            TrackedServer tracked, long sentNanos, ServerCommands.LeaseRenewal command, ServerCommands.Report report) {
         if (report.startedAtMs() != tracked.incarnation().startedAtMs()) {
             BackendServer.Incarnation next =
                     new BackendServer.Incarnation(tracked.incarnation().serverId(), report.startedAtMs());
+            if (command.leaseEndMs().isPresent()) {
+                // The next incarnation has taken the lease end, which is named on the clock of this one.
+                LeaseGrants grants = runRegistry.getOrCreateServer(next).leaseGrants();
+                grants.inherit(
+                        context.steadyClock().monotonicNanos() + grants.maxRun().toNanos());
+            }
             endIncarnation(tracked, Optional.of(next), "report of an incarnation started at " + report.startedAtMs());
             return;
         }
         long nowNanos = context.holderClock().monotonicNanos();
+        tracked.leaseGrants().reported(sentNanos);
         boolean placementChanged = !tracked.answeredWithin(TrackedServer.MAX_ANSWER_AGE, nowNanos);
         tracked.recordClock(report.clockMs(), nowNanos, context.steadyClock().monotonicNanos());
         context.plannedTime().observe(tracked.incarnation(), report.clockMs());
@@ -611,9 +624,9 @@
         job.forEachRun(run -> {
             runRegistry.add(run);
             TrackedServer server = runRegistry.getOrCreateServer(run.incarnation());
-            server.extendLeaseExpiry(leaseExpirySteadyNanos);
-            server.extendLeaseExpiry(
-                    context.steadyClock().monotonicNanos() + run.hold().toNanos());
+            server.leaseGrants().extendExpiry(leaseExpirySteadyNanos);
+            server.leaseGrants()
+                    .inherit(context.steadyClock().monotonicNanos() + run.hold().toNanos());
         });
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
@@ -23,9 +23,6 @@
      */
     static final Duration MAX_ANSWER_AGE = Duration.ofMillis(1900);
 
-    /** Lowest rate of a server's clock: it may be 2 % slow, which makes a lease last longer by as much. */
-    static final double SLOWEST_CLOCK_RATE = 0.98;
-
     /** Maximum number of doublings, which keeps the shift within its range; the maximum pause is reached earlier. */
     private static final int MAX_DOUBLINGS = 8;
 
@@ -37,10 +34,7 @@
     private boolean clockKnown;
     private long clockMs;
     private long clockReadSteadyNanos;
-    private long leaseExpirySteadyNanos;
-    private Optional<Long> grantInFlightSteadyNanos = Optional.empty();
-    private Optional<Long> unansweredGrantSteadyNanos = Optional.empty();
-    private long delayedGrantExpirySteadyNanos = Long.MIN_VALUE;
+    private final LeaseGrants leaseGrants;
     private long lastEnd;
     private long lastReportNanos = Long.MIN_VALUE;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -56,9 +50,15 @@
     /** Key of a run on this server. */
     record RunKey(ItemId item, int run) {}
 
-    TrackedServer(BackendServer.Incarnation incarnation, Optional<BackendServer> listing) {
+    /**
+     * Creates a server without runs.
+     *
+     * @param maxLease longest lease that the server grants
+     */
+    TrackedServer(BackendServer.Incarnation incarnation, Optional<BackendServer> listing, Duration maxLease) {
         this.incarnation = incarnation;
         this.listing = listing;
+        this.leaseGrants = LeaseGrants.none(maxLease);
     }
 
     BackendServer.Incarnation incarnation() {
@@ -149,62 +149,14 @@
         }
         long sinceReadMs = (nowSteadyNanos - clockReadSteadyNanos) / NANOS_PER_MS;
         long endMs = clockMs + sinceReadMs + lease.toMillis();
-        long longestMs = (long) Math.ceil((endMs - clockMs) / SLOWEST_CLOCK_RATE);
-        extendLeaseExpiry(clockReadSteadyNanos + longestMs * NANOS_PER_MS);
+        Duration longest = LeaseGrants.onSlowestClock(Duration.ofMillis(endMs - clockMs));
+        leaseGrants.extendExpiry(clockReadSteadyNanos + longest.toNanos());
         return Optional.of(endMs);
     }
 
-    /** Returns the steady time from which no run of this incarnation is in progress, unless its lease is extended. */
-    long leaseExpirySteadyNanos() {
-        return leaseExpirySteadyNanos;
-    }
-
-    /** Extends the lease expiry to a steady time; an earlier time has no effect. */
-    void extendLeaseExpiry(long steadyNanos) {
-        leaseExpirySteadyNanos = Math.max(leaseExpirySteadyNanos, steadyNanos);
-    }
-
-    /** Records that a command is sent which names a lease end; one such call at a time. */
-    void grantSent(long nowSteadyNanos) {
-        grantInFlightSteadyNanos = Optional.of(nowSteadyNanos);
-    }
-
-    /** Records that the command was carried out or rejected, so that it will not be carried out later. */
-    void grantAnswered() {
-        grantInFlightSteadyNanos = Optional.empty();
-    }
-
-    /** Records that the command was not answered, so that it may still be carried out. */
-    void grantUnanswered() {
-        unansweredGrantSteadyNanos = lastGrantThatMayBeDelayed();
-        grantInFlightSteadyNanos = Optional.empty();
-    }
-
-    /** Records that a command which names a lease end was sent at a steady time and was not answered. */
-    void grantUnanswered(long sentSteadyNanos) {
-        unansweredGrantSteadyNanos =
-                Optional.of(Math.max(sentSteadyNanos, unansweredGrantSteadyNanos.orElse(sentSteadyNanos)));
-    }
-
-    /** Returns the steady time at which the last command was sent that names a lease end and has no answer. */
-    Optional<Long> lastGrantThatMayBeDelayed() {
-        return grantInFlightSteadyNanos.isPresent() ? grantInFlightSteadyNanos : unansweredGrantSteadyNanos;
-    }
-
-    /**
-     * Records that a command for an earlier incarnation may still be carried out by this one, whose clock starts anew, so
-     * that its runs may last until a steady time while it is silent.
-     */
-    void expectDelayedGrant(long expirySteadyNanos) {
-        delayedGrantExpirySteadyNanos = Math.max(delayedGrantExpirySteadyNanos, expirySteadyNanos);
-        extendLeaseExpiry(expirySteadyNanos);
-    }
-
-    /** Returns the time for which a run may last because of a command for an earlier incarnation; zero for none. */
-    Duration delayedGrantHold(long nowSteadyNanos) {
-        return delayedGrantExpirySteadyNanos > nowSteadyNanos
-                ? Duration.ofNanos(delayedGrantExpirySteadyNanos - nowSteadyNanos)
-                : Duration.ZERO;
+    /** Returns the lease ends sent to this incarnation and what follows from them. */
+    LeaseGrants leaseGrants() {
+        return leaseGrants;
     }
 
     boolean answeredWithin(Duration duration, long nowNanos) {
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/PaceControllerTest.java
@@ -1,5 +1,6 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -21,7 +22,7 @@
 
     @BeforeMethod
     public void createServer() {
-        server = new TrackedServer(INCARNATION, Optional.empty());
+        server = new TrackedServer(INCARNATION, Optional.empty(), Duration.ofSeconds(10));
         pace = new PaceController();
     }
 
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -25,6 +25,8 @@
     private static final Duration STARTUP = Duration.ofMillis(900);
 
     private static final Duration STOP_DELAY = Duration.ofMillis(50);
+    /** Longest lease; a later lease end, as one named on the clock of an earlier incarnation, is limited to it. */
+    private static final Duration MAX_LEASE = Duration.ofSeconds(10);
 
     private final BackendServer entry;
     private final FleetModel fleet;
@@ -190,8 +192,9 @@
     }
 
     private void extendLease(long untilMs) {
-        if (untilMs > leaseEndMs) {
-            leaseEndMs = untilMs;
+        long limitedMs = Math.min(untilMs, clockMs() + MAX_LEASE.toMillis());
+        if (limitedMs > leaseEndMs) {
+            leaseEndMs = limitedMs;
             long remainingMs = leaseEndMs - clockMs();
             scheduler.schedule(Duration.ofMillis(remainingMs + 1), this::endRunsIfLeaseLapsed);
         }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -204,6 +204,37 @@
         assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
     }
 
+    /**
+     * Guards against two runs where a renewal for an incarnation that has just ended is answered by the next one, which
+     * then holds its runs for up to the longest lease.
+     */
+    @Test
+    public void renewalAnsweredByNextIncarnationIsWaitedFor() {
+        List<String> faults = new ArrayList<>();
+        for (int phaseMs = 0; phaseMs < 1500; phaseMs += 25) {
+            for (boolean busy : List.of(false, true)) {
+                JobFleet fleet = JobFleet.running(1, 2);
+                fleet.listDelay = Duration.ofMillis(900);
+                JobNode leader = fleet.leader();
+                if (busy) {
+                    fleet.submit(leader, JobFleet.id(2), JobFleet.longRunning(2, 20_000, 0));
+                }
+                fleet.runFor(8000 + phaseMs);
+                fleet.model.restart("s0");
+                fleet.runFor(2500);
+                fleet.submit(leader, JobFleet.id(1), JobFleet.longRunning(4, 12_000, 0));
+                fleet.runFor(700);
+                fleet.serverCommands.forEach(commands -> commands.setCut("s0", true));
+                fleet.runFor(12_000);
+                if (!fleet.model.invariants().violations().isEmpty()) {
+                    faults.add("restart after " + phaseMs + " ms, with runs " + busy + ": "
+                            + fleet.model.invariants().violations());
+                }
+            }
+        }
+        assertEquals(faults, List.of(), String.join("\n", faults));
+    }
+
     /**
      * Guards against two runs where a start without an answer was stopped, so that its work item runs elsewhere, and the next
      * incarnation of its server, which does not know of the stop, carries it out.
