Fence off calls for earlier incarnations of a server

Completed work ran again: a renewal for an ended incarnation was carried out late by the next one and acknowledged its ends, whose numbers start anew. The next report showed neither the run nor its end, so that the leader took the run for lost.

An end is acknowledged until that is answered and not again, and not in the call after an unanswered one, whose report shows the incarnation first. The list of unanswered starts to block is removed, as the token blocks them.

Stand-in servers break off waiting renewals at a crash, where they answered them before, and a completion that a crash removes before its acknowledgement may run again, as the platform counts only ends that are taken note of.

RunLossTest.delayedAcknowledgementForgetsNoEndOfNextIncarnation failed without the fix.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -87,8 +87,9 @@
         this.fencingToken = fencingToken;
         this.isLeaderFor = isLeaderFor;
         this.leadershipLostListener = onLost;
-        this.runRegistry = new RunRegistry(context.options().maxLease());
-        this.runSupervisor = new RunSupervisor(context, fencingToken, runRegistry, this);
+        IncarnationFences fences = IncarnationFences.of(fencingToken);
+        this.runRegistry = new RunRegistry(fences, context.options().maxLease());
+        this.runSupervisor = new RunSupervisor(context, fences, runRegistry, this);
         this.endedJobs = new EndedJobs(context, fencingToken);
         this.ticketCache = new TicketCache(context, this::schedulePlacement);
         this.jobOrder = new JobOrder(context, durationModel);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -37,7 +37,6 @@
     private final Clock holderClock;
     private final Clock steadyClock;
     private final Scheduler scheduler;
-    private final long fencingToken;
     private final Duration lease;
     private final BooleanSupplier mayExtend;
     private final Listener listener;
@@ -66,7 +65,6 @@
             Clock holderClock,
             Clock steadyClock,
             Scheduler scheduler,
-            long fencingToken,
             Duration lease,
             BooleanSupplier mayExtend,
             Listener listener) {
@@ -77,7 +75,6 @@
         this.holderClock = holderClock;
         this.steadyClock = steadyClock;
         this.scheduler = scheduler;
-        this.fencingToken = fencingToken;
         this.lease = lease;
         this.mayExtend = mayExtend;
         this.listener = listener;
@@ -119,10 +116,13 @@
         if (leaseEnd.isPresent()) {
             tracked.leaseGrants().renewalSent(steadyClock.monotonicNanos());
         }
-        ServerCommands.LeaseRenewal command = new ServerCommands.LeaseRenewal(
-                leaseEnd, tracked.lastStoredEnd(), lastCallUnanswered ? Duration.ZERO : wait);
+        // An unanswered call may be due to a restart: the report of the next call shows which incarnation would take the
+        // acknowledgement.
+        ServerCommands.LeaseRenewal command = lastCallUnanswered
+                ? new ServerCommands.LeaseRenewal(leaseEnd, 0, Duration.ZERO)
+                : new ServerCommands.LeaseRenewal(leaseEnd, tracked.endToAcknowledge(), wait);
         Completions.thenAcceptOrLog(
-                () -> serverCommands.renewLease(server, fencingToken, command),
+                () -> serverCommands.renewLease(server, tracked.fencingToken(), command),
                 telemetry,
                 "hold",
                 result -> onResult(sentNanos, command, result),
@@ -155,8 +155,7 @@
             return;
         }
         Duration delay = result instanceof ServerCommands.Report ? MIN_CALL_INTERVAL : RETRY_INTERVAL;
-        boolean acknowledged = command.acknowledgedEndNumber() == tracked.lastStoredEnd();
-        if (tracked.isIdle() && acknowledged && !callAgain && result instanceof ServerCommands.Report) {
+        if (tracked.isIdle() && !tracked.hasEndsToAcknowledge() && !callAgain && result instanceof ServerCommands.Report) {
             delay = IDLE_INTERVAL;
         }
         timer = Optional.of(scheduler.schedule(delay, this::send));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceSender.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PaceSender.java
@@ -9,12 +9,10 @@
 /** Sends the pace changes that the reports of servers require. */
 final class PaceSender {
     private final SchedulerContext context;
-    private final long fencingToken;
     private final PaceController paceController = new PaceController();
 
-    PaceSender(SchedulerContext context, long fencingToken) {
+    PaceSender(SchedulerContext context) {
         this.context = context;
-        this.fencingToken = fencingToken;
     }
 
     /** Sends the pace changes that the newest report of a server requires. */
@@ -23,11 +21,11 @@
         for (PaceController.PaceChange change :
                 paceController.changes(tracked, context.holderClock().monotonicNanos())) {
             change.run().setPacePercent(change.percent());
-            server.ifPresent(listing -> send(listing, change));
+            server.ifPresent(listing -> send(listing, tracked.fencingToken(), change));
         }
     }
 
-    private void send(BackendServer server, PaceController.PaceChange change) {
+    private void send(BackendServer server, long fencingToken, PaceController.PaceChange change) {
         Run run = change.run();
         CompletionStage<ServerCommands.CommandResult> call =
                 context.serverCommands().setPace(server, fencingToken, run.id(), run.number(), change.percent());
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
@@ -14,10 +14,17 @@
     private final Map<BackendServer.Incarnation, TrackedServer> servers = new LinkedHashMap<>();
     private final Map<String, TrackedServer> listedServers = new HashMap<>();
     private final Map<String, Resources> teamUsage = new HashMap<>();
+    private final IncarnationFences fences;
     private final Duration maxLease;
 
-    /** Creates an empty registry of servers that grant leases up to the given length. */
-    RunRegistry(Duration maxLease) {
+    /**
+     * Creates an empty registry.
+     *
+     * @param fences fencing tokens of calls to servers
+     * @param maxLease longest lease that a server grants
+     */
+    RunRegistry(IncarnationFences fences, Duration maxLease) {
+        this.fences = fences;
         this.maxLease = maxLease;
     }
 
@@ -31,7 +38,7 @@
 
     /** Returns a server incarnation, and adds it without a listing if it is not tracked yet. */
     TrackedServer getOrCreateServer(BackendServer.Incarnation incarnation) {
-        return servers.computeIfAbsent(incarnation, key -> new TrackedServer(key, Optional.empty(), maxLease));
+        return servers.computeIfAbsent(incarnation, key -> new TrackedServer(key, Optional.empty(), fences.token(key), maxLease));
     }
 
     /** Returns the server incarnation that is listed under an identifier and has not ended. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -34,14 +34,13 @@
     private static final Duration UNHEALTHY_PAUSE = Duration.ofMillis(1000);
 
     private final SchedulerContext context;
-    private final long fencingToken;
+    private final IncarnationFences fences;
     private final RunRegistry runRegistry;
     private final Owner owner;
     private final Map<BackendServer.Incarnation, LeaseRenewer> leaseRenewers = new HashMap<>();
     private final AttemptLimits attemptLimits;
     private final RunEnds runEnds;
     private final PaceSender paceSender;
-    private final UnansweredStarts unansweredStarts = new UnansweredStarts(LeaseGrants.MAX_CALL_DELAY);
     private boolean closed;
 
     /** Scheduler that the runs belong to. */
@@ -77,14 +76,14 @@
         void leadershipLost(String reason);
     }
 
-    RunSupervisor(SchedulerContext context, long fencingToken, RunRegistry runRegistry, Owner owner) {
+    RunSupervisor(SchedulerContext context, IncarnationFences fences, RunRegistry runRegistry, Owner owner) {
         this.context = context;
-        this.fencingToken = fencingToken;
+        this.fences = fences;
         this.runRegistry = runRegistry;
         this.owner = owner;
         this.attemptLimits = new AttemptLimits(owner::maxAttempts);
         this.runEnds = new RunEnds(context, runRegistry, owner, attemptLimits, this::stop);
-        this.paceSender = new PaceSender(context, fencingToken);
+        this.paceSender = new PaceSender(context);
     }
 
     void close() {
@@ -111,12 +110,10 @@
                         context.holderClock(),
                         context.steadyClock(),
                         context.timers(),
-                        fencingToken,
                         context.options().lease(),
                         owner::isLeader,
                         this::onRenewalResult);
                 leaseRenewers.put(incarnation, renewer);
-                blockUnansweredStarts(tracked, server);
                 renewer.wake();
             }
         });
@@ -217,16 +214,11 @@
                 run.item().checkpoint(),
                 owner.ticket(run));
         Completions.thenAcceptOrLog(
-                context.serverCommands().start(tracked.listing().get(), fencingToken, command),
+                context.serverCommands().start(tracked.listing().get(), tracked.fencingToken(), command),
                 context.telemetry(),
                 "start",
                 result -> {
                     recordLeaseOfStart(tracked, sentSteadyNanos, result);
-                    if (result instanceof ServerCommands.NoAnswer) {
-                        unansweredStarts.add(
-                                tracked.incarnation().serverId(),
-                                new UnansweredStarts.Start(run.id(), run.number(), sentSteadyNanos));
-                    }
                     onStarted(run, tracked, result);
                 });
     }
@@ -288,9 +280,9 @@
         run.markUnconfirmed(sentNanos);
         tracked.listing().ifPresent(server -> {
             ServerCommands.LeaseRenewal query =
-                    new ServerCommands.LeaseRenewal(Optional.empty(), tracked.lastStoredEnd(), Duration.ZERO);
+                    new ServerCommands.LeaseRenewal(Optional.empty(), 0, Duration.ZERO);
             Completions.thenAcceptOrLog(
-                    context.serverCommands().renewLease(server, fencingToken, query),
+                    context.serverCommands().renewLease(server, tracked.fencingToken(), query),
                     context.telemetry(),
                     "look",
                     result -> onRenewalResult(tracked, sentNanos, query, result));
@@ -300,7 +292,7 @@
     private void onRejected(Run run, TrackedServer tracked, ServerCommands.Reason reason, long nowNanos) {
         context.telemetry().event(EventCode.RUN_REJECTED, "run=" + run + " reason=" + reason);
         switch (reason) {
-            case FENCED -> owner.leadershipLost("a backend server has seen a higher fencing token");
+            case FENCED -> onFenced(tracked);
             case OTHER_LIFETIME -> endIncarnation(tracked, Optional.empty(), "another incarnation answers");
             case NO_ROOM -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
             case UNHEALTHY, UNREACHABLE, INVALID, NO_TICKET -> tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
@@ -311,6 +303,15 @@
         wakeLeaseRenewer(tracked);
     }
 
+    /** Handles a rejection by a server that has seen a higher token: of another incarnation or of another leader. */
+    private void onFenced(TrackedServer tracked) {
+        if (fences.isHighest(tracked.incarnation(), tracked.fencingToken())) {
+            owner.leadershipLost("a backend server has seen a higher fencing token");
+        } else {
+            tracked.setFencingToken(fences.raise(tracked.incarnation()));
+        }
+    }
+
     /** Ends the other members' runs of a gang of which one member can't start. */
     private void abandonGang(Run run) {
         if (!run.item().spec().gang()) {
@@ -327,31 +328,6 @@
         }
     }
 
-    /** Has a new incarnation of a server reject starts that were sent to an earlier one and have no answer. */
-    private void blockUnansweredStarts(TrackedServer tracked, BackendServer server) {
-        unansweredStarts
-                .of(server.id(), context.steadyClock().monotonicNanos())
-                .forEach(start -> blockStart(tracked, server, start));
-    }
-
-    private void blockStart(TrackedServer tracked, BackendServer server, UnansweredStarts.Start start) {
-        boolean inUse = tracked.run(start.item(), start.run()).isPresent();
-        boolean mayBeCarriedOut =
-                unansweredStarts.mayBeCarriedOut(start, context.steadyClock().monotonicNanos());
-        if (closed || inUse || !mayBeCarriedOut || tracked.isEnded()) {
-            return;
-        }
-        Completions.thenAcceptOrLog(
-                context.serverCommands().stop(server, fencingToken, start.item(), start.run()),
-                context.telemetry(),
-                "block of a start",
-                result -> {
-                    if (result instanceof ServerCommands.NoAnswer) {
-                        context.timers().schedule(STOP_RETRY_DELAY, () -> blockStart(tracked, server, start));
-                    }
-                });
-    }
-
     /** Stops a run; the server rejects a start of this run that arrives later. */
     void stop(Run run) {
         if (run.phase() == Run.Phase.RECORDING || run.isStopping()) {
@@ -374,7 +350,7 @@
             return;
         }
         CompletionStage<ServerCommands.CommandResult> stop =
-                context.serverCommands().stop(server.get(), fencingToken, run.id(), run.number());
+                context.serverCommands().stop(server.get(), tracked.get().fencingToken(), run.id(), run.number());
         Completions.thenAcceptOrLog(stop, context.telemetry(), "stop", result -> {
             if (closed) {
                 return;
@@ -387,7 +363,10 @@
                     switch (rejected.reason()) {
                         case OTHER_LIFETIME ->
                             endIncarnation(tracked.get(), Optional.empty(), "another incarnation answers");
-                        case FENCED -> owner.leadershipLost("a backend server has seen a higher fencing token");
+                        case FENCED -> {
+                            onFenced(tracked.get());
+                            context.timers().schedule(STOP_RETRY_DELAY, () -> sendStop(run));
+                        }
                         case OLD_RUN -> onStopConfirmed(run, tracked.get());
                         default -> context.timers().schedule(STOP_RETRY_DELAY, () -> sendStop(run));
                     }
@@ -507,7 +486,7 @@
             case ServerCommands.Report report -> onReport(tracked, sentNanos, command, report);
             case ServerCommands.RenewalRejected rejected -> {
                 if (rejected.reason() == ServerCommands.Reason.FENCED) {
-                    owner.leadershipLost("a backend server has seen a higher fencing token");
+                    onFenced(tracked);
                 } else if (rejected.reason() == ServerCommands.Reason.OTHER_LIFETIME) {
                     endIncarnation(tracked, Optional.empty(), "another incarnation answers");
                 }
@@ -535,6 +514,7 @@
         }
         long nowNanos = context.holderClock().monotonicNanos();
         tracked.leaseGrants().reported(sentNanos);
+        tracked.markAcknowledged(command.acknowledgedEndNumber());
         boolean placementChanged = !tracked.answeredWithin(TrackedServer.MAX_ANSWER_AGE, nowNanos);
         tracked.recordClock(report.clockMs(), nowNanos, context.steadyClock().monotonicNanos());
         context.plannedTime().observe(tracked.incarnation(), report.clockMs());
@@ -579,7 +559,8 @@
                                     + tracked.incarnation().serverId());
             tracked.listing()
                     .ifPresent(
-                            server -> context.serverCommands().stop(server, fencingToken, status.item(), status.run()));
+                            server -> context.serverCommands()
+                                    .stop(server, tracked.fencingToken(), status.item(), status.run()));
             return;
         }
         Run run = known.get();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
@@ -8,8 +8,8 @@
 import org.basilswitch.job.ItemId;
 
 /**
- * Client for commands to backend servers. Every command carries the fencing token of the scheduler leader; a server
- * rejects a token lower than the highest it has seen. Every stage completes normally, on the event loop.
+ * Client for commands to backend servers. Every command carries a fencing token of the scheduler leader, which is higher
+ * for each incarnation of a server; a server rejects a token lower than the highest it has seen. Every stage completes normally, on the event loop.
  */
 public interface ServerCommands {
 
@@ -42,7 +42,7 @@
      * Command to extend the lease of all runs on a server.
      *
      * @param leaseEndMs end of the lease on the server's clock, ms; empty to leave the lease as it is
-     * @param acknowledgedEndNumber number of the last run end that is stored
+     * @param acknowledgedEndNumber number of the last run end that the server may forget; 0 for none
      * @param maxWait maximum time that the server waits for a run to end before it answers
      */
     record LeaseRenewal(Optional<Long> leaseEndMs, long acknowledgedEndNumber, Duration maxWait) {}
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TrackedServer.java
@@ -35,7 +35,9 @@
     private long clockMs;
     private long clockReadSteadyNanos;
     private final LeaseGrants leaseGrants;
+    private long fencingToken;
     private long lastEnd;
+    private long lastAcknowledgedEnd;
     private long lastReportNanos = Long.MIN_VALUE;
     private long avoidUntilNanos = Long.MIN_VALUE;
     private final Set<String> failedJobs = new HashSet<>();
@@ -53,11 +55,17 @@
     /**
      * Creates a server without runs.
      *
+     * @param fencingToken fencing token of calls to this incarnation
      * @param maxLease longest lease that the server grants
      */
-    TrackedServer(BackendServer.Incarnation incarnation, Optional<BackendServer> listing, Duration maxLease) {
+    TrackedServer(
+            BackendServer.Incarnation incarnation,
+            Optional<BackendServer> listing,
+            long fencingToken,
+            Duration maxLease) {
         this.incarnation = incarnation;
         this.listing = listing;
+        this.fencingToken = fencingToken;
         this.leaseGrants = LeaseGrants.none(maxLease);
     }
 
@@ -65,6 +73,15 @@
         return incarnation;
     }
 
+    /** Returns the fencing token of calls to this incarnation. */
+    long fencingToken() {
+        return fencingToken;
+    }
+
+    void setFencingToken(long token) {
+        fencingToken = token;
+    }
+
     /** Returns the entry in the list of live servers; empty when the list does not contain it. */
     Optional<BackendServer> listing() {
         return listing;
@@ -189,6 +206,24 @@
         return unstoredEnds.isEmpty() ? lastEnd : unstoredEnds.first() - 1;
     }
 
+    /** Returns whether ends are stored that this incarnation has not been told of. */
+    boolean hasEndsToAcknowledge() {
+        return lastStoredEnd() > lastAcknowledgedEnd;
+    }
+
+    /**
+     * Returns the number of the last end to acknowledge; 0, which acknowledges none, when that was answered before. The
+     * numbers start anew with each incarnation, so that the next one could take a repetition for its own ends.
+     */
+    long endToAcknowledge() {
+        return hasEndsToAcknowledge() ? lastStoredEnd() : 0;
+    }
+
+    /** Records that this incarnation has answered a call that acknowledged the ends up to a number. */
+    void markAcknowledged(long number) {
+        lastAcknowledgedEnd = Math.max(lastAcknowledgedEnd, number);
+    }
+
     void avoidUntil(long nanos) {
         avoidUntilNanos = Math.max(avoidUntilNanos, nanos);
     }
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -102,6 +102,9 @@
     /** Ends all runs immediately without reporting them, as a crash does. */
     void crash() {
         crashed = true;
+        unacknowledgedEnds.stream()
+                .filter(end -> end.kind() == ServerCommands.RunEndKind.DONE)
+                .forEach(end -> fleet.invariants().endForgottenByCrash(end.item()));
         new ArrayList<>(activeRuns.keySet()).forEach(item -> {
             fleet.invariants().removeRun(item, activeRuns.get(item).runNumber, entry.id());
             activeRuns.remove(item);
@@ -285,7 +288,7 @@
         Runnable answerOnce = () -> {
             if (!answered[0]) {
                 answered[0] = true;
-                callback.accept(report());
+                callback.accept(crashed ? new ServerCommands.RenewalUnanswered("connection reset") : report());
             }
         };
         waitingRenewals.add(answerOnce);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/NodeServerCommands.java
@@ -30,6 +30,7 @@
     private final Map<String, Duration> renewalDelays = new HashMap<>();
     private final List<LeaseGrant> leaseGrants = new ArrayList<>();
     private int maxEndsPerReport = Integer.MAX_VALUE;
+    private long lastFencingToken;
 
     /**
      * A lease end that was sent to a server.
@@ -80,6 +81,11 @@
         maxEndsPerReport = ends;
     }
 
+    /** Returns the fencing token of the last renewal that was sent. */
+    long lastFencingToken() {
+        return lastFencingToken;
+    }
+
     /** Returns the lease ends that were sent so far, in order. */
     List<LeaseGrant> leaseGrants() {
         return List.copyOf(leaseGrants);
@@ -108,6 +114,7 @@
 
     @Override
     public CompletionStage<RenewalResult> renewLease(BackendServer server, long fencingToken, LeaseRenewal renewal) {
+        lastFencingToken = fencingToken;
         recordGrant(server, fencingToken, renewal.leaseEndMs());
         Duration timeout = COMMAND_TIMEOUT.plus(renewal.maxWait());
         Duration delay = renewalDelays.remove(server.id());
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -235,6 +235,33 @@
         assertEquals(faults, List.of(), String.join("\n", faults));
     }
 
+    /**
+     * Guards against repeating completed work after a renewal for an ended incarnation is carried out late by the next one:
+     * it acknowledges ends by their numbers, which start anew, so that the next report shows neither the run nor its end.
+     */
+    @Test
+    public void delayedAcknowledgementForgetsNoEndOfNextIncarnation() {
+        JobFleet fleet = JobFleet.running(1, 1);
+        JobNode leader = fleet.leader();
+        NodeServerCommands commands = fleet.commandsOf(leader);
+        fleet.answerAfter(4000, fleet.submit(leader, JobFleet.id(2), JobFleet.step(3, 1000, 500)));
+        commands.delayNextRenewal("s0", Duration.ofMillis(6000));
+        for (int i = 0; i < 2000 && commands.hasRenewalDelay("s0"); i++) {
+            fleet.runFor(1);
+        }
+        fleet.model.restart("s0");
+        fleet.runFor(2500);
+        ItemId item = new ItemId(JobFleet.id(1), 0, 0, 0);
+        fleet.answerAfter(600, fleet.submit(leader, item.job(), JobFleet.step(1, 1000, 1000)));
+        assertEquals(fleet.serverOf(item), "s0");
+        commands.setCut("s0", true);
+        fleet.runFor(3400);
+        assertTrue(fleet.model.invariants().isDone(item), "not done during the cut\n" + fleet.lastEvents());
+        commands.setCut("s0", false);
+        fleet.runFor(4000);
+        assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
+    }
+
     /**
      * Guards against two runs where a start without an answer was stopped, so that its work item runs elsewhere, and the next
      * incarnation of its server, which does not know of the stop, carries it out.
