Hold runs of a restarted server no longer than calls for its former life can matter

Cause: a renewal that the restart broke off may be carried out 12 s later and give a lease of 10 s. The end of all later runs was put off by that time, although the next incarnation had long reported under a token that makes it reject the renewal.

The hold now ends with the longest lease after the first report under the incarnation's own token, and placement prefers other servers while a server may hold runs for longer than their lease.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -430,6 +430,7 @@
                             runRegistry,
                             ticketCache,
                             server -> isUsable(server, nowNanos),
+                            this::holdsRunsLonger,
                             nowNanos,
                             this::beginRun)
                     .place(orderedJobs);
@@ -480,6 +481,15 @@
         return cores;
     }
 
+    /** Returns whether runs of a server that is lost would be waited for longer than their lease. */
+    private boolean holdsRunsLonger(TrackedServer server) {
+        long nowNanos = context.steadyClock().monotonicNanos();
+        return server.leaseGrants()
+                        .inheritedHold(nowNanos)
+                        .compareTo(context.options().lease())
+                > 0;
+    }
+
     /** Returns whether new work may be placed on a server. */
     private boolean isUsable(TrackedServer server, long nowNanos) {
         return server.listing().filter(listing -> !listing.draining()).isPresent()
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseGrants.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseGrants.java
@@ -23,6 +23,7 @@
     private Optional<Long> inFlightSentNanos = Optional.empty();
     private Optional<Long> unansweredSentNanos = Optional.empty();
     private Optional<UnattributedAnswer> unattributed = Optional.empty();
+    private Optional<Long> fencedNanos = Optional.empty();
 
     /**
      * Answer to a start, which does not name the incarnation that gave it.
@@ -58,7 +59,14 @@
 
     /** Returns the time from which no run of this incarnation is in progress, unless its lease is extended. */
     long expiryNanos() {
-        return Math.max(ownExpiryNanos, inheritedExpiryNanos);
+        return Math.max(ownExpiryNanos, limitedInheritedExpiryNanos());
+    }
+
+    /** Returns the inherited expiry, where calls for earlier incarnations had an effect only until this one was fenced. */
+    private long limitedInheritedExpiryNanos() {
+        return fencedNanos
+                .map(nanos -> Math.min(inheritedExpiryNanos, nanos + maxRun.toNanos()))
+                .orElse(inheritedExpiryNanos);
     }
 
     /** Extends the lease expiry; an earlier time has no effect. */
@@ -73,7 +81,8 @@
 
     /** Returns the time for which a run may last because of calls for an earlier incarnation; zero for none. */
     Duration inheritedHold(long nowNanos) {
-        return inheritedExpiryNanos > nowNanos ? Duration.ofNanos(inheritedExpiryNanos - nowNanos) : Duration.ZERO;
+        long expiryNanos = limitedInheritedExpiryNanos();
+        return expiryNanos > nowNanos ? Duration.ofNanos(expiryNanos - nowNanos) : Duration.ZERO;
     }
 
     /** Records that a renewal is sent which names a lease end; one such call at a time. */
@@ -115,6 +124,13 @@
         }
     }
 
+    /** Records that this incarnation has seen a higher fencing token than calls for earlier ones carry. */
+    void fenced(long nowNanos) {
+        if (fencedNanos.isEmpty()) {
+            fencedNanos = Optional.of(nowNanos);
+        }
+    }
+
     /** Returns the time until which the next incarnation may hold runs because of calls for this or an earlier one. */
     Optional<Long> expiryOnNextNanos(long nowNanos) {
         long sentNanos = Math.max(inFlightSentNanos.orElse(Long.MIN_VALUE), unansweredSentNanos.orElse(Long.MIN_VALUE));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -116,7 +116,8 @@
         if (leaseEnd.isPresent()) {
             tracked.leaseGrants().renewalSent(steadyClock.monotonicNanos());
         }
-        // An unanswered call may be due to a restart: the report of the next call shows which incarnation would take the
+        // An unanswered call may be due to a restart: the report of the next call shows which incarnation would take
+        // the
         // acknowledgement.
         ServerCommands.LeaseRenewal command = lastCallUnanswered
                 ? new ServerCommands.LeaseRenewal(leaseEnd, 0, Duration.ZERO)
@@ -155,7 +156,10 @@
             return;
         }
         Duration delay = result instanceof ServerCommands.Report ? MIN_CALL_INTERVAL : RETRY_INTERVAL;
-        if (tracked.isIdle() && !tracked.hasEndsToAcknowledge() && !callAgain && result instanceof ServerCommands.Report) {
+        if (tracked.isIdle()
+                && !tracked.hasEndsToAcknowledge()
+                && !callAgain
+                && result instanceof ServerCommands.Report) {
             delay = IDLE_INTERVAL;
         }
         timer = Optional.of(scheduler.schedule(delay, this::send));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -31,6 +31,11 @@
      * before slow servers and servers on which the work item failed.
      */
     private static final double RECENT_FAILURE_COST = 300;
+    /**
+     * Cost of a server that may hold runs for longer than their lease after it is lost; it is chosen after all other
+     * servers, but before servers on a rack without the work item's data.
+     */
+    private static final double LONG_HOLD_COST = 90;
     /** Cost of a server without a recent success, for a work item that has failed before. */
     private static final double UNPROVEN_COST = 150;
 
@@ -43,6 +48,7 @@
     private final JobConfiguration configuration;
     private final RunRegistry runRegistry;
     private final TicketCache ticketCache;
+    private final Predicate<TrackedServer> holdsRunsLonger;
     private final long nowNanos;
     private final BiConsumer<WorkItem, TrackedServer> start;
     private final Map<String, List<TrackedServer>> byPool = new HashMap<>();
@@ -54,11 +60,13 @@
             RunRegistry runRegistry,
             TicketCache ticketCache,
             Predicate<TrackedServer> usable,
+            Predicate<TrackedServer> holdsRunsLonger,
             long nowNanos,
             BiConsumer<WorkItem, TrackedServer> start) {
         this.ticketCache = ticketCache;
         this.configuration = configuration;
         this.runRegistry = runRegistry;
+        this.holdsRunsLonger = holdsRunsLonger;
         this.start = start;
         this.nowNanos = nowNanos;
         for (TrackedServer server : runRegistry.servers()) {
@@ -234,6 +242,9 @@
         if (server.slowdown() > 1) {
             cost += RECENTLY_SLOW_COST;
         }
+        if (holdsRunsLonger.test(server)) {
+            cost += LONG_HOLD_COST;
+        }
         double freeShare = server.free().cpuMillis()
                 / (double) Math.max(1, listing.capacity().cpuMillis());
         if (spec.longRunning()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunRegistry.java
@@ -38,7 +38,8 @@
 
     /** Returns a server incarnation, and adds it without a listing if it is not tracked yet. */
     TrackedServer getOrCreateServer(BackendServer.Incarnation incarnation) {
-        return servers.computeIfAbsent(incarnation, key -> new TrackedServer(key, Optional.empty(), fences.token(key), maxLease));
+        return servers.computeIfAbsent(
+                incarnation, key -> new TrackedServer(key, Optional.empty(), fences.token(key), maxLease));
     }
 
     /** Returns the server incarnation that is listed under an identifier and has not ended. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -279,8 +279,7 @@
         long sentNanos = context.holderClock().monotonicNanos();
         run.markUnconfirmed(sentNanos);
         tracked.listing().ifPresent(server -> {
-            ServerCommands.LeaseRenewal query =
-                    new ServerCommands.LeaseRenewal(Optional.empty(), 0, Duration.ZERO);
+            ServerCommands.LeaseRenewal query = new ServerCommands.LeaseRenewal(Optional.empty(), 0, Duration.ZERO);
             Completions.thenAcceptOrLog(
                     context.serverCommands().renewLease(server, tracked.fencingToken(), query),
                     context.telemetry(),
@@ -514,6 +513,9 @@
         }
         long nowNanos = context.holderClock().monotonicNanos();
         tracked.leaseGrants().reported(sentNanos);
+        if (fences.isHighest(tracked.incarnation(), tracked.fencingToken())) {
+            tracked.leaseGrants().fenced(context.steadyClock().monotonicNanos());
+        }
         tracked.markAcknowledged(command.acknowledgedEndNumber());
         boolean placementChanged = !tracked.answeredWithin(TrackedServer.MAX_ANSWER_AGE, nowNanos);
         tracked.recordClock(report.clockMs(), nowNanos, context.steadyClock().monotonicNanos());
@@ -558,9 +560,8 @@
                             "item=" + status.item() + " run=" + status.run() + " server="
                                     + tracked.incarnation().serverId());
             tracked.listing()
-                    .ifPresent(
-                            server -> context.serverCommands()
-                                    .stop(server, tracked.fencingToken(), status.item(), status.run()));
+                    .ifPresent(server ->
+                            context.serverCommands().stop(server, tracked.fencingToken(), status.item(), status.run()));
             return;
         }
         Run run = known.get();
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/SchedulerInvariants.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/SchedulerInvariants.java
@@ -28,6 +28,7 @@
     private final Set<ItemId> rerunAllowed = new HashSet<>();
     /** Work items whose latest completion a crash has removed before it was acknowledged. */
     private final Set<ItemId> endForgotten = new HashSet<>();
+
     private final Map<ItemId, Integer> failures = new HashMap<>();
     private final Map<ItemId, Away> away = new HashMap<>();
     /** Checkpoints that the members of a gang's run were started with, by step and run number. */
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/RunLossTest.java
@@ -262,6 +262,53 @@
         assertEquals(fleet.model.invariants().violations(), List.of(), fleet.lastEvents());
     }
 
+    /**
+     * Guards against long-running work that waits for 18 s on a server that is lost for good soon after a restart: the
+     * platform counts items without a run for 7 s, although other servers have room.
+     */
+    @Test
+    public void workAvoidsServerThatRestartedWhileOthersHaveRoom() {
+        List<String> faults = new ArrayList<>();
+        for (int phaseMs = 0; phaseMs < 1000; phaseMs += 100) {
+            JobFleet fleet = JobFleet.running(1, 4);
+            fleet.submit(fleet.leader(), JobFleet.id(1), JobFleet.longRunning(4, 1000, 0));
+            fleet.runFor(3000 + phaseMs);
+            fleet.model.crash("s0");
+            fleet.runFor(500);
+            fleet.model.restart("s0");
+            fleet.runFor(1000);
+            fleet.submit(fleet.leader(), JobFleet.id(2), JobFleet.longRunning(4, 1000, 0));
+            fleet.runFor(2000);
+            fleet.model.crash("s0");
+            fleet.runFor(7000);
+            if (fleet.model.activeRunCount() < 8) {
+                faults.add("crash after " + phaseMs + " ms: " + fleet.model.activeRunCount() + " of 8 items run\n"
+                        + fleet.lastEvents());
+            }
+        }
+        assertEquals(faults, List.of(), String.join("\n", faults));
+    }
+
+    /**
+     * Guards against waiting for calls that a restarted server can't carry out any more: once it has seen the token of its
+     * calls, runs last for no more than the longest lease, 10 s on a clock that may be 2 % slow.
+     */
+    @Test
+    public void runsOfRestartedServerAreHeldForLongestLeaseOnly() {
+        JobFleet fleet = JobFleet.running(1, 1);
+        fleet.submit(fleet.leader(), JobFleet.id(1), JobFleet.longRunning(1, 1000, 0));
+        fleet.runFor(3000);
+        fleet.model.crash("s0");
+        fleet.runFor(500);
+        fleet.model.restart("s0");
+        fleet.runFor(2000);
+        assertEquals(fleet.model.activeRunCount(), 1, fleet.lastEvents());
+        fleet.model.crash("s0");
+        fleet.model.addServer("s1", JobFleet.POOL, JobFleet.SERVER_CAPACITY, "rack-1");
+        fleet.runFor(9500);
+        assertEquals(fleet.model.activeRunCount(), 1, fleet.lastEvents());
+    }
+
     /**
      * Guards against two runs where a start without an answer was stopped, so that its work item runs elsewhere, and the next
      * incarnation of its server, which does not know of the stop, carries it out.
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ServerRestartSimulationTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/ServerRestartSimulationTest.java
@@ -28,8 +28,8 @@
             JobFleet fleet = run(seed);
             List<String> violations = fleet.model.invariants().violations();
             if (!violations.isEmpty()) {
-                failures.add("seed " + seed + " at " + fleet.time.monotonicNanos() / 1_000_000 + ": " + violations + "\n"
-                        + fleet.lastEvents());
+                failures.add("seed " + seed + " at " + fleet.time.monotonicNanos() / 1_000_000 + ": " + violations
+                        + "\n" + fleet.lastEvents());
             }
         }
         assertEquals(failures, List.of(), failures.size() + " of " + seeds + "\n" + String.join("\n", failures) + "\n");
@@ -45,7 +45,9 @@
         RandomFaults faults = new RandomFaults(fleet, random, () -> anyServer(fleet, random), false);
         fleet.runFor(4000);
         fleet.answerAfter(300, fleet.submit(faults.running(), JobFleet.id(1), JobFleet.longRunning(4, 6000, 0)));
-        for (int round = 0; round < ROUNDS && fleet.model.invariants().violations().isEmpty(); round++) {
+        for (int round = 0;
+                round < ROUNDS && fleet.model.invariants().violations().isEmpty();
+                round++) {
             fleet.submit(
                     faults.running(),
                     JobFleet.id(2 + round),
