Close idle connections to an address after a timeout

A call that times out now closes the idle connections to its address that have answered nothing since it began. The client of other entry hosts does the same.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -561,8 +561,8 @@
                             "item=" + status.item() + " run=" + status.run() + " server="
                                     + tracked.incarnation().serverId());
             tracked.listing()
-                    .ifPresent(server -> context.serverCommands()
-                            .stop(server, tracked.fencingToken(), status.item(), status.run()));
+                    .ifPresent(server ->
+                            context.serverCommands().stop(server, tracked.fencingToken(), status.item(), status.run()));
             return;
         }
         Run run = known.get();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
@@ -3,15 +3,19 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.daemon.http.SilentConnections;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.SchedulerClient;
@@ -33,6 +37,7 @@
     static final String CANDIDATE = "Leadership-Candidate";
 
     private final HttpClient client;
+    private final SilentConnections connections = SilentConnections.create();
     private final Optional<String> candidate;
 
     private HttpSchedulerClient(HttpClient client, Optional<String> candidate) {
@@ -133,9 +138,15 @@
                 .setIdleTimeout(timeoutMs);
         candidate.ifPresent(address -> options.putHeader(CANDIDATE, address));
         client.request(options)
-                .compose(request -> request.send(body))
+                .compose(request -> send(request, holder, body))
+                .onComplete(result -> answer.complete(result.succeeded() ? result.result() : Optional.empty()));
+    }
+
+    private Future<Optional<Buffer>> send(HttpClientRequest request, String holder, Buffer body) {
+        SilentConnections.Call call = connections.begin(holder, request.connection());
+        return request.send(body)
                 .compose(response -> response.body()
                         .map(buffer -> response.statusCode() == 200 ? Optional.of(buffer) : Optional.<Buffer>empty()))
-                .onComplete(result -> answer.complete(result.succeeded() ? result.result() : Optional.empty()));
+                .onComplete(answered -> call.answered(), error -> call.failed(error instanceof TimeoutException));
     }
 }
