Close the listener and idle connections before the process exits

Callers' requests were read after SIGTERM and got no answer: the process exited as soon as no request was open, while its listener and its open connections still took requests, and the exit takes some hundred milliseconds. Reproduced with three entry hosts, 24 connections each, GET and POST until the processes were gone: requests cut up to 345 ms after they were sent.

DrainingHttpServer closes the listener and the idle connections first and waits for the responses on the others, for callers and for other entry hosts. Answers are due before the grace period ends.

--- /dev/null
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
@@ -0,0 +1,120 @@
+package org.basilswitch.daemon.http;
+
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+
+/**
+ * HTTP server that shuts down in an order in which no request is read that will not be answered: first each connection
+ * ends with its next response, later the listener and the idle connections are closed, and the last responses end the
+ * others. Used on one event loop.
+ */
+public final class DrainingHttpServer {
+    private final Handler<HttpServerRequest> handler;
+    private final Map<HttpConnection, Connection> connections = new IdentityHashMap<>();
+    private final Promise<Void> allClosed = Promise.promise();
+    private HttpServer server;
+    private boolean draining;
+    private boolean closing;
+
+    /** State of a connection. */
+    private static final class Connection {
+        private int openRequests;
+    }
+
+    private DrainingHttpServer(Handler<HttpServerRequest> handler) {
+        this.handler = handler;
+    }
+
+    /** Creates a server; it accepts no connections before {@link #listen}. */
+    public static DrainingHttpServer create(Handler<HttpServerRequest> handler) {
+        return new DrainingHttpServer(handler);
+    }
+
+    /** Starts listening. */
+    public Future<HttpServer> listen(Vertx vertx, HttpServerOptions options, String host, int port) {
+        server = vertx.createHttpServer(options)
+                .connectionHandler(this::onConnected)
+                .requestHandler(this::onRequest);
+        return server.listen(port, host);
+    }
+
+    private void onConnected(HttpConnection connection) {
+        connections.put(connection, new Connection());
+        connection.closeHandler(ignored -> {
+            connections.remove(connection);
+            completeIfClosed();
+        });
+        if (closing) {
+            connection.close();
+        }
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        HttpConnection connection = request.connection();
+        Connection state = connections.computeIfAbsent(connection, key -> new Connection());
+        state.openRequests++;
+        AtomicBoolean open = new AtomicBoolean(true);
+        Runnable onEnd = () -> {
+            if (open.getAndSet(false)) {
+                state.openRequests--;
+                if (closing && state.openRequests == 0) {
+                    connection.close();
+                }
+            }
+        };
+        request.exceptionHandler(error -> onEnd.run());
+        request.response().closeHandler(ignored -> onEnd.run());
+        request.response().endHandler(ignored -> onEnd.run());
+        request.response().headersEndHandler(ignored -> {
+            if (draining) {
+                request.response().putHeader("Connection", "close");
+            }
+        });
+        handler.handle(request);
+    }
+
+    /** Returns the number of requests that have not ended. */
+    public int openRequests() {
+        return connections.values().stream()
+                .mapToInt(state -> state.openRequests)
+                .sum();
+    }
+
+    /** From now on each connection is closed after its next response; new ones are still accepted. */
+    public void beginDraining() {
+        draining = true;
+    }
+
+    /**
+     * Closes the listener and the idle connections; the others are closed after their responses.
+     *
+     * @return completes when all connections are closed
+     */
+    public Future<Void> close() {
+        draining = true;
+        closing = true;
+        Future<Void> listenerClosed = server == null ? Future.succeededFuture() : server.shutdown();
+        List.copyOf(connections.entrySet()).stream()
+                .filter(entry -> entry.getValue().openRequests == 0)
+                .forEach(entry -> entry.getKey().close());
+        completeIfClosed();
+        return Future.all(listenerClosed, allClosed.future()).mapEmpty();
+    }
+
+    private void completeIfClosed() {
+        if (closing && connections.isEmpty()) {
+            allClosed.tryComplete();
+        }
+    }
+}
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -11,8 +11,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.daemon.http.DrainingHttpServer;
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.intake.JobNode;
@@ -30,6 +32,7 @@
 
     private final JobNode node;
     private final Telemetry telemetry;
+    private final DrainingHttpServer server = DrainingHttpServer.create(this::handle);
 
     private SchedulerPeerServer(JobNode node, Telemetry telemetry) {
         this.node = node;
@@ -37,18 +40,28 @@
     }
 
     /**
-     * Starts listening.
+     * Creates a server; it accepts no calls before {@link #listen}.
      *
-     * @param vertx creates the HTTP server
      * @param node serves the requests
      * @param telemetry receives the events of failed requests
-     * @param host address to listen on
-     * @param port port to listen on
      */
-    public static Future<HttpServer> listen(Vertx vertx, JobNode node, Telemetry telemetry, String host, int port) {
-        return vertx.createHttpServer()
-                .requestHandler(new SchedulerPeerServer(node, telemetry)::handle)
-                .listen(port, host);
+    public static SchedulerPeerServer create(JobNode node, Telemetry telemetry) {
+        return new SchedulerPeerServer(node, telemetry);
+    }
+
+    /** Starts listening on an address. */
+    public Future<HttpServer> listen(Vertx vertx, String host, int port) {
+        return server.listen(vertx, new HttpServerOptions(), host, port);
+    }
+
+    /** Starts the shutdown: from now on each connection is closed after its next response. */
+    public void beginShutdown() {
+        server.beginDraining();
+    }
+
+    /** Accepts no more calls; completes when the open ones are answered and their connections closed. */
+    public Future<Void> close() {
+        return server.close();
     }
 
     private void handle(HttpServerRequest request) {
