Answer no call by an older configuration than one that was shown

Forwarded answers carry the revision of the leader's configuration. While its own is older, a host reads again and otherwise forwards the call.

JobIntakeTest.hostWithoutStoreDoesNotGoBackToOlderConfiguration failed without the check (Pending in place of UnknownQueue).

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobNode.java
@@ -222,7 +222,7 @@
     }
 
     /** Answers a call that another entry host forwards. */
-    public CompletionStage<JobAnswer> answerPeer(JobCall call) {
+    public CompletionStage<ForwardedAnswer> answerPeer(JobCall call) {
         return service.answerForPeer(call);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -47,6 +47,8 @@
     private final JobStateLookup states;
     private final WriteOutcomes writeOutcomes;
     private final Telemetry telemetry;
+    /** Revision of the newest configuration that callers of this host have been answered by, through the leader. */
+    private long shownRevision;
 
     JobService(
             JobNode node,
@@ -97,13 +99,21 @@
      * Answers a call that another entry host has forwarded. It is forwarded again only by a former leader that the store
      * turns away, to the host that it has handed over to: the other host may be turned away as well, and not know that one.
      */
-    CompletionStage<JobAnswer> answerForPeer(JobCall call) {
+    CompletionStage<ForwardedAnswer> answerForPeer(JobCall call) {
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
         CompletionStage<JobAnswer> decided = directory.hasHandedOver()
                 ? decideOrForward(call, deadlineNanos)
                 : decide(new Request(call, deadlineNanos, false), 0);
-        return withinTimeout(call, timeout, decided);
+        return withinTimeout(call, timeout, decided)
+                .thenApply(answer -> new ForwardedAnswer(
+                        answer,
+                        Math.max(
+                                shownRevision,
+                                jobConfiguration
+                                        .snapshot()
+                                        .map(JobConfigurationSnapshot::revision)
+                                        .orElse(0L))));
     }
 
     /** Returns whether an answer is final, so that the call need not be forwarded to the leader. */
@@ -122,7 +132,9 @@
             return CompletableFuture.completedFuture(localAnswer);
         }
         JobCall forwarded = new JobCall(call.host(), call.path(), call.key(), remaining, call.action());
-        return dependencies.schedulerClient().forward(leader.get(), forwarded).thenCompose(answer -> {
+        return dependencies.schedulerClient().forward(leader.get(), forwarded).thenCompose(reply -> {
+            reply.ifPresent(found -> shownRevision = Math.max(shownRevision, found.configurationRevision()));
+            Optional<JobAnswer> answer = reply.map(ForwardedAnswer::answer);
             telemetry.event(
                     EventCode.CALL_HANDED_OVER,
                     call.describe() + " holder=" + leader.get() + " answer="
@@ -202,6 +214,11 @@
             return refused("no configuration has been read yet");
         }
         JobConfigurationSnapshot snapshot = jobConfiguration.snapshot().get();
+        if (snapshot.revision() < shownRevision) {
+            return rereads == 0
+                    ? jobConfiguration.refresh().thenCompose(done -> decide(request, 1))
+                    : refused("configuration is older than one that callers have been answered by");
+        }
         Admission admission = Admission.of(call, snapshot.configuration());
         Optional<JobQueue> queue = admission.queue();
         if (!admission.isGranted()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/SchedulerClient.java
@@ -18,7 +18,7 @@
      * Forwards a call to the leader, for a host that the store refuses. The result is empty when the leader did not
      * answer in time; it may have carried out the call.
      */
-    CompletionStage<Optional<JobAnswer>> forward(String leader, JobCall call);
+    CompletionStage<Optional<ForwardedAnswer>> forward(String leader, JobCall call);
 
     /** Queries the state of a job; empty when the leader does not have the job or did not answer. */
     CompletionStage<Optional<JobState>> queryState(String leader, String id);
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/HttpSchedulerClient.java
@@ -16,7 +16,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.basilswitch.configuration.RecordCodec;
 import org.basilswitch.daemon.http.SilentConnections;
-import org.basilswitch.intake.JobAnswer;
+import org.basilswitch.intake.ForwardedAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.SchedulerClient;
 import org.basilswitch.job.JobState;
@@ -57,13 +57,13 @@
     }
 
     @Override
-    public CompletionStage<Optional<JobAnswer>> forward(String holder, JobCall call) {
+    public CompletionStage<Optional<ForwardedAnswer>> forward(String holder, JobCall call) {
         Buffer body = Buffer.buffer(RecordCodec.encode(PeerDocument.Call.of(call)));
         return call(HttpMethod.POST, holder, SchedulerPeerServer.CALLS, body, (int)
                         call.timeout().toMillis())
                 .thenApply(answer -> answer.flatMap(
-                                buffer -> RecordCodec.decode(buffer.getBytes(), PeerDocument.Answer.class))
-                        .map(PeerDocument.Answer::toAnswer));
+                                buffer -> RecordCodec.decode(buffer.getBytes(), PeerDocument.Forwarded.class))
+                        .map(PeerDocument.Forwarded::toAnswer));
     }
 
     @Override
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/PeerDocument.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.basilswitch.intake.ForwardedAnswer;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.job.JobState;
@@ -189,4 +190,28 @@
             };
         }
     }
+
+    /**
+     * Answer to a forwarded call with the leader's configuration.
+     *
+     * @param answer answer to the caller
+     * @param configurationRevision revision of the newest configuration that the leader may have decided by
+     */
+    record Forwarded(Answer answer, long configurationRevision) {
+
+        /** Throws {@link IllegalArgumentException} when the answer is missing. */
+        Forwarded {
+            if (answer == null) {
+                throw new IllegalArgumentException("forwarded call without an answer");
+            }
+        }
+
+        static Forwarded of(ForwardedAnswer forwarded) {
+            return new Forwarded(Answer.of(forwarded.answer()), forwarded.configurationRevision());
+        }
+
+        ForwardedAnswer toAnswer() {
+            return new ForwardedAnswer(answer.toAnswer(), configurationRevision);
+        }
+    }
 }
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -87,7 +87,7 @@
                         request,
                         "call of a peer",
                         () -> node.answerPeer(call.get().toCall()),
-                        result -> respond(request, PeerDocument.Answer.of(result)));
+                        result -> respond(request, PeerDocument.Forwarded.of(result)));
             });
         } else if (request.method() == HttpMethod.POST && path.startsWith(CANCELLED)) {
             node.onPeerCancelled(path.substring(CANCELLED.length()));
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -17,6 +17,7 @@
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.intake.ForwardedAnswer;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
@@ -394,7 +395,7 @@
         }
 
         @Override
-        public CompletionStage<Optional<JobAnswer>> forward(String leader, JobCall call) {
+        public CompletionStage<Optional<ForwardedAnswer>> forward(String leader, JobCall call) {
             JobNode node = byAddress.get(leader);
             return killed.contains(node)
                     ? CompletableFuture.completedFuture(Optional.empty())
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
@@ -3,14 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 
 import org.basilswitch.configuration.RecordCodec;
+import org.basilswitch.intake.ForwardedAnswer;
 import org.basilswitch.intake.JobAnswer;
 import org.basilswitch.intake.JobCall;
 import org.basilswitch.intake.JobNode;
+import org.basilswitch.job.JobPool;
+import org.basilswitch.job.JobQueue;
 import org.basilswitch.job.JobState;
 import org.basilswitch.job.JobSubmission;
+import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
 import org.basilswitch.store.Transaction;
 import org.testng.annotations.DataProvider;
@@ -76,6 +81,30 @@
         assertEquals(fleet.answerAfter(1100, fleet.query(cutOff, JobFleet.id(2))), new JobAnswer.UnknownJob());
     }
 
+    /**
+     * Guards against going back to an older configuration: a host that the store turns away answers by the leader's newer
+     * one for what its own does not have, and later by its own for what the newer one has dropped.
+     */
+    @Test
+    public void hostWithoutStoreDoesNotGoBackToOlderConfiguration() {
+        JobFleet fleet = JobFleet.running(3, 2);
+        JobNode cutOff = fleet.nodes.stream()
+                .filter(node -> node != fleet.leader())
+                .findFirst()
+                .orElseThrow();
+        fleet.clients.get(fleet.nodes.indexOf(cutOff)).setReachable(false);
+        JobQueue queue = new JobQueue("added", "host", "/added/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false);
+        fleet.configure(
+                List.of(queue),
+                List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1, new Resources(0, 0, 0))),
+                List.of(new JobPool(JobFleet.POOL, true, false)));
+        fleet.runFor(2000);
+        JobCall added = call("host", "/added/" + JobFleet.id(1), JobFleet.KEY, new JobCall.Query());
+        assertEquals(fleet.answerAfter(1000, cutOff.service().answer(added)), new JobAnswer.UnknownJob());
+        JobCall dropped = call("host", "/q/", JobFleet.KEY, new JobCall.Query());
+        assertEquals(fleet.answerAfter(1000, cutOff.service().answer(dropped)), new JobAnswer.UnknownQueue());
+    }
+
     @Test
     public void identifierOfWrongLengthIsInvalid() {
         JobFleet fleet = fleet();
@@ -180,8 +209,12 @@
         JobCall.Submit submit = new JobCall.Submit("spec", List.of(JobFleet.step(1, 1000, 100)), Optional.empty());
         fleet.model.registerJob(new JobSubmission(JobFleet.id(1), "queue", "team", "spec", submit.steps(), null, 0));
         // A host that answers for another host does not forward the call again.
-        JobAnswer answer =
-                fleet.answerAfter(3000, fleet.nodes.get(follower).answerPeer(JobFleet.call(JobFleet.id(1), submit)));
+        JobAnswer answer = fleet.answerAfter(
+                3000,
+                fleet.nodes
+                        .get(follower)
+                        .answerPeer(JobFleet.call(JobFleet.id(1), submit))
+                        .thenApply(ForwardedAnswer::answer));
         assertTrue(answer instanceof JobAnswer.Undecided, "" + answer);
         JobAnswer state = fleet.answerAfter(500, fleet.query(fleet.leader(), JobFleet.id(1)));
         assertEquals(state, new JobAnswer.State(JobState.COMPLETED), String.join("\n", fleet.events));
