--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/ServerCommands.java
@@ -9,7 +9,8 @@
 
 /**
  * Client for commands to backend servers. Every command carries a fencing token of the scheduler leader, which is higher
- * for each incarnation of a server; a server rejects a token lower than the highest it has seen. Every stage completes normally, on the event loop.
+ * for each incarnation of a server; a server rejects a token lower than the highest it has seen. Every stage completes
+ * normally, on the event loop.
  */
 public interface ServerCommands {
 
