Forward calls at once while the own configuration is older than one that was shown

Reading the configuration first delayed the answer by up to the store's timeout, although the leader has the newer one. Comments that the formatter had broken are wrapped anew.

JobIntakeTest, LeadershipHandoverTest, UndecidedWriteTest and RunLossTest pass.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -105,15 +105,16 @@
         CompletionStage<JobAnswer> decided = directory.hasHandedOver()
                 ? decideOrForward(call, deadlineNanos)
                 : decide(new Request(call, deadlineNanos, false), 0);
-        return withinTimeout(call, timeout, decided)
-                .thenApply(answer -> new ForwardedAnswer(
-                        answer,
-                        Math.max(
-                                shownRevision,
-                                jobConfiguration
-                                        .snapshot()
-                                        .map(JobConfigurationSnapshot::revision)
-                                        .orElse(0L))));
+        return withinTimeout(call, timeout, decided).thenApply(answer -> new ForwardedAnswer(answer, newestRevision()));
+    }
+
+    /** Returns the revision of the newest configuration that an answer of this host may be decided by. */
+    private long newestRevision() {
+        long own = jobConfiguration
+                .snapshot()
+                .map(JobConfigurationSnapshot::revision)
+                .orElse(0L);
+        return Math.max(own, shownRevision);
     }
 
     /** Returns whether an answer is final, so that the call need not be forwarded to the leader. */
@@ -215,9 +216,10 @@
         }
         JobConfigurationSnapshot snapshot = jobConfiguration.snapshot().get();
         if (snapshot.revision() < shownRevision) {
-            return rereads == 0
-                    ? jobConfiguration.refresh().thenCompose(done -> decide(request, 1))
-                    : refused("configuration is older than one that callers have been answered by");
+            // The leader has the newer configuration; reading it here first would delay the answer.
+            return request.mayForward() || rereads > 0
+                    ? refused("configuration is older than one that callers have been answered by")
+                    : jobConfiguration.refresh().thenCompose(done -> decide(request, 1));
         }
         Admission admission = Admission.of(call, snapshot.configuration());
         Optional<JobQueue> queue = admission.queue();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/LeaseRenewer.java
@@ -108,17 +108,14 @@
                 : PaceController.isShared(tracked) ? SHARED_WAIT : MAX_WAIT;
         // After an unanswered call the lease is not extended, so that its end is known while the server stays silent. A
         // leader whose leadership has expired does not extend it either, as the next leader waits for its end. Without
-        // runs there is nothing to extend, and the next incarnation of the server could take the lease for its own
-        // runs.
+        // runs there is nothing to extend, and the next incarnation could take the lease for its own runs.
         Optional<Long> leaseEnd = lastCallUnanswered || !tracked.hasRuns() || !mayExtend.getAsBoolean()
                 ? Optional.empty()
                 : tracked.leaseEnd(lease, steadyClock.monotonicNanos());
         if (leaseEnd.isPresent()) {
             tracked.leaseGrants().renewalSent(steadyClock.monotonicNanos());
         }
-        // An unanswered call may be due to a restart: the report of the next call shows which incarnation would take
-        // the
-        // acknowledgement.
+        // An unanswered call may be due to a restart: the next report shows which incarnation would be acknowledged to.
         ServerCommands.LeaseRenewal command = lastCallUnanswered
                 ? new ServerCommands.LeaseRenewal(leaseEnd, 0, Duration.ZERO)
                 : new ServerCommands.LeaseRenewal(leaseEnd, tracked.endToAcknowledge(), wait);
