Wait for a responsive event loop in DrainingHttpServer, for other entry hosts too

The probe before the connections are closed was only applied to callers. It moves into the server, which has tests of its own now.

DrainingHttpServerTest.firstRequestOfConnectionIsAnsweredOrNotRead failed without the probe (closed without an answer after a lag of 100 ms).

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
@@ -1,5 +1,6 @@
 package org.basilswitch.daemon.http;
 
+import java.time.Duration;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,8 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
 
 /**
  * HTTP server that shuts down in an order in which no request is read that will not be answered: first each connection
@@ -20,7 +23,16 @@
  * others. Used on one event loop.
  */
 public final class DrainingHttpServer {
+    /** Delay of the timer that shows how far the event loop lags. */
+    private static final Duration LAG_PROBE_DELAY = Duration.ofMillis(10);
+    /** Lag of the event loop up to which requests are read soon enough. */
+    private static final Duration MAX_LAG = Duration.ofMillis(50);
+    /** Longest series of timers before connections are closed all the same. */
+    private static final int MAX_LAG_PROBES = 10;
+
     private final Handler<HttpServerRequest> handler;
+    private final Clock clock;
+    private final Scheduler scheduler;
     private final Map<HttpConnection, Connection> connections = new IdentityHashMap<>();
     private final Promise<Void> allClosed = Promise.promise();
     private HttpServer server;
@@ -32,13 +44,15 @@
         private int openRequests;
     }
 
-    private DrainingHttpServer(Handler<HttpServerRequest> handler) {
+    private DrainingHttpServer(Handler<HttpServerRequest> handler, Clock clock, Scheduler scheduler) {
         this.handler = handler;
+        this.clock = clock;
+        this.scheduler = scheduler;
     }
 
     /** Creates a server; it accepts no connections before {@link #listen}. */
-    public static DrainingHttpServer create(Handler<HttpServerRequest> handler) {
-        return new DrainingHttpServer(handler);
+    public static DrainingHttpServer create(Handler<HttpServerRequest> handler, Clock clock, Scheduler scheduler) {
+        return new DrainingHttpServer(handler, clock, scheduler);
     }
 
     /** Starts listening. */
@@ -103,6 +117,28 @@
      */
     public Future<Void> close() {
         draining = true;
+        Promise<Void> closed = Promise.promise();
+        closeWhenResponsive(closed, 0);
+        return closed.future();
+    }
+
+    /**
+     * Closes the connections once the event loop does not lag, after a few attempts at most. While it lags, requests wait
+     * unread on idle connections, whose closing would lose them.
+     */
+    private void closeWhenResponsive(Promise<Void> closed, int attempts) {
+        long dueNanos = clock.monotonicNanos() + LAG_PROBE_DELAY.toNanos();
+        scheduler.schedule(LAG_PROBE_DELAY, () -> {
+            boolean lagging = clock.monotonicNanos() - dueNanos > MAX_LAG.toNanos();
+            if (lagging && attempts < MAX_LAG_PROBES) {
+                closeWhenResponsive(closed, attempts + 1);
+            } else {
+                closeConnections().onComplete(closed);
+            }
+        });
+    }
+
+    private Future<Void> closeConnections() {
         closing = true;
         Future<Void> listenerClosed = server == null ? Future.succeededFuture() : server.shutdown();
         List.copyOf(connections.entrySet()).stream()
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/jobs/SchedulerPeerServer.java
@@ -18,6 +18,8 @@
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.Telemetry;
 import org.basilswitch.intake.JobNode;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
 
 /** HTTP server on which the scheduler leader serves the other entry hosts. */
 public final class SchedulerPeerServer {
@@ -32,11 +34,12 @@
 
     private final JobNode node;
     private final Telemetry telemetry;
-    private final DrainingHttpServer server = DrainingHttpServer.create(this::handle);
+    private final DrainingHttpServer server;
 
-    private SchedulerPeerServer(JobNode node, Telemetry telemetry) {
+    private SchedulerPeerServer(JobNode node, Telemetry telemetry, Clock clock, Scheduler scheduler) {
         this.node = node;
         this.telemetry = telemetry;
+        this.server = DrainingHttpServer.create(this::handle, clock, scheduler);
     }
 
     /**
@@ -44,9 +47,11 @@
      *
      * @param node serves the requests
      * @param telemetry receives the events of failed requests
+     * @param clock steady time
+     * @param scheduler timers of the event loop
      */
-    public static SchedulerPeerServer create(JobNode node, Telemetry telemetry) {
-        return new SchedulerPeerServer(node, telemetry);
+    public static SchedulerPeerServer create(JobNode node, Telemetry telemetry, Clock clock, Scheduler scheduler) {
+        return new SchedulerPeerServer(node, telemetry, clock, scheduler);
     }
 
     /** Starts listening on an address. */
--- /dev/null
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
@@ -0,0 +1,109 @@
+package org.basilswitch.daemon.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import org.basilswitch.daemon.SystemClock;
+import org.basilswitch.daemon.VertxScheduler;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+final class DrainingHttpServerTest {
+    private static final int ANSWER_DELAY_MS = 600;
+
+    private final Vertx vertx = Vertx.vertx();
+
+    @AfterClass
+    public void stop() {
+        vertx.close();
+    }
+
+    /** Guards against connections that are closed with the listener although a request on them is not answered yet. */
+    @Test
+    public void openRequestIsAnsweredAfterClose() throws Exception {
+        Context context = vertx.getOrCreateContext();
+        CompletableFuture<Void> received = new CompletableFuture<>();
+        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
+        DrainingHttpServer server = DrainingHttpServer.create(
+                request -> {
+                    received.complete(null);
+                    vertx.setTimer(
+                            ANSWER_DELAY_MS, ignored -> request.response().end("answer"));
+                },
+                SystemClock.create(),
+                VertxScheduler.create(vertx, context));
+        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
+                .onComplete(listening::complete, listening::completeExceptionally));
+        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        CompletableFuture<HttpResponse<String>> response = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .build()
+                .sendAsync(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+        received.get(5, TimeUnit.SECONDS);
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        context.runOnContext(ignored -> server.close().onComplete(closed::complete, closed::completeExceptionally));
+        assertEquals(response.get(5, TimeUnit.SECONDS).body(), "answer");
+        assertTrue(response.get().headers().firstValue("Connection").isPresent());
+        closed.get(5, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Guards against a request that is read and not answered: it is sent on a connection without an earlier request, while
+     * the event loop lags, just before the connections are closed.
+     */
+    @Test
+    public void firstRequestOfConnectionIsAnsweredOrNotRead() throws Exception {
+        for (int lagMs = 100; lagMs <= 200; lagMs += 20) {
+            int lag = lagMs;
+            Context context = vertx.getOrCreateContext();
+            CompletableFuture<HttpServer> listening = new CompletableFuture<>();
+            DrainingHttpServer server = DrainingHttpServer.create(
+                    request -> request.response().end("answer"),
+                    SystemClock.create(),
+                    VertxScheduler.create(vertx, context));
+            context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
+                    .onComplete(listening::complete, listening::completeExceptionally));
+            int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                Thread.sleep(50);
+                CompletableFuture<Void> closing = new CompletableFuture<>();
+                context.runOnContext(ignored -> {
+                    closing.complete(null);
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(lag));
+                    server.close();
+                });
+                closing.get(5, TimeUnit.SECONDS);
+                socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                socket.setSoTimeout(5000);
+                assertTrue(isAnsweredOrReset(socket), "closed without an answer after a lag of " + lag + " ms");
+            }
+        }
+    }
+
+    private static boolean isAnsweredOrReset(Socket socket) throws IOException {
+        try {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).contains("answer");
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+}
