Charge what the request decoder holds: trailers, headers behind requests in work, unfinished lines

What callers saw: a crowd whose chunked bodies have their last chunk and whose trailer fields stop short ended in OutOfMemoryError, after which the process stayed without an answer. The same with a header that stops short behind a submission whose answer is due.

Cause: the table of connections was charged for parts of bodies and for the bytes of a header while no request was open. Trailer fields and the sizes of chunks arrive without a part, and a header behind a request in work was not looked at.

Change: MeteredRequestDecoder, the decoder of Vert.x, counts the fields and bytes that it has taken and not passed on, the line that is not complete and the buffer that it keeps for lines. All of it is charged, idle or not, and an idle connection that holds memory may give way. The text of header fields and the request target are charged until the answer. A header behind a request in work is no stall: its caller waits for an answer.

--- a/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
@@ -15,7 +15,8 @@
 /**
  * The open connections of a server and the memory that each of them holds. When memory or connections run short, it
  * chooses which connection gives way: first those that have made no progress, then the ones that hold most, so that a
- * caller who sends a small request in one go is served beside any crowd. A request that was read whole is not dropped,
+ * caller who sends a small request in one go is served beside any crowd. An idle connection may hold memory as well, of
+ * what it sent before. A request that was read whole is not dropped,
  * unless its caller sent more requests ahead than are read.
  *
  * @param <C> the server's connections
@@ -60,6 +61,11 @@
         private boolean isUnfinished() {
             return receiving || blocked;
         }
+
+        /** Returns whether the connection may be closed for others without the loss of a request that was read whole. */
+        private boolean mayGiveWay() {
+            return isUnfinished() || requestsInWork == 0;
+        }
     }
 
     private ConnectionTable(ConnectionLimits limits, Clock clock, BiConsumer<C, ShedReason> shedder) {
@@ -119,12 +125,9 @@
         }
     }
 
-    /** Part of a header arrived that is not complete yet; it has to be complete within the time for progress. */
-    public void onHeaderPart(Entry<C> entry, long bytes) {
-        if (!entry.receiving) {
-            startReceiving(entry, true);
-        }
-        charge(entry, bytes);
+    /** A header has begun; it has to be complete within the time for progress. */
+    public void onHeaderStarted(Entry<C> entry) {
+        startReceiving(entry, true);
     }
 
     /** A header is complete, and its body follows. */
@@ -214,7 +217,7 @@
         long latestNanos = clock.monotonicNanos() - timeout.toNanos();
         List<Entry<C>> unfinished = entries.stream().filter(Entry::isUnfinished).toList();
         unfinished.stream()
-                .filter(entry -> entry.receiving || entry.requestsInWork == 0)
+                .filter(entry -> entry.requestsInWork == 0 || entry.receiving && !entry.receivingHeader)
                 .filter(entry ->
                         (entry.receivingHeader ? entry.stateSinceNanos : entry.progressNanos) - latestNanos < 0)
                 .forEach(entry -> shed(entry, ShedReason.STALLED));
@@ -239,10 +242,10 @@
     /** Returns the connection to shed when memory is short; empty when each one waits for an answer. */
     private Optional<Entry<C>> largestHolder() {
         long stalledNanos = clock.monotonicNanos() - STALL_GRACE.toNanos();
-        Predicate<Entry<C>> holding = entry -> entry.isUnfinished() && entry.chargedBytes > 0;
-        return first(
-                        holding.and(entry -> entry.requestsInWork == 0 && entry.progressNanos - stalledNanos < 0),
-                        (a, b) -> Long.compare(a.progressNanos - b.progressNanos, 0))
+        Predicate<Entry<C>> holding = entry -> entry.mayGiveWay() && entry.chargedBytes > 0;
+        Predicate<Entry<C>> stalled =
+                entry -> entry.isUnfinished() && entry.requestsInWork == 0 && entry.progressNanos - stalledNanos < 0;
+        return first(holding.and(stalled), (a, b) -> Long.compare(a.progressNanos - b.progressNanos, 0))
                 .or(() -> first(holding, Comparator.comparingLong(entry -> -entry.chargedBytes)));
     }
 
--- a/basilswitch-core/src/test/java/org/basilswitch/backpressure/ConnectionTableTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/backpressure/ConnectionTableTest.java
@@ -99,14 +99,49 @@
     @Test
     public void tricklingHeaderEndsAfterTheTimeForProgress() {
         ConnectionTable.Entry<String> entry = open("trickle");
+        table.onHeaderStarted(entry);
         for (int i = 0; i < 40; i++) {
-            table.onHeaderPart(entry, 1);
+            table.charge(entry, 1);
             table.shedStalled();
             time.runFor(Duration.ofSeconds(1));
         }
         assertEquals(shed, List.of("trickle stalled"));
     }
 
+    /** Load: headers that stop short behind requests in work, whose answers must not be lost. */
+    @Test
+    public void unfinishedHeaderBehindRequestInWorkIsNoStall() {
+        ConnectionTable.Entry<String> entry = open("pipelining");
+        table.onRequestRead(entry);
+        table.onHeaderStarted(entry);
+        time.runFor(Duration.ofSeconds(31));
+        assertTrue(table.shedStalled());
+        assertEquals(shed, List.of());
+        table.onRequestEnded(entry);
+        time.runFor(Duration.ofSeconds(31));
+        table.shedStalled();
+        assertEquals(shed, List.of("pipelining stalled"));
+    }
+
+    /** Load: the same while memory is short; the caller has sent more ahead than is read. */
+    @Test
+    public void unfinishedHeaderBehindRequestInWorkGivesWay() {
+        ConnectionTable.Entry<String> entry = open("pipelining");
+        table.onRequestRead(entry);
+        table.onHeaderStarted(entry);
+        table.charge(entry, 900);
+        openBody("next", 200);
+        assertEquals(shed, List.of("pipelining buffers-full"));
+    }
+
+    /** Load: many idle connections whose decoders keep the buffers of long lines. */
+    @Test
+    public void idleConnectionThatHoldsMemoryGivesWay() {
+        table.charge(open("idle"), 900);
+        openBody("next", 200);
+        assertEquals(shed, List.of("idle buffers-full"));
+    }
+
     /** Load: more connections than there is room for; the ones that are of no use give way to new callers. */
     @Test
     public void newConnectionTakesThePlaceOfTheLeastUsefulOne() {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/AdministrationHttpServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/AdministrationHttpServer.java
@@ -90,13 +90,13 @@
         // The guard of the connections knows HTTP/1.1 only.
         options.setHttp2ClearTextEnabled(false).setAlpnVersions(List.of(HttpVersion.HTTP_1_1));
         server = vertx.createHttpServer(options)
-                .connectionHandler(this::onConnected)
+                .connectionHandler(connection -> onConnected(connection, options))
                 .requestHandler(this::onRequest);
         return server.listen();
     }
 
-    private void onConnected(HttpConnection connection) {
-        GuardedConnection guarded = guard.open(connection);
+    private void onConnected(HttpConnection connection, HttpServerOptions options) {
+        GuardedConnection guarded = guard.open(connection, options);
         connections.put(connection, guarded);
         connection.closeHandler(ignored -> {
             connections.remove(connection);
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerHttpServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/caller/CallerHttpServer.java
@@ -115,7 +115,7 @@
         server = vertx.createHttpServer(http);
         server.requestHandler(this::onRequest);
         server.invalidRequestHandler(this::onInvalidRequest);
-        server.connectionHandler(this::onConnection);
+        server.connectionHandler(connection -> onConnection(connection, http));
         return server.listen();
     }
 
@@ -124,8 +124,8 @@
         return server.actualPort();
     }
 
-    private void onConnection(HttpConnection connection) {
-        GuardedConnection guarded = guard.open(connection);
+    private void onConnection(HttpConnection connection, HttpServerOptions http) {
+        GuardedConnection guarded = guard.open(connection, http);
         connections.put(
                 connection,
                 ConnectionActivity.create(guarded, dependencies.clock().monotonicNanos()));
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/ConnectionGuard.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/ConnectionGuard.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
 import org.basilswitch.backpressure.ConnectionLimits;
 import org.basilswitch.backpressure.ConnectionTable;
 import org.basilswitch.backpressure.ShedReason;
@@ -45,11 +46,16 @@
         return new ConnectionGuard(limits, writeQueueBytes, clock, scheduler, telemetry);
     }
 
-    /** Takes over a new connection; it is closed at once when there are too many. */
-    public GuardedConnection open(HttpConnection http) {
+    /**
+     * Takes over a new connection; it is closed at once when there are too many.
+     *
+     * @param options options of the server
+     */
+    public GuardedConnection open(HttpConnection http, HttpServerOptions options) {
         GuardedConnection connection = new GuardedConnection(http, table, this::watchStalls);
         table.open(connection, http.remoteAddress().host())
-                .ifPresent(entry -> connection.guard(entry, writeQueueBytes));
+                .ifPresent(entry ->
+                        connection.guard(entry, InboundGate.install(http, options, connection, writeQueueBytes)));
         return connection;
     }
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
@@ -73,13 +73,13 @@
     public Future<HttpServer> listen(Vertx vertx, HttpServerOptions options, String host, int port) {
         // The guard of the connections knows HTTP/1.1 only.
         server = vertx.createHttpServer(options.setHttp2ClearTextEnabled(false))
-                .connectionHandler(this::onConnected)
+                .connectionHandler(connection -> onConnected(connection, options))
                 .requestHandler(this::onRequest);
         return server.listen(port, host);
     }
 
-    private void onConnected(HttpConnection connection) {
-        GuardedConnection guarded = guard.open(connection);
+    private void onConnected(HttpConnection connection, HttpServerOptions options) {
+        GuardedConnection guarded = guard.open(connection, options);
         connections.put(connection, guarded);
         connection.closeHandler(ignored -> {
             connections.remove(connection);
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
@@ -18,8 +18,8 @@
     private static final int REQUEST_BYTES = 2048;
 
     private static final int HEADER_FIELD_BYTES = 192;
-    /** Memory of a partial header for each byte received; fields may be as short as four bytes. */
-    private static final int HEADER_BYTES_PER_BYTE = 48;
+    /** The request target is kept as it was received and in its parts. */
+    private static final int TARGET_COPIES = 3;
     /** Memory for decoding a body and keeping it until the answer, for each of its bytes. */
     private static final int DECODED_BODY_BYTES_PER_BYTE = 4;
 
@@ -35,17 +35,11 @@
     private ConnectionTable.Entry<GuardedConnection> entry;
     private InboundGate gate;
     private HttpServerRequest incomplete;
-    private HttpServerRequest last;
-    /** Whether the bytes that come next belong to the body of the last request. */
-    private boolean bodyOpen;
-
     private boolean receiving;
+    private boolean blocked;
     private boolean shed;
     private int openRequests;
-    private long headerPartBytes;
-    private long blockedBytes;
-    private int requests;
-    private int requestsAtDelivery;
+    private long inboundBytes;
 
     GuardedConnection(HttpConnection http, ConnectionTable<GuardedConnection> table, Runnable stallWatch) {
         this.http = http;
@@ -54,9 +48,9 @@
     }
 
     /** Starts guarding the connection, which is in the table. */
-    void guard(ConnectionTable.Entry<GuardedConnection> next, int writeQueueBytes) {
+    void guard(ConnectionTable.Entry<GuardedConnection> next, InboundGate inboundGate) {
         entry = next;
-        gate = InboundGate.install(http, this, writeQueueBytes);
+        gate = inboundGate;
     }
 
     /** A request that is being read or answered. */
@@ -146,23 +140,26 @@
     Request begin(HttpServerRequest request, int maxBodyBytes) {
         Request begun = new Request(request, maxBodyBytes);
         incomplete = request;
-        last = request;
         openRequests++;
-        requests++;
-        if (headerPartBytes > 0) {
-            table.release(entry, headerPartBytes);
-            headerPartBytes = 0;
+        if (receiving) {
             receiving = false;
             table.onReceivingEnded(entry);
         }
-        long headerFields = 0;
-        for (Map.Entry<String, String> ignored : request.headers()) {
-            headerFields++;
-        }
-        begun.charge(REQUEST_BYTES + HEADER_FIELD_BYTES * headerFields);
+        gate.updateHeld();
+        begun.charge(headerBytes(request));
         return begun;
     }
 
+    private static long headerBytes(HttpServerRequest request) {
+        long bytes = REQUEST_BYTES + (long) TARGET_COPIES * request.uri().length();
+        for (Map.Entry<String, String> field : request.headers()) {
+            bytes += HEADER_FIELD_BYTES
+                    + field.getKey().length()
+                    + field.getValue().length();
+        }
+        return bytes;
+    }
+
     /**
      * Starts a request whose server reads the body itself, once the caller has taken the answers to earlier requests.
      *
@@ -193,40 +190,40 @@
     }
 
     /** Received bytes have been decoded; what they leave unfinished is watched from now on. */
-    void onDelivered(int bytes) {
-        if (shed) {
+    void onDecoded(boolean inHeader) {
+        if (shed || receiving || incomplete == null && !inHeader) {
             return;
         }
-        boolean bodyDelivered = bodyOpen;
-        bodyOpen = last != null && !last.isEnded();
-        if (incomplete != null) {
-            if (!receiving) {
-                receiving = true;
-                table.onBodyStarted(entry);
-                stallWatch.run();
-            }
-        } else if (!bodyDelivered && openRequests == 0 && requests == requestsAtDelivery) {
-            receiving = true;
-            stallWatch.run();
-            headerPartBytes += (long) bytes * HEADER_BYTES_PER_BYTE;
-            table.onHeaderPart(entry, (long) bytes * HEADER_BYTES_PER_BYTE);
+        receiving = true;
+        if (incomplete == null) {
+            table.onHeaderStarted(entry);
+        } else {
+            table.onBodyStarted(entry);
         }
-        requestsAtDelivery = requests;
+        stallWatch.run();
     }
 
-    /** Sets whether received bytes wait unread, and the memory that they take then. */
-    void setBlocked(boolean blocked, long bytes) {
-        if (shed || blocked == blockedBytes > 0) {
+    /**
+     * Sets what the connection holds of its input.
+     *
+     * @param nowBlocked whether requests that were sent ahead wait unread
+     * @param bytes memory of what was received and not passed on, bytes
+     */
+    void setInbound(boolean nowBlocked, long bytes) {
+        if (shed) {
             return;
         }
-        table.setBlocked(entry, blocked);
-        stallWatch.run();
-        if (blocked) {
-            blockedBytes = bytes;
-            table.charge(entry, bytes);
+        table.setBlocked(entry, nowBlocked);
+        if (nowBlocked && !blocked) {
+            stallWatch.run();
+        }
+        blocked = nowBlocked;
+        long before = inboundBytes;
+        inboundBytes = bytes;
+        if (bytes > before) {
+            table.charge(entry, bytes - before);
         } else {
-            table.release(entry, blockedBytes);
-            blockedBytes = 0;
+            table.release(entry, before - bytes);
         }
     }
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
@@ -8,6 +8,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
 
 /**
@@ -24,17 +25,20 @@
     private static final int DECODED_REQUEST_BYTES_PER_BYTE = 32;
 
     private final GuardedConnection connection;
+    private final MeteredRequestDecoder decoder;
     private ChannelHandlerContext context;
     private ByteBuf held;
     private boolean delivering;
     private boolean readRequested;
 
-    private InboundGate(GuardedConnection connection) {
+    private InboundGate(GuardedConnection connection, MeteredRequestDecoder decoder) {
         this.connection = connection;
+        this.decoder = decoder;
     }
 
     /** Puts a gate in front of a connection's decoder and sets the size of its write queue. */
-    static InboundGate install(HttpConnection http, GuardedConnection connection, int writeQueueBytes) {
+    static InboundGate install(
+            HttpConnection http, HttpServerOptions options, GuardedConnection connection, int writeQueueBytes) {
         Channel channel = ((ConnectionBase) http).channel();
         // One read at a time: a connection with much to decode lets the others have their turns.
         channel.config()
@@ -42,8 +46,9 @@
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                                 .maxMessagesPerRead(1))
                 .setWriteBufferWaterMark(new WriteBufferWaterMark(writeQueueBytes / 2, writeQueueBytes));
-        InboundGate gate = new InboundGate(connection);
-        channel.pipeline().addBefore("httpDecoder", "inboundGate", gate);
+        MeteredRequestDecoder decoder = MeteredRequestDecoder.install(channel, options);
+        InboundGate gate = new InboundGate(connection, decoder);
+        channel.pipeline().addBefore(MeteredRequestDecoder.NAME, "inboundGate", gate);
         return gate;
     }
 
@@ -85,9 +90,8 @@
         if (connection.isShed() || !(message instanceof ByteBuf bytes)) {
             ReferenceCountUtil.release(message);
         } else if (held == null && !delivering && bytes.readableBytes() <= SLICE_BYTES) {
-            int length = bytes.readableBytes();
             ctx.fireChannelRead(bytes);
-            connection.onDelivered(length);
+            connection.onDecoded(decoder.isInHeader());
         } else {
             hold(ctx, bytes);
             deliver(ctx);
@@ -109,7 +113,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         ctx.fireChannelReadComplete();
-        updateBlocked();
+        updateHeld();
     }
 
     /** Called when Vert.x reads again, and before each read from the socket while it does. */
@@ -123,7 +127,7 @@
         if (held == null) {
             ctx.read();
         }
-        updateBlocked();
+        updateHeld();
     }
 
     private void deliver(ChannelHandlerContext ctx) {
@@ -139,7 +143,7 @@
             }
             ctx.fireChannelRead(slice);
             ctx.fireChannelReadComplete();
-            connection.onDelivered(length);
+            connection.onDecoded(decoder.isInHeader());
         }
         delivering = false;
         boolean reading = readRequested && held == null;
@@ -149,9 +153,13 @@
         }
     }
 
-    private void updateBlocked() {
+    /** Tells what the connection holds of its input. */
+    void updateHeld() {
         boolean blocked = held != null || !context.channel().config().isAutoRead();
-        long bytes = (long) SLICE_BYTES * DECODED_REQUEST_BYTES_PER_BYTE + (held == null ? 0 : held.capacity());
-        connection.setBlocked(blocked, bytes);
+        long bytes = decoder.heldBytes(MAX_READ_BYTES) + (held == null ? 0 : held.capacity());
+        if (blocked) {
+            bytes += (long) SLICE_BYTES * DECODED_REQUEST_BYTES_PER_BYTE;
+        }
+        connection.setInbound(blocked, bytes);
     }
 }
--- /dev/null
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for callers that keep no limits. */
+package org.basilswitch.standin.caller;
