Decode callers' bytes in turns, so that the store's calls and timers have theirs

Cause: a turn of the event loop decoded and answered a slice of every connection that had bytes; all other work came after that.

Change: ServiceQueue (core, no network) lets a server decode for 5 ms, then the event loop does its other work; the connections that have taken the least time go on first, with a head start of one turn for those that were idle. Reading stops while bytes wait, they are charged, and their wait counts as no stall of the caller.

--- a/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
@@ -41,6 +41,7 @@
         private boolean receiving;
         private boolean receivingHeader;
         private boolean blocked;
+        private boolean waiting;
         private boolean served;
         private long chargedBytes;
         private long stateSinceNanos;
@@ -182,6 +183,14 @@
         entry.blocked = blocked;
     }
 
+    /** Sets whether received bytes wait for their turn to be decoded, which is no lack of progress of the caller. */
+    public void setWaiting(Entry<C> entry, boolean waiting) {
+        if (entry.waiting && !waiting) {
+            entry.progressNanos = clock.monotonicNanos();
+        }
+        entry.waiting = waiting;
+    }
+
     /**
      * Charges memory to a connection. When more is in use than there is, connections are shed until there is enough.
      *
@@ -217,6 +226,7 @@
         long latestNanos = clock.monotonicNanos() - timeout.toNanos();
         List<Entry<C>> unfinished = entries.stream().filter(Entry::isUnfinished).toList();
         unfinished.stream()
+                .filter(entry -> !entry.waiting)
                 .filter(entry -> entry.requestsInWork == 0 || entry.receiving && !entry.receivingHeader)
                 .filter(entry ->
                         (entry.receivingHeader ? entry.stateSinceNanos : entry.progressNanos) - latestNanos < 0)
@@ -243,8 +253,10 @@
     private Optional<Entry<C>> largestHolder() {
         long stalledNanos = clock.monotonicNanos() - STALL_GRACE.toNanos();
         Predicate<Entry<C>> holding = entry -> entry.mayGiveWay() && entry.chargedBytes > 0;
-        Predicate<Entry<C>> stalled =
-                entry -> entry.isUnfinished() && entry.requestsInWork == 0 && entry.progressNanos - stalledNanos < 0;
+        Predicate<Entry<C>> stalled = entry -> entry.isUnfinished()
+                && !entry.waiting
+                && entry.requestsInWork == 0
+                && entry.progressNanos - stalledNanos < 0;
         return first(holding.and(stalled), (a, b) -> Long.compare(a.progressNanos - b.progressNanos, 0))
                 .or(() -> first(holding, Comparator.comparingLong(entry -> -entry.chargedBytes)));
     }
--- a/basilswitch-core/src/test/java/org/basilswitch/backpressure/ConnectionTableTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/backpressure/ConnectionTableTest.java
@@ -142,6 +142,22 @@
         assertEquals(shed, List.of("idle buffers-full"));
     }
 
+    /** Load: a crowd for which received bytes wait; a caller whose bytes wait has made no pause. */
+    @Test
+    public void connectionThatWaitsForItsTurnHasNotStalled() {
+        ConnectionTable.Entry<String> waiting = openBody("waiting", 100);
+        table.setWaiting(waiting, true);
+        time.runFor(Duration.ofSeconds(31));
+        assertTrue(table.shedStalled());
+        openBody("large", 700);
+        openBody("next", 250);
+        assertEquals(shed, List.of("large buffers-full"));
+        table.setWaiting(waiting, false);
+        time.runFor(Duration.ofSeconds(31));
+        table.shedStalled();
+        assertEquals(shed, List.of("large buffers-full", "waiting stalled", "next stalled"));
+    }
+
     /** Load: more connections than there is room for; the ones that are of no use give way to new callers. */
     @Test
     public void newConnectionTakesThePlaceOfTheLeastUsefulOne() {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/ConnectionGuard.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/ConnectionGuard.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import org.basilswitch.backpressure.ConnectionLimits;
 import org.basilswitch.backpressure.ConnectionTable;
+import org.basilswitch.backpressure.ServiceQueue;
 import org.basilswitch.backpressure.ShedReason;
 import org.basilswitch.event.CounterCode;
 import org.basilswitch.event.EventCode;
@@ -21,8 +22,11 @@
     public static final int STREAM_WRITE_QUEUE_BYTES = 65_536;
 
     private static final Duration STALL_CHECK_INTERVAL = Duration.ofSeconds(1);
+    /** Time in which callers' bytes are decoded before calls to the store and timers have their turn. */
+    private static final Duration DECODING_TURN = Duration.ofMillis(5);
 
     private final ConnectionTable<GuardedConnection> table;
+    private final ServiceQueue<InboundGate> decoding;
     private final int writeQueueBytes;
     private final Scheduler scheduler;
     private final Telemetry telemetry;
@@ -31,6 +35,7 @@
     private ConnectionGuard(
             ConnectionLimits limits, int writeQueueBytes, Clock clock, Scheduler scheduler, Telemetry telemetry) {
         this.table = ConnectionTable.create(limits, clock, this::shed);
+        this.decoding = ServiceQueue.create(DECODING_TURN, clock, scheduler, InboundGate::decodeSlice);
         this.writeQueueBytes = writeQueueBytes;
         this.scheduler = scheduler;
         this.telemetry = telemetry;
@@ -54,8 +59,8 @@
     public GuardedConnection open(HttpConnection http, HttpServerOptions options) {
         GuardedConnection connection = new GuardedConnection(http, table, this::watchStalls);
         table.open(connection, http.remoteAddress().host())
-                .ifPresent(entry ->
-                        connection.guard(entry, InboundGate.install(http, options, connection, writeQueueBytes)));
+                .ifPresent(entry -> connection.guard(
+                        entry, InboundGate.install(http, options, connection, writeQueueBytes, decoding)));
         return connection;
     }
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
@@ -207,12 +207,14 @@
      * Sets what the connection holds of its input.
      *
      * @param nowBlocked whether requests that were sent ahead wait unread
+     * @param waiting whether received bytes wait for their turn to be decoded
      * @param bytes memory of what was received and not passed on, bytes
      */
-    void setInbound(boolean nowBlocked, long bytes) {
+    void setInbound(boolean nowBlocked, boolean waiting, long bytes) {
         if (shed) {
             return;
         }
+        table.setWaiting(entry, waiting);
         table.setBlocked(entry, nowBlocked);
         if (nowBlocked && !blocked) {
             stallWatch.run();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
@@ -10,11 +10,12 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
+import org.basilswitch.backpressure.ServiceQueue;
 
 /**
- * Passes received bytes to the HTTP decoder in slices, and none while the connection is not read from. Vert.x stops
- * reading when a request follows one that is not answered, but only after it has decoded all that a read returned, and
- * decoded requests take many times the bytes that were received.
+ * Passes received bytes to the HTTP decoder in slices, each when the connection has its turn, and none while the
+ * connection is not read from. Vert.x stops reading when a request follows one that is not answered, but only after it
+ * has decoded all that a read returned, and decoded requests take many times the bytes that were received.
  */
 final class InboundGate extends ChannelDuplexHandler {
     private static final int MIN_READ_BYTES = 64;
@@ -26,19 +27,31 @@
 
     private final GuardedConnection connection;
     private final MeteredRequestDecoder decoder;
+    private final ServiceQueue<InboundGate> decoding;
+    private final ServiceQueue.Member<InboundGate> turns;
     private ChannelHandlerContext context;
     private ByteBuf held;
-    private boolean delivering;
+    private boolean receiving;
+    private boolean decodingSlice;
     private boolean readRequested;
+    /** Whether reading was stopped until the connection has its turn, and not by Vert.x. */
+    private boolean stoppedForTurn;
 
-    private InboundGate(GuardedConnection connection, MeteredRequestDecoder decoder) {
+    private InboundGate(
+            GuardedConnection connection, MeteredRequestDecoder decoder, ServiceQueue<InboundGate> decoding) {
         this.connection = connection;
         this.decoder = decoder;
+        this.decoding = decoding;
+        this.turns = decoding.join(this);
     }
 
     /** Puts a gate in front of a connection's decoder and sets the size of its write queue. */
     static InboundGate install(
-            HttpConnection http, HttpServerOptions options, GuardedConnection connection, int writeQueueBytes) {
+            HttpConnection http,
+            HttpServerOptions options,
+            GuardedConnection connection,
+            int writeQueueBytes,
+            ServiceQueue<InboundGate> decoding) {
         Channel channel = ((ConnectionBase) http).channel();
         // One read at a time: a connection with much to decode lets the others have their turns.
         channel.config()
@@ -47,7 +60,7 @@
                                 .maxMessagesPerRead(1))
                 .setWriteBufferWaterMark(new WriteBufferWaterMark(writeQueueBytes / 2, writeQueueBytes));
         MeteredRequestDecoder decoder = MeteredRequestDecoder.install(channel, options);
-        InboundGate gate = new InboundGate(connection, decoder);
+        InboundGate gate = new InboundGate(connection, decoder, decoding);
         channel.pipeline().addBefore(MeteredRequestDecoder.NAME, "inboundGate", gate);
         return gate;
     }
@@ -79,6 +92,7 @@
     }
 
     private void releaseHeld() {
+        decoding.leave(turns);
         if (held != null) {
             held.release();
             held = null;
@@ -89,21 +103,25 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (connection.isShed() || !(message instanceof ByteBuf bytes)) {
             ReferenceCountUtil.release(message);
-        } else if (held == null && !delivering && bytes.readableBytes() <= SLICE_BYTES) {
-            ctx.fireChannelRead(bytes);
-            connection.onDecoded(decoder.isInHeader());
-        } else {
-            hold(ctx, bytes);
-            deliver(ctx);
+            return;
+        }
+        receiving = true;
+        hold(bytes);
+        if (isRead()) {
+            decoding.offer(turns);
+        }
+        if (turns.isWaiting() && ctx.channel().config().isAutoRead()) {
+            stoppedForTurn = true;
+            ctx.channel().config().setAutoRead(false);
         }
     }
 
-    private void hold(ChannelHandlerContext ctx, ByteBuf bytes) {
+    private void hold(ByteBuf bytes) {
         if (held == null) {
             held = bytes;
             return;
         }
-        ByteBuf joined = ctx.alloc().buffer(held.readableBytes() + bytes.readableBytes());
+        ByteBuf joined = context.alloc().buffer(held.readableBytes() + bytes.readableBytes());
         joined.writeBytes(held).writeBytes(bytes);
         held.release();
         bytes.release();
@@ -112,6 +130,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        receiving = false;
         ctx.fireChannelReadComplete();
         updateHeld();
     }
@@ -119,47 +138,65 @@
     /** Called when Vert.x reads again, and before each read from the socket while it does. */
     @Override
     public void read(ChannelHandlerContext ctx) {
-        if (delivering) {
-            readRequested = true;
+        readRequested = true;
+        if (decodingSlice) {
             return;
         }
-        deliver(ctx);
-        if (held == null) {
-            ctx.read();
+        if (held != null) {
+            decoding.offer(turns);
         }
+        readIfDecoded();
         updateHeld();
     }
 
-    private void deliver(ChannelHandlerContext ctx) {
-        if (delivering || held == null) {
-            return;
+    private void readIfDecoded() {
+        if (held == null && readRequested) {
+            readRequested = false;
+            context.read();
         }
-        delivering = true;
-        while (held != null && ctx.channel().config().isAutoRead() && !connection.isShed()) {
-            int length = Math.min(SLICE_BYTES, held.readableBytes());
-            ByteBuf slice = held.readRetainedSlice(length);
-            if (!held.isReadable()) {
-                releaseHeld();
+    }
+
+    /** Returns whether Vert.x reads from the connection. */
+    private boolean isRead() {
+        return stoppedForTurn || context.channel().config().isAutoRead();
+    }
+
+    /** Decodes a slice of the received bytes; returns whether more can follow. */
+    boolean decodeSlice() {
+        decodingSlice = true;
+        if (stoppedForTurn) {
+            stoppedForTurn = false;
+            context.channel().config().setAutoRead(true);
+        }
+        if (held != null && isRead() && !connection.isShed()) {
+            context.fireChannelRead(nextSlice());
+            if (!receiving) {
+                context.fireChannelReadComplete();
             }
-            ctx.fireChannelRead(slice);
-            ctx.fireChannelReadComplete();
             connection.onDecoded(decoder.isInHeader());
         }
-        delivering = false;
-        boolean reading = readRequested && held == null;
-        readRequested = false;
-        if (reading) {
-            ctx.read();
+        decodingSlice = false;
+        readIfDecoded();
+        updateHeld();
+        return held != null && isRead() && !connection.isShed();
+    }
+
+    private ByteBuf nextSlice() {
+        if (held.readableBytes() > SLICE_BYTES) {
+            return held.readRetainedSlice(SLICE_BYTES);
         }
+        ByteBuf rest = held;
+        held = null;
+        return rest;
     }
 
     /** Tells what the connection holds of its input. */
     void updateHeld() {
-        boolean blocked = held != null || !context.channel().config().isAutoRead();
+        boolean blocked = !isRead();
         long bytes = decoder.heldBytes(MAX_READ_BYTES) + (held == null ? 0 : held.capacity());
         if (blocked) {
             bytes += (long) SLICE_BYTES * DECODED_REQUEST_BYTES_PER_BYTE;
         }
-        connection.setInbound(blocked, bytes);
+        connection.setInbound(blocked, turns.isWaiting(), bytes);
     }
 }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
@@ -9,8 +9,11 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 import io.vertx.core.Context;
@@ -108,6 +111,60 @@
         }
     }
 
+    /**
+     * Load: requests sent ahead on many connections at once. Between two ticks of a timer at most a turn's requests are
+     * handled, and not a part of what each connection has sent.
+     */
+    @Test
+    public void timersHaveTheirTurnsBesideRequestsSentAhead() throws Exception {
+        int connections = 40;
+        int requests = 300;
+        Context context = vertx.getOrCreateContext();
+        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
+        AtomicInteger handled = new AtomicInteger();
+        DrainingHttpServer server = DrainingHttpServer.create(
+                (request, body) -> {
+                    handled.incrementAndGet();
+                    LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(50));
+                    request.response().end();
+                },
+                new ServerLimits(1024, ConnectionLimits.of(10_000_000, 100)),
+                SystemClock.create(),
+                VertxScheduler.create(vertx, context),
+                Telemetry.none());
+        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
+                .onComplete(listening::complete, listening::completeExceptionally));
+        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            CompletableFuture<Void> sent = new CompletableFuture<>();
+            context.runOnContext(ignored -> sent.join());
+            for (int i = 0; i < connections; i++) {
+                sockets.add(new Socket("127.0.0.1", port));
+                send(sockets.get(i), "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(requests));
+            }
+            CompletableFuture<Integer> mostBetweenTicks = new CompletableFuture<>();
+            context.runOnContext(ignored -> tick(handled, connections * requests, 0, 0, mostBetweenTicks));
+            sent.complete(null);
+            int most = mostBetweenTicks.get(60, TimeUnit.SECONDS);
+            assertTrue(most < 1000, most + " requests were handled between two ticks");
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private void tick(AtomicInteger handled, int all, int before, int most, CompletableFuture<Integer> result) {
+        int now = handled.get();
+        int nextMost = Math.max(most, now - before);
+        if (now == all) {
+            result.complete(nextMost);
+        } else {
+            vertx.setTimer(1, ignored -> tick(handled, all, now, nextMost, result));
+        }
+    }
+
     /** Guards against an idle connection that is closed as stalled: its last body came apart from its header. */
     @Test
     public void bodyAfterItsHeaderLeavesNothingUnfinished() throws Exception {
