Read idle connections once more before they are closed at shutdown

Cause: the probes for a lagging event loop gave up after ten late timers; idle connections were then closed although nothing had been read from them since the last look of the event loop.

Change: an idle connection is read once more in the turn in which it is closed, without regard to turns for decoding, and stays when a request has arrived.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/DrainingHttpServer.java
@@ -87,7 +87,7 @@
             completeIfClosed();
         });
         if (closing) {
-            connection.close();
+            closeIfIdle(connection, guarded);
         }
     }
 
@@ -142,8 +142,8 @@
     }
 
     /**
-     * Closes the connections once the event loop does not lag, after a few attempts at most. While it lags, requests wait
-     * unread on idle connections, whose closing would lose them.
+     * Closes the connections once the event loop does not lag, after a few attempts at most. While it lags, connections
+     * wait to be accepted, which are lost when the listener is closed.
      */
     private void closeWhenResponsive(Promise<Void> closed, int attempts) {
         long dueNanos = clock.monotonicNanos() + LAG_PROBE_DELAY.toNanos();
@@ -159,14 +159,23 @@
 
     private Future<Void> closeConnections() {
         closing = true;
+        List.copyOf(connections.entrySet()).forEach(entry -> closeIfIdle(entry.getKey(), entry.getValue()));
+        // Closes the connections without a request in progress, too, so that it has to come after they are read.
         Future<Void> listenerClosed = server == null ? Future.succeededFuture() : server.shutdown();
-        List.copyOf(connections.entrySet()).stream()
-                .filter(entry -> entry.getValue().openRequests() == 0)
-                .forEach(entry -> entry.getKey().close());
         completeIfClosed();
         return Future.all(listenerClosed, allClosed.future()).mapEmpty();
     }
 
+    /** Closes a connection unless a request has arrived on it, however long the event loop has not looked at it. */
+    private static void closeIfIdle(HttpConnection connection, GuardedConnection guarded) {
+        if (guarded.openRequests() == 0) {
+            guarded.readNow();
+        }
+        if (guarded.isIdle()) {
+            connection.close();
+        }
+    }
+
     private void completeIfClosed() {
         if (closing && connections.isEmpty()) {
             allClosed.tryComplete();
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/GuardedConnection.java
@@ -251,6 +251,18 @@
         gate.closeSoon();
     }
 
+    /** Reads what has arrived up to now. */
+    void readNow() {
+        if (gate != null && !shed) {
+            gate.readNow();
+        }
+    }
+
+    /** Returns whether the connection waits for nothing and has nothing unread, so that its closing loses no request. */
+    boolean isIdle() {
+        return openRequests == 0 && (gate == null || !gate.hasUnread());
+    }
+
     /** The connection is closed. */
     public void onClosed() {
         if (entry != null) {
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
@@ -75,6 +76,25 @@
         context.channel().eventLoop().execute(this::close);
     }
 
+    /** Reads what has arrived up to now, without waiting for a turn, so that it is not lost when the connection closes. */
+    void readNow() {
+        Channel channel = context.channel();
+        if (held == null && isRead() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        if (held != null) {
+            decoding.leave(turns);
+            if (decodeSlice()) {
+                decoding.offer(turns);
+            }
+        }
+    }
+
+    /** Returns whether bytes were received that have not been decoded. */
+    boolean hasUnread() {
+        return held != null;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
@@ -9,11 +9,13 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 import io.vertx.core.Context;
@@ -24,6 +26,8 @@
 import org.basilswitch.daemon.SystemClock;
 import org.basilswitch.daemon.VertxScheduler;
 import org.basilswitch.event.Telemetry;
+import org.basilswitch.time.Clock;
+import org.basilswitch.time.Scheduler;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
@@ -111,6 +115,49 @@
         }
     }
 
+    /** Guards against a request that waits unread on an open connection while the event loop lags through all probes. */
+    @Test
+    public void requestThatArrivesWhileTheLoopLagsIsAnswered() throws Exception {
+        Context context = vertx.getOrCreateContext();
+        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
+        List<Runnable> probes = new ArrayList<>();
+        AtomicLong lagNanos = new AtomicLong();
+        Clock clock = new LaggingClock(lagNanos);
+        Scheduler scheduler = (delay, task) -> {
+            probes.add(task);
+            return () -> {};
+        };
+        DrainingHttpServer server = DrainingHttpServer.create(
+                (request, body) -> request.response().end("answer"), LIMITS, clock, scheduler, Telemetry.none());
+        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
+                .onComplete(listening::complete, listening::completeExceptionally));
+        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5000);
+            send(socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            byte[] first = new byte[512];
+            assertTrue(new String(first, 0, socket.getInputStream().read(first), StandardCharsets.US_ASCII)
+                    .contains("answer"));
+            CompletableFuture<Void> lagging = new CompletableFuture<>();
+            CompletableFuture<Void> sent = new CompletableFuture<>();
+            context.runOnContext(ignored -> {
+                lagging.complete(null);
+                sent.join();
+                server.close();
+                for (int i = 0; i < probes.size(); i++) {
+                    lagNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(500));
+                    probes.get(i).run();
+                }
+            });
+            lagging.get(5, TimeUnit.SECONDS);
+            send(socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            // Loopback hands the bytes over before the write returns.
+            sent.complete(null);
+            assertTrue(
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).contains("answer"));
+        }
+    }
+
     /**
      * Load: requests sent ahead on many connections at once. Between two ticks of a timer at most a turn's requests are
      * handled, and not a part of what each connection has sent.
@@ -165,6 +212,19 @@
         }
     }
 
+    /** A clock that is ahead by what the event loop is made to lag. */
+    private record LaggingClock(AtomicLong lagNanos) implements Clock {
+        @Override
+        public long monotonicNanos() {
+            return System.nanoTime() + lagNanos.get();
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.now();
+        }
+    }
+
     /** Guards against an idle connection that is closed as stalled: its last body came apart from its header. */
     @Test
     public void bodyAfterItsHeaderLeavesNothingUnfinished() throws Exception {
