Callers' buffers of the daemon take at most a quarter of the heap

Cause: limits.callers.bufferBytes is 64 MiB unless set, which is two thirds of the heap of 96 MB that src/scripts gives an entry host; a crowd could fill it before anything was shed.

Change: the lesser of the setting and a quarter of the heap holds, as on the platform.

Result: SettingsTest, SettingsMapperTest and CatalogueTest pass.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsMapper.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/SettingsMapper.java
@@ -13,6 +13,9 @@
 
 /** Maps a site's settings to the options of an entry host. */
 public final class SettingsMapper {
+    /** Part of the heap that callers' buffers may take: the requests in work and the fleet's state need the rest. */
+    private static final int HEAP_BYTES_PER_BUFFER_BYTE = 4;
+
     private SettingsMapper() {}
 
     /** Returns the process options of one of the site's entry hosts. */
@@ -63,13 +66,15 @@
 
     private static CallerOptions caller(Settings.DaemonLimits limits) {
         CallerOptions defaults = CallerOptions.defaults();
+        long bufferBytes =
+                Math.min(limits.callerBufferBytes(), Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_BUFFER_BYTE);
         return new CallerOptions(
                 limits.headerLimitBytes(),
                 limits.bodyLimitBytes(),
                 defaults.replayBodyBytes(),
                 limits.callerIdleTimeout(),
                 limits.callerIdleTimeout(),
-                ConnectionLimits.of(limits.callerBufferBytes(), limits.callerConnections())
+                ConnectionLimits.of(bufferBytes, limits.callerConnections())
                         .withMaxConnectionsPerAddress(limits.callerConnectionsPerAddress()));
     }
 
--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsSchema.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/settings/SettingsSchema.java
@@ -99,8 +99,8 @@
                     1_024 * GIB,
                     64 * MIB,
                     Unit.BYTES,
-                    "Memory for callers' unfinished headers, requests in work and unread answers; when it is used up, stalled "
-                            + "connections are closed first."),
+                    "Memory for callers' unfinished headers, requests in work and unread answers, at most a quarter of the heap; "
+                            + "when it is used up, stalled connections are closed first."),
             wholeNumber(
                     "limits.callers.connections",
                     16,
