--- a/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/backpressure/ConnectionTable.java
@@ -15,9 +15,9 @@
 /**
  * The open connections of a server and the memory that each of them holds. When memory or connections run short, it
  * chooses which connection gives way: first those that have made no progress, then the ones that hold most, so that a
- * caller who sends a small request in one go is served beside any crowd. An idle connection may hold memory as well, of
- * what it sent before. A request that was read whole is not dropped,
- * unless its caller sent more requests ahead than are read.
+ * caller who sends a small request in one go is served beside any crowd. An idle connection may give way, too: it can
+ * hold memory of what it sent before. A request that was read whole is not dropped, unless its caller sent more requests
+ * ahead than are read.
  *
  * @param <C> the server's connections
  */
--- a/basilswitch-core/src/main/java/org/basilswitch/backpressure/ServiceQueue.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/backpressure/ServiceQueue.java
@@ -12,8 +12,7 @@
  * Divides an event loop between the connections of a server and all other work. Connections are served for a limited
  * time in a turn. Those beyond it wait for the next turn, before which the event loop does its other work; of them the
  * one that has taken the least time goes first (start-time fair queueing, with a head start of one turn for those that
- * were idle), so that a small request passes a crowd.
- * Used on one event loop.
+ * were idle), so that a small request passes a crowd. Used on one event loop.
  *
  * @param <C> the server's connections
  */
@@ -39,10 +38,11 @@
     public static final class Member<C> {
         private final C connection;
         private boolean waiting;
-        /** Virtual time at which its next service starts, and at which the last one ended. */
+        /** Virtual time at which its next service starts: the service time that one of equal connections has had. */
         private long startNanos;
-
+        /** Virtual time at which its last service ended. */
         private long endNanos;
+
         private long sequence;
 
         private Member(C connection) {
