No read from the socket after a slice whose requests made Vert.x stop reading

Cause: a read that was asked for before the slice was carried out after it, so that a connection that waits for its answers was read from once more than needed. Found by reading; what it read was held and charged. The test of the server starts it in one place.

--- a/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
+++ b/basilswitch-daemon/src/main/java/org/basilswitch/daemon/http/InboundGate.java
@@ -196,7 +196,9 @@
             connection.onDecoded(decoder.isInHeader());
         }
         decodingSlice = false;
-        readIfDecoded();
+        if (isRead()) {
+            readIfDecoded();
+        }
         updateHeld();
         return held != null && isRead() && !connection.isShed();
     }
--- a/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
+++ b/basilswitch-daemon/src/test/java/org/basilswitch/daemon/http/DrainingHttpServerTest.java
@@ -51,7 +51,6 @@
     public void openRequestIsAnsweredAfterClose() throws Exception {
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Void> received = new CompletableFuture<>();
-        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         DrainingHttpServer server = DrainingHttpServer.create(
                 (request, body) -> {
                     received.complete(null);
@@ -62,9 +61,7 @@
                 SystemClock.create(),
                 VertxScheduler.create(vertx, context),
                 Telemetry.none());
-        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
-                .onComplete(listening::complete, listening::completeExceptionally));
-        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        int port = listen(context, server);
         CompletableFuture<HttpResponse<String>> response = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
                 .build()
@@ -89,16 +86,13 @@
         for (int lagMs = 100; lagMs <= 200; lagMs += 20) {
             int lag = lagMs;
             Context context = vertx.getOrCreateContext();
-            CompletableFuture<HttpServer> listening = new CompletableFuture<>();
             DrainingHttpServer server = DrainingHttpServer.create(
                     (request, body) -> request.response().end("answer"),
                     LIMITS,
                     SystemClock.create(),
                     VertxScheduler.create(vertx, context),
                     Telemetry.none());
-            context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
-                    .onComplete(listening::complete, listening::completeExceptionally));
-            int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+            int port = listen(context, server);
             try (Socket socket = new Socket("127.0.0.1", port)) {
                 Thread.sleep(50);
                 CompletableFuture<Void> closing = new CompletableFuture<>();
@@ -119,7 +113,6 @@
     @Test
     public void requestThatArrivesWhileTheLoopLagsIsAnswered() throws Exception {
         Context context = vertx.getOrCreateContext();
-        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         List<Runnable> probes = new ArrayList<>();
         AtomicLong lagNanos = new AtomicLong();
         Clock clock = new LaggingClock(lagNanos);
@@ -129,9 +122,7 @@
         };
         DrainingHttpServer server = DrainingHttpServer.create(
                 (request, body) -> request.response().end("answer"), LIMITS, clock, scheduler, Telemetry.none());
-        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
-                .onComplete(listening::complete, listening::completeExceptionally));
-        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        int port = listen(context, server);
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(5000);
             send(socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -167,7 +158,6 @@
         int connections = 40;
         int requests = 300;
         Context context = vertx.getOrCreateContext();
-        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         AtomicInteger handled = new AtomicInteger();
         DrainingHttpServer server = DrainingHttpServer.create(
                 (request, body) -> {
@@ -179,9 +169,7 @@
                 SystemClock.create(),
                 VertxScheduler.create(vertx, context),
                 Telemetry.none());
-        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
-                .onComplete(listening::complete, listening::completeExceptionally));
-        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        int port = listen(context, server);
         List<Socket> sockets = new ArrayList<>();
         try {
             CompletableFuture<Void> sent = new CompletableFuture<>();
@@ -229,7 +217,6 @@
     @Test
     public void bodyAfterItsHeaderLeavesNothingUnfinished() throws Exception {
         Context context = vertx.getOrCreateContext();
-        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         Duration timeout = Duration.ofMillis(200);
         String body = "b".repeat(100_000);
         DrainingHttpServer server = DrainingHttpServer.create(
@@ -238,9 +225,7 @@
                 SystemClock.create(),
                 VertxScheduler.create(vertx, context),
                 Telemetry.none());
-        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
-                .onComplete(listening::complete, listening::completeExceptionally));
-        int port = listening.get(5, TimeUnit.SECONDS).actualPort();
+        int port = listen(context, server);
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(5000);
             send(socket, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + body.length() + "\r\n\r\n");
@@ -253,6 +238,14 @@
         }
     }
 
+    /** Starts a server; returns its port. */
+    private int listen(Context context, DrainingHttpServer server) throws Exception {
+        CompletableFuture<HttpServer> listening = new CompletableFuture<>();
+        context.runOnContext(ignored -> server.listen(vertx, new HttpServerOptions(), "127.0.0.1", 0)
+                .onComplete(listening::complete, listening::completeExceptionally));
+        return listening.get(5, TimeUnit.SECONDS).actualPort();
+    }
+
     private static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
