--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Case 14 of the review; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../run-case-3.sh" long-job "$folder"
+exec "$folder/../run-case-3.sh" withdrawn-key "$folder"
--- a/review/third/Case.java
+++ b/review/third/Case.java
@@ -14,9 +14,9 @@
     public static void main(String[] arguments) throws Exception {
         Play play = switch (arguments[0]) {
             case "withdrawn-key" -> new WithdrawnKeyAfterLostAnswer();
-            case "long-job" -> new LongJobClosesPool();
             case "failures" -> new FailuresClosePool();
             case "advice" -> new AdviceNeverInTime();
+            case "allowed" -> new AdviceOnOthers();
             case "cap" -> new CapBelowWorkItem();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
