--- a/review/third/Case.java
+++ b/review/third/Case.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Runs a case of the review: {@code third.Case NAME RECORD}; exits with 0, 1 or 2 as issue 48 says. */
+/** Runs a case of the review: {@code third.Case NAME RECORD TROUBLE}; exits with 0, 1 or 2 as issue 48 says. */
 public final class Case {
     /** A case; returns whether the rule was broken. */
     interface Play {
@@ -20,7 +20,7 @@
             case "cap" -> new CapBelowWorkItem();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !arguments[2].equals("0");
         int status;
         try (Record record = Record.open(Path.of(arguments[1]))) {
             Site[] open = new Site[1];
--- a/review/third/FailuresClosePool.java
+++ b/review/third/FailuresClosePool.java
@@ -30,6 +30,7 @@
         site.awaitRunning("00000000000000b", JOBS * MINIONS, Duration.ofSeconds(10));
         Thread.sleep(8000);
         site.record.add("case", "all is calm since more than 7 s");
+        long failedNanos = System.nanoTime();
         if (trouble) {
             site.minions.forEach(Minion::failAll);
         }
@@ -42,6 +43,14 @@
         }
         site.record.add("case", "from 6 s to 9 s after their last run at most " + most + " of "
                 + JOBS * MINIONS + " work items run; 64 cores are free on each minion");
+        if (most < JOBS * MINIONS) {
+            // The rule is judged; this only tells how long it takes.
+            while (site.running("00000000000000b") < JOBS * MINIONS && System.nanoTime() - failedNanos < 40_000_000_000L) {
+                Thread.sleep(20);
+            }
+            site.record.add(
+                    "case", site.running("00000000000000b") + " run again " + (System.nanoTime() - failedNanos) / 1_000_000 + " ms after they failed");
+        }
         return most < JOBS * MINIONS;
     }
 }
