Start a work item that uses more than its team's limit, one at a time

What callers saw: an operator lowered a team's limit below what one work item of an accepted job uses.

Cause: a start was allowed only if the team's running work and the work item together were within the limit, which never holds for a larger work item. The same held for memory, accelerators, gangs, long-running work that starts again, a new leader, and a work item that fits alone but not beside long-running work.

A team never runs more than its limit and one work item, so that two large ones never run at once.

Ruled out: waiting until nothing of the team runs, which starves beside small jobs and long-running work.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -60,6 +60,7 @@
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final EndedJobs endedJobs;
     private final RunRegistry runRegistry;
+    private final TeamLimits teamLimits;
     private final RunSupervisor runSupervisor;
     private final ProgressWriter progressWriter;
     private final HostOperations hostOperations;
@@ -92,6 +93,7 @@
         this.leadershipLostListener = onLost;
         IncarnationFences fences = IncarnationFences.of(fencingToken);
         this.runRegistry = new RunRegistry(fences, context.options().maxLease());
+        this.teamLimits = new TeamLimits(context, runRegistry);
         this.runSupervisor = new RunSupervisor(context, fences, runRegistry, this);
         this.endedJobs = new EndedJobs(context, fencingToken);
         this.ticketCache = new TicketCache(context, this::schedulePlacement);
@@ -404,6 +406,7 @@
     private void remove(ActiveJob job) {
         jobs.remove(job.id());
         ticketCache.removeJob(job.id());
+        teamLimits.removeJob(job.id());
         jobOrder.removeJob(job);
     }
 
@@ -441,6 +444,7 @@
             new PlacementRound(
                             snapshot.configuration(),
                             runRegistry,
+                            teamLimits,
                             ticketCache,
                             server -> eligibility.isUsable(server, nowNanos),
                             eligibility::holdsRunsLonger,
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -14,7 +14,6 @@
 
 import org.basilswitch.job.JobConfiguration;
 import org.basilswitch.job.JobQueue;
-import org.basilswitch.job.JobTeam;
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
 
@@ -48,7 +47,7 @@
     private static final Duration PROVEN_WINDOW = Duration.ofSeconds(5);
 
     private final JobConfiguration configuration;
-    private final RunRegistry runRegistry;
+    private final TeamLimits teamLimits;
     private final TicketCache ticketCache;
     private final Predicate<TrackedServer> holdsRunsLonger;
     private final LocalityRound locality;
@@ -61,6 +60,7 @@
     PlacementRound(
             JobConfiguration configuration,
             RunRegistry runRegistry,
+            TeamLimits teamLimits,
             TicketCache ticketCache,
             Predicate<TrackedServer> usable,
             Predicate<TrackedServer> holdsRunsLonger,
@@ -69,7 +69,7 @@
             BiConsumer<WorkItem, TrackedServer> start) {
         this.ticketCache = ticketCache;
         this.configuration = configuration;
-        this.runRegistry = runRegistry;
+        this.teamLimits = teamLimits;
         this.holdsRunsLonger = holdsRunsLonger;
         this.locality = locality;
         this.start = start;
@@ -123,7 +123,7 @@
         Optional<NearPlaces> places = rack.filter(name -> locality.mayWait(step) && hasRoom(servers, spec.reserved()))
                 .map(name -> locality.nearPlaces(step, name, servers, server -> isBetterThanOtherRacks(step, server)));
         for (WorkItem item : step) {
-            boolean mayStart = item.isWaiting() && teamAllows(job, spec.resources());
+            boolean mayStart = item.isWaiting() && teamLimits.allowStart(job, step);
             if (mayStart && places.filter(near -> near.waits(item)).isEmpty()) {
                 chooseServer(item, step, rack, servers).ifPresent(server -> {
                     start.accept(item, server);
@@ -150,8 +150,7 @@
 
     /** Starts all members of a gang or none, after finding a server for each member. */
     private void placeGang(ActiveJob job, List<WorkItem> step, List<TrackedServer> servers) {
-        boolean canStart = step.stream().allMatch(WorkItem::isWaiting)
-                && teamAllows(job, step.get(0).spec().resources().times(step.size()));
+        boolean canStart = step.stream().allMatch(WorkItem::isWaiting) && teamLimits.allowStart(job, step);
         if (!canStart) {
             return;
         }
@@ -189,12 +188,6 @@
         return Optional.of(chosen);
     }
 
-    /** Returns whether a job's team may use additional resources. */
-    private boolean teamAllows(ActiveJob job, Resources additional) {
-        JobTeam team = configuration.teams().get(job.submission().team());
-        return team == null || team.allows(runRegistry.usage(team.name()).plus(additional));
-    }
-
     /** Returns the server with the lowest cost that may run a work item and has enough free capacity. */
     private Optional<TrackedServer> chooseServer(
             WorkItem item, List<WorkItem> step, Optional<String> rack, List<TrackedServer> servers) {
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -267,6 +267,11 @@
         return servers.values().stream().mapToInt(ServerModel::activeRunCount).sum();
     }
 
+    /** Returns what the active runs on all servers use of their teams' limits. */
+    public Resources teamResources() {
+        return servers.values().stream().map(ServerModel::teamResources).reduce(Resources.NONE, Resources::plus);
+    }
+
     /** Returns the server that currently listens on an address; empty if there is none. */
     public Optional<BackendServer> serverAt(String address) {
         return servers.values().stream()
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -112,6 +112,11 @@
         answerWaitingRenewals();
     }
 
+    /** Returns what the active runs use of their team's limit. */
+    Resources teamResources() {
+        return activeRuns.values().stream().map(run -> run.spec.resources()).reduce(Resources.NONE, Resources::plus);
+    }
+
     private Resources usedResources() {
         return activeRuns.values().stream().map(run -> run.spec.reserved()).reduce(Resources.NONE, Resources::plus);
     }
