Check the team's limit again before a recorded start is sent

Cause: the limit was looked at when a work item was placed, and not when the start command was sent, which is after the record is stored.

Change: StartConditions asks TeamLimits for the run as well, counting the team's other runs. A start that the limit no longer allows is dropped and placed again.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -94,7 +94,7 @@
         IncarnationFences fences = IncarnationFences.of(fencingToken);
         this.runRegistry = new RunRegistry(fences, context.options().maxLease());
         this.teamLimits = new TeamLimits(context, runRegistry);
-        this.runSupervisor = new RunSupervisor(context, fences, runRegistry, this);
+        this.runSupervisor = new RunSupervisor(context, fences, runRegistry, teamLimits, this);
         this.endedJobs = new EndedJobs(context, fencingToken);
         this.ticketCache = new TicketCache(context, this::schedulePlacement);
         this.hostOperations = new HostOperations(context, fencingToken, isLeaderFor);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -77,14 +77,19 @@
         void leadershipLost(String reason);
     }
 
-    RunSupervisor(SchedulerContext context, IncarnationFences fences, RunRegistry runRegistry, Owner owner) {
+    RunSupervisor(
+            SchedulerContext context,
+            IncarnationFences fences,
+            RunRegistry runRegistry,
+            TeamLimits teamLimits,
+            Owner owner) {
         this.context = context;
         this.fences = fences;
         this.runRegistry = runRegistry;
         this.owner = owner;
         this.attemptLimits = new AttemptLimits(owner::maxAttempts);
         this.runEnds = new RunEnds(context, runRegistry, owner, attemptLimits, this::stop);
-        this.startConditions = new StartConditions(runRegistry, context.evacuations());
+        this.startConditions = new StartConditions(runRegistry, teamLimits, context.evacuations());
         this.paceSender = new PaceSender(context);
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StartConditions.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StartConditions.java
@@ -7,14 +7,19 @@
 /** Decides whether the start command of a run may still be sent once the run's record is stored. */
 final class StartConditions {
     private final RunRegistry runRegistry;
+    private final TeamLimits teamLimits;
     private final EvacuationFollower evacuations;
 
-    StartConditions(RunRegistry runRegistry, EvacuationFollower evacuations) {
+    StartConditions(RunRegistry runRegistry, TeamLimits teamLimits, EvacuationFollower evacuations) {
         this.runRegistry = runRegistry;
+        this.teamLimits = teamLimits;
         this.evacuations = evacuations;
     }
 
-    /** Returns whether the job of a run is open and its server takes new work; for a gang, the servers of all members. */
+    /**
+     * Returns whether the job of a run is open, its server takes new work and its team's limit, which may have been
+     * lowered meanwhile, allows the run; for a gang, the servers and the work of all members.
+     */
     boolean areMet(Run run) {
         boolean takesWork = runRegistry
                 .server(run.incarnation())
@@ -22,7 +27,11 @@
                 .flatMap(TrackedServer::listing)
                 .filter(listing -> !listing.draining())
                 .isPresent();
-        return takesWork && run.item().job().isOpen() && !isEvacuated(run) && !isGangMemberEvacuated(run);
+        return takesWork
+                && run.item().job().isOpen()
+                && !isEvacuated(run)
+                && !isGangMemberEvacuated(run)
+                && teamLimits.stillAllowStart(run);
     }
 
     private boolean isGangMemberEvacuated(Run run) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TeamLimits.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TeamLimits.java
@@ -23,13 +23,25 @@
 
     /** Returns whether a work item of this step may start; for a gang, whether all its members may start together. */
     boolean allowStart(ActiveJob job, List<WorkItem> step) {
+        return allow(job, step, Resources.NONE);
+    }
+
+    /** Returns whether a run that is recorded, but not started, may start; for a gang, whether all members may. */
+    boolean stillAllowStart(Run run) {
+        ActiveJob job = run.item().job();
+        List<WorkItem> step = job.stepOf(run.id());
+        return allow(job, step, step.get(0).spec().resources().times(startCount(step)));
+    }
+
+    private boolean allow(ActiveJob job, List<WorkItem> step, Resources counted) {
         Optional<JobTeam> team = team(job);
         if (team.isEmpty()) {
             return true;
         }
         Resources item = step.get(0).spec().resources();
         reportLowLimit(team.get(), step, item);
-        return team.get().allowsStart(runRegistry.usage(team.get().name()), item, startCount(step));
+        Resources running = runRegistry.usage(team.get().name()).minus(counted);
+        return team.get().allowsStart(running, item, startCount(step));
     }
 
     private Optional<JobTeam> team(ActiveJob job) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/TeamLimitTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/TeamLimitTest.java
@@ -8,6 +8,7 @@
 import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
 import org.basilswitch.schedule.ServerCommands.RunEndKind;
+import org.basilswitch.store.MemoryStoreClient;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -203,4 +204,18 @@
         }
         assertEquals(fleet.model.activeRunCount(), 2);
     }
+
+    /** Guards against starts that were recorded before the limit was lowered and are sent after that. */
+    @Test
+    public void startsRecordedBeforeLimitWasLoweredKeepIt() {
+        JobFleet fleet = fleet();
+        MemoryStoreClient leaderClient = fleet.clients.get(fleet.nodes.indexOf(fleet.leader()));
+        fleet.answerAfter(5, fleet.submit(fleet.leader(), ID, JobFleet.step(3, LARGE_CPU_MILLIS, 500)));
+        leaderClient.setOneWayDelay(Duration.ofMillis(490));
+        fleet.runFor(10);
+        leaderClient.setOneWayDelay(Duration.ZERO);
+        fleet.configure(LOW_LIMIT, 3);
+        runWithin(fleet, LOW_LIMIT, cores(6), 6000);
+        assertCompleted(fleet, ID);
+    }
 }
