Tell success only to a key that can be trusted when its call arrives

Queries and cancellations with valid keys got 503 at such a host.

Cause: the host's own write was undecided, the leader rejected the key, and WriteOutcomes took the job that the leader knew for the outcome of that write. The job had been stored before the withdrawal, by another host. Queries and cancellations read the silent store until their time was up.

Change: a host whose configuration is older than the key age forwards each call with a key to the leader at once and writes nothing. Where the leader doesn't answer, a job that is found counts as the outcome only if the configuration was recent enough when the call arrived; otherwise the answer is undecided (504).

Ruled out: a rejection in that case, as the write for this call may be the one that is found.

--- a/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/JobService.java
@@ -46,6 +46,8 @@
     /** Bound of the configuration reads for one call, in case the configuration keeps changing. */
     private static final int MAX_CONFIGURATION_REREADS = 4;
 
+    private static final String KEY_NOT_TRUSTED = "configuration is too old to trust the key";
+
     private final JobNode node;
     private final JobNode.Dependencies dependencies;
     private final Clock clock;
@@ -92,16 +94,22 @@
     public CompletionStage<JobAnswer> answer(JobCall call) {
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
-        CompletionStage<JobAnswer> decided = decideOrForward(call, deadlineNanos, true)
+        CompletionStage<JobAnswer> decided = decideOrForward(request(call, deadlineNanos, true))
                 .thenApply(answer -> isSubmissionOfStoredJob(call) ? WriteOutcomes.refusedToUndecided(answer) : answer);
         return withinTimeout(call, timeout, decided);
     }
 
-    private CompletionStage<JobAnswer> decideOrForward(JobCall call, long deadlineNanos, boolean mayTurnAway) {
-        return decide(new Request(call, deadlineNanos, states.otherLeader().isPresent(), mayTurnAway), 0)
+    /** Returns a request that was received now and may be forwarded to another leader. */
+    private Request request(JobCall call, long deadlineNanos, boolean mayTurnAway) {
+        boolean keyTrusted = jobConfiguration.confirmedWithin(dependencies.keyAge());
+        return new Request(call, deadlineNanos, keyTrusted, states.otherLeader().isPresent(), mayTurnAway);
+    }
+
+    private CompletionStage<JobAnswer> decideOrForward(Request request) {
+        return decide(request, 0)
                 .thenCompose(localAnswer -> isFinal(localAnswer)
                         ? CompletableFuture.completedFuture(localAnswer)
-                        : forwardToLeader(call, localAnswer, deadlineNanos));
+                        : forwardToLeader(request, localAnswer));
     }
 
     /** Returns whether a call submits a job that is stored, so that a refusal would deny a job that runs. */
@@ -118,8 +126,8 @@
         Duration timeout = boundedTimeout(call);
         long deadlineNanos = clock.monotonicNanos() + timeout.toNanos();
         CompletionStage<JobAnswer> decided = directory.hasHandedOver()
-                ? decideOrForward(call, deadlineNanos, false)
-                : decide(new Request(call, deadlineNanos, false, false), 0);
+                ? decideOrForward(request(call, deadlineNanos, false))
+                : decide(request(call, deadlineNanos, false).withoutForwarding(), 0);
         return withinTimeout(call, timeout, decided).thenApply(answer -> new ForwardedAnswer(answer, newestRevision()));
     }
 
@@ -141,12 +149,13 @@
      * Forwards a call to the leader when the store refuses this host. If the leader does not answer, this host decides
      * the call again. The call is refused only when neither host may have stored anything.
      */
-    private CompletionStage<JobAnswer> forwardToLeader(JobCall call, JobAnswer localAnswer, long deadlineNanos) {
+    private CompletionStage<JobAnswer> forwardToLeader(Request request, JobAnswer localAnswer) {
         Optional<String> leader = states.otherLeader();
-        Duration remaining = remaining(deadlineNanos);
+        Duration remaining = remaining(request.deadlineNanos());
         if (leader.isEmpty() || remaining.compareTo(ANSWER_TRANSIT_MARGIN) < 0) {
             return CompletableFuture.completedFuture(localAnswer);
         }
+        JobCall call = request.call();
         JobCall forwarded = new JobCall(call.host(), call.path(), call.key(), remaining, call.action());
         return dependencies.schedulerClient().forward(leader.get(), forwarded).thenCompose(reply -> {
             reply.ifPresent(found -> shownRevision = Math.max(shownRevision, found.configurationRevision()));
@@ -157,15 +166,18 @@
                             + answer.map(found -> found.getClass().getSimpleName())
                                     .orElse("none"));
             if (answer.isEmpty()) {
-                return decide(new Request(call, deadlineNanos, false, false), 0)
-                        .thenCompose(second -> writeOutcomes.answer(call, second, deadlineNanos));
+                return decide(request.withoutForwarding(), 0).thenCompose(second -> findOutcome(request, second));
             }
             return localAnswer instanceof JobAnswer.Undecided
-                    ? writeOutcomes.answer(call, answer.get(), deadlineNanos)
+                    ? findOutcome(request, answer.get())
                     : CompletableFuture.completedFuture(answer.get());
         });
     }
 
+    private CompletionStage<JobAnswer> findOutcome(Request request, JobAnswer later) {
+        return writeOutcomes.answer(request.call(), later, request.deadlineNanos(), request.keyTrusted());
+    }
+
     private CompletionStage<JobAnswer> withinTimeout(
             JobCall call, Duration timeout, CompletionStage<JobAnswer> decided) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
@@ -189,10 +201,17 @@
      * A call to decide.
      *
      * @param deadlineNanos monotonic time by which the call has to be decided, ns
+     * @param keyTrusted whether this host's configuration was recent enough to trust the key when the call arrived
      * @param mayForward whether the call can be forwarded to another host if the store refuses this one
      * @param mayTurnAway whether no host may have stored the job on behalf of this call
      */
-    private record Request(JobCall call, long deadlineNanos, boolean mayForward, boolean mayTurnAway) {}
+    private record Request(
+            JobCall call, long deadlineNanos, boolean keyTrusted, boolean mayForward, boolean mayTurnAway) {
+
+        private Request withoutForwarding() {
+            return new Request(call, deadlineNanos, keyTrusted, false, false);
+        }
+    }
 
     /** Describes the version and age of the configuration for log events. */
     private String describeConfiguration() {
@@ -247,9 +266,15 @@
             return answerNegative(request, rereads, answer);
         }
         String id = call.path().substring(queue.get().pathPrefix().length());
-        boolean readsJob = !(call.action() instanceof JobCall.Submit);
-        if (readsJob && !queue.get().open() && !jobConfiguration.confirmedWithin(dependencies.keyAge())) {
-            return rereadAndDecide(request, rereads, "configuration is too old to trust the key");
+        // The commit of a new job compares the configuration's revision, which checks the key.
+        boolean checkedByCommit = call.action() instanceof JobCall.Submit && !directory.contains(id);
+        if (!queue.get().open() && !jobConfiguration.confirmedWithin(dependencies.keyAge())) {
+            if (request.mayForward()) {
+                return refused(KEY_NOT_TRUSTED);
+            }
+            if (!checkedByCommit) {
+                return rereadAndDecide(request, rereads, KEY_NOT_TRUSTED);
+            }
         }
         if (id.isEmpty() && call.action() instanceof JobCall.Query) {
             return queryPending(queue.get());
@@ -370,9 +395,7 @@
         if (queue.open() || jobConfiguration.confirmedWithin(dependencies.keyAge())) {
             return CompletableFuture.completedFuture(new JobAnswer.Accepted());
         }
-        return request.mayForward()
-                ? refused("configuration is too old to trust the key")
-                : rereadAndDecide(request, rereads, "configuration is too old to trust the key");
+        return request.mayForward() ? refused(KEY_NOT_TRUSTED) : rereadAndDecide(request, rereads, KEY_NOT_TRUSTED);
     }
 
     /** Has no host turn away a job that may be stored. */
--- a/basilswitch-core/src/main/java/org/basilswitch/intake/WriteOutcomes.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/intake/WriteOutcomes.java
@@ -51,12 +51,14 @@
      *
      * @param later answer of a later attempt
      * @param deadlineNanos monotonic time by which the call has to be decided, ns
+     * @param keyTrusted whether the configuration was recent enough to trust the call's key when it arrived; without
+     *     that, a job that is found says nothing about this call, as it may have been stored before the key was withdrawn
      */
-    CompletionStage<JobAnswer> answer(JobCall call, JobAnswer later, long deadlineNanos) {
+    CompletionStage<JobAnswer> answer(JobCall call, JobAnswer later, long deadlineNanos, boolean keyTrusted) {
         return switch (later) {
-            case JobAnswer.UnknownQueue unknown -> find(call, later, deadlineNanos);
-            case JobAnswer.UnknownKey unknown -> find(call, later, deadlineNanos);
-            case JobAnswer.Invalid invalid -> find(call, later, deadlineNanos);
+            case JobAnswer.UnknownQueue unknown -> find(call, later, deadlineNanos, keyTrusted);
+            case JobAnswer.UnknownKey unknown -> find(call, later, deadlineNanos, keyTrusted);
+            case JobAnswer.Invalid invalid -> find(call, later, deadlineNanos, keyTrusted);
             case JobAnswer.Refused refused -> CompletableFuture.completedFuture(refusedToUndecided(refused));
             case JobAnswer.Overloaded overloaded -> CompletableFuture.completedFuture(refusedToUndecided(overloaded));
             // These tell the outcome, or are undecided themselves.
@@ -69,15 +71,16 @@
         };
     }
 
-    private CompletionStage<JobAnswer> find(JobCall call, JobAnswer rejection, long deadlineNanos) {
+    private CompletionStage<JobAnswer> find(JobCall call, JobAnswer rejection, long deadlineNanos, boolean keyTrusted) {
         Optional<String> id = call.jobId();
         if (id.isEmpty()) {
             return CompletableFuture.completedFuture(undecided());
         }
         CompletionStage<JobAnswer> found = switch (call.action()) {
             case JobCall.Query query -> CompletableFuture.completedFuture(rejection);
-            case JobCall.Submit submit -> findJob(call, id.get(), rejection, deadlineNanos);
-            case JobCall.Cancel cancel -> findCancellation(id.get());
+            case JobCall.Submit submit -> findJob(call, id.get(), rejection, deadlineNanos, keyTrusted);
+            case JobCall.Cancel cancel ->
+                keyTrusted ? findCancellation(id.get()) : CompletableFuture.completedFuture(undecided());
         };
         return found.thenApply(answer -> {
             telemetry.event(
@@ -98,17 +101,22 @@
                         state -> state.filter(JobState::isFinal).isPresent() ? new JobAnswer.Cancelled() : undecided());
     }
 
-    private CompletionStage<JobAnswer> findJob(JobCall call, String id, JobAnswer rejection, long deadlineNanos) {
-        if (directory.contains(id)) {
-            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
-        }
+    private CompletionStage<JobAnswer> findJob(
+            JobCall call, String id, JobAnswer rejection, long deadlineNanos, boolean keyTrusted) {
+        JobAnswer ifFound = keyTrusted ? new JobAnswer.Accepted() : undecided();
         long fromNanos = clock.monotonicNanos();
-        return states.find(id)
-                .thenCompose(state -> state.isPresent()
-                        ? CompletableFuture.completedFuture(new JobAnswer.Accepted())
+        return isKnown(id)
+                .thenCompose(known -> known
+                        ? CompletableFuture.completedFuture(ifFound)
                         : jobConfiguration
                                 .refresh()
-                                .thenCompose(done -> readJob(call, id, rejection, fromNanos, deadlineNanos)));
+                                .thenCompose(done -> readJob(call, id, rejection, ifFound, fromNanos, deadlineNanos)));
+    }
+
+    private CompletionStage<Boolean> isKnown(String id) {
+        return directory.contains(id)
+                ? CompletableFuture.completedFuture(true)
+                : states.find(id).thenApply(Optional::isPresent);
     }
 
     /**
@@ -116,7 +124,7 @@
      * no longer admits the call: the write compares the revision of the one that did, and can't take effect any more.
      */
     private CompletionStage<JobAnswer> readJob(
-            JobCall call, String id, JobAnswer rejection, long fromNanos, long deadlineNanos) {
+            JobCall call, String id, JobAnswer rejection, JobAnswer ifFound, long fromNanos, long deadlineNanos) {
         boolean rejected = jobConfiguration
                 .snapshot()
                 .filter(snapshot -> snapshot.confirmedNanos() >= fromNanos)
@@ -127,7 +135,7 @@
         return intake.find(id, remaining, true)
                 .thenApply(result -> result.fold(error -> undecided(), entry -> {
                     if (entry.isPresent()) {
-                        return new JobAnswer.Accepted();
+                        return ifFound;
                     }
                     return rejected ? rejection : undecided();
                 }));
--- a/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/store/MemoryStoreClient.java
@@ -20,6 +20,7 @@
     private Duration timeout = Duration.ofSeconds(1);
     private double lostAnswerRatio;
     private boolean reachable = true;
+    private boolean silent;
     private CommitFault commitFault = CommitFault.NONE;
     private long calls;
 
@@ -70,10 +71,18 @@
         return calls;
     }
 
+    /** Has calls get lost without a response, or be served again; the watch receives nothing meanwhile. */
+    public void setSilent(boolean silent) {
+        this.silent = silent;
+    }
+
     private <T> CompletionStage<Either<StoreError, T>> call(Supplier<Either<StoreError, T>> action) {
         calls++;
         CompletableFuture<Either<StoreError, T>> answer = new CompletableFuture<>();
         scheduler.schedule(timeout, () -> answer.complete(unknown()));
+        if (silent) {
+            return answer;
+        }
         if (!reachable) {
             scheduler.schedule(oneWayDelay, () -> answer.complete(refused()));
             return answer;
@@ -165,6 +174,7 @@
     @Override
     public Watch watch(String prefix, long fromRevision, WatchListener listener) {
         calls++;
-        return ResumingWatch.open(store, scheduler, prefix, fromRevision, listener, () -> reachable, oneWayDelay);
+        return ResumingWatch.open(
+                store, scheduler, prefix, fromRevision, listener, () -> reachable && !silent, oneWayDelay);
     }
 }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -76,6 +76,9 @@
     /** Time that a request to take over the leadership takes; empty when it is lost. */
     Optional<Duration> handoverDelay = Optional.of(PEER_DELAY);
 
+    /** Whether the answers of entry hosts to forwarded calls are lost. */
+    boolean forwardedAnswersLost;
+
     /** Factor of the entry hosts' settings by which work takes longer away from its data or group. */
     double remoteFactor = 1;
 
@@ -226,11 +229,22 @@
 
     /** Stores a configuration in which the team has no keys. */
     void revokeKeys() {
+        storeKeys(Set.of(), List.of());
+    }
+
+    /** Stores a configuration in which the team's key belongs to another team. */
+    void moveKeyToOtherTeam() {
+        storeKeys(Set.of(), List.of(new JobTeam("other-team", Set.of(KEY), 1, new Resources(0, 0, 0))));
+    }
+
+    private void storeKeys(Set<String> teamKeys, List<JobTeam> otherTeams) {
         JobTeam team = configuration.teams().get("team");
+        List<JobTeam> teams = new ArrayList<>(otherTeams);
+        teams.add(new JobTeam("team", teamKeys, team.weight(), team.limit()));
         configuration = JobConfiguration.of(
                 configuration.version() + 1,
                 List.copyOf(configuration.queues().values()),
-                List.of(new JobTeam("team", Set.of(), team.weight(), team.limit())),
+                teams,
                 List.copyOf(configuration.pools().values()),
                 configuration.maxHeaderBytes(),
                 configuration.maxBodyBytes());
@@ -479,7 +493,8 @@
             JobNode node = byAddress.get(leader);
             return killed.contains(node)
                     ? CompletableFuture.completedFuture(Optional.empty())
-                    : node.answerPeer(call).thenApply(Optional::of);
+                    : node.answerPeer(call)
+                            .thenApply(answer -> Optional.of(answer).filter(a -> !forwardedAnswersLost));
         }
 
         @Override
