Ask the advice service about each server of a step

Cause: TicketCache named the 30 servers with the most free capacity, kept the answer until it had expired and asked about the same ones again.

Only tickets of allowed servers are renewed. One call is in progress at a time, for the step that it helps most, with as many servers as are answered while the tickets can be used.

Ruled out: all servers in one call, whose tickets have expired by the answer.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/CounterCode.java
@@ -27,6 +27,7 @@
     RUNS_ENDED("basilswitch.runs.ended", "kind"),
     LOCALITY_RUNS("basilswitch.locality.runs", "place"),
     LOCALITY_WAITS("basilswitch.locality.waits", "result"),
+    ADVICE_CALLS("basilswitch.advice.calls", "result"),
     HOLDS_LOST("basilswitch.holds.lost", ""),
     CLOCK_JUMPS("basilswitch.clock.jumps", "direction"),
     ZONE_EVACUATIONS("basilswitch.zone.evacuations", "change"),
--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -111,6 +111,7 @@
             1937, Severity.WARN, "backend server runs a waiting work item that was not known to run; it goes on"),
     JOBS_TURNED_AWAY(1941, Severity.WARN, "jobs refused for lack of room in time; they have not run and will not run"),
     TEAM_LIMIT_TOO_LOW(1942, Severity.WARN, "work item or gang uses more than its team's limit"),
+    ADVICE_ANSWERED(1943, Severity.DEBUG, "advice service told which servers may run a step"),
     PLACE_WAIT_STARTED(1946, Severity.INFO, "work item waits for a place near its data or group"),
     PLACE_WAIT_IN_VAIN(1947, Severity.INFO, "work item waited for a place near its data or group and starts elsewhere"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -338,7 +338,22 @@
 
     @Override
     public Optional<String> ticket(Run run) {
-        return ticketCache.ticket(run.id().stepName(), run.incarnation().serverId());
+        return ticketCache.ticket(run.id().stepName(), run.incarnation());
+    }
+
+    @Override
+    public boolean lacksTicket(Run run) {
+        JobQueue queue = context.configuration()
+                .get()
+                .configuration()
+                .queues()
+                .get(run.item().job().submission().queue());
+        return queue != null && queue.adviceRequired() && ticket(run).isEmpty();
+    }
+
+    @Override
+    public void onTicketRejected(Run run) {
+        ticketCache.removeTicket(run.id().stepName(), run.incarnation());
     }
 
     @Override
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -88,26 +88,45 @@
             JobQueue queue = configuration.queues().get(job.submission().queue());
             if (queue != null && job.isOpen()) {
                 List<TrackedServer> servers = byPool.getOrDefault(queue.pool(), List.of());
-                job.forEachReadyStep(step -> place(job, step, serversWithTicket(queue, step, servers)));
+                job.forEachReadyStep(step -> {
+                    if (queue.adviceRequired()) {
+                        placeWithTickets(job, step, servers);
+                    } else {
+                        place(job, step, servers);
+                    }
+                });
             }
         }
+        ticketCache.requestNext();
     }
 
-    /** Returns the servers that may run a step; if the queue requires advice, those with a ticket. */
-    private List<TrackedServer> serversWithTicket(JobQueue queue, List<WorkItem> step, List<TrackedServer> servers) {
-        if (!queue.adviceRequired() || step.stream().noneMatch(WorkItem::isWaiting)) {
-            return servers;
+    /** Places a step on servers with a ticket, and asks for further tickets if some of it waits for them. */
+    private void placeWithTickets(ActiveJob job, List<WorkItem> step, List<TrackedServer> servers) {
+        if (step.stream().noneMatch(WorkItem::isWaiting)) {
+            return;
         }
         String name = step.get(0).id().stepName();
         List<TrackedServer> eligible = servers.stream()
                 .filter(server -> hasRequiredLabel(step.get(0), server))
                 .toList();
-        ticketCache.request(name, eligible);
-        return eligible.stream()
-                .filter(server -> ticketCache
-                        .ticket(name, server.incarnation().serverId())
-                        .isPresent())
-                .toList();
+        place(
+                job,
+                step,
+                eligible.stream()
+                        .filter(server ->
+                                ticketCache.ticket(name, server.incarnation()).isPresent())
+                        .toList());
+        List<WorkItem> waiting = step.stream().filter(WorkItem::isWaiting).toList();
+        if (!waiting.isEmpty() && teamLimits.allowStart(job, step)) {
+            StepSpec spec = step.get(0).spec();
+            ticketCache.addNeed(new TicketNeed(
+                    name,
+                    eligible,
+                    server -> spec.reserved().fitsInto(server.free())
+                            && waiting.stream().anyMatch(item -> mayRun(item, step, server)),
+                    spec,
+                    spec.gang() ? step.size() : 1));
+        }
     }
 
     private void place(ActiveJob job, List<WorkItem> step, List<TrackedServer> servers) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -64,6 +64,12 @@
         /** Returns the ticket of the advice service for a run, if there is one. */
         Optional<String> ticket(Run run);
 
+        /** Returns whether a run needs a ticket of the advice service and there is no valid one. */
+        boolean lacksTicket(Run run);
+
+        /** Called when a server has rejected a start for want of a valid ticket. */
+        void onTicketRejected(Run run);
+
         /** Returns whether this entry host is the scheduler leader now. */
         boolean isLeader();
 
@@ -196,7 +202,8 @@
         long nowNanos = context.holderClock().monotonicNanos();
         Optional<Long> leaseEnd = tracked.leaseEnd(
                 context.options().lease(), context.steadyClock().monotonicNanos());
-        if (!owner.maySendCommands() || !startConditions.areMet(run) || leaseEnd.isEmpty()) {
+        boolean mayStart = owner.maySendCommands() && startConditions.areMet(run) && !owner.lacksTicket(run);
+        if (!mayStart || leaseEnd.isEmpty()) {
             loseRun(run, "start conditions no longer met");
             abandonGang(run);
             return;
@@ -296,7 +303,11 @@
             case FENCED -> onFenced(tracked);
             case OTHER_LIFETIME -> endIncarnation(tracked, Optional.empty(), "another incarnation answers");
             case NO_ROOM -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
-            case UNHEALTHY, UNREACHABLE, INVALID, NO_TICKET -> tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
+            case NO_TICKET -> {
+                owner.onTicketRejected(run);
+                tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
+            }
+            case UNHEALTHY, UNREACHABLE, INVALID -> tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
             case OLD_RUN, LEASE_PASSED -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
         }
         loseRun(run, "start rejected: " + reason);
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/FleetModel.java
@@ -57,6 +57,7 @@
     private BiFunction<ItemId, BackendServer, Duration> workTimes;
     private UnaryOperator<String> zoneOfRack = rack -> "zone";
     private FailurePolicy failurePolicy = (item, run, server) -> false;
+    private TicketPolicy ticketPolicy = (item, ticket, server) -> true;
     private double remoteFactor = 1;
     private int maxHostsDown;
     private int hostsInMaintenance;
@@ -72,6 +73,13 @@
         boolean fails(ItemId item, int run, BackendServer server);
     }
 
+    /** Decides whether servers accept the tickets of starts. */
+    @FunctionalInterface
+    public interface TicketPolicy {
+        /** Returns whether a server may start a work item with a ticket. */
+        boolean accepts(ItemId item, Optional<String> ticket, BackendServer server);
+    }
+
     private FleetModel(Clock clock, Scheduler scheduler) {
         this.clock = clock;
         this.scheduler = scheduler;
@@ -180,6 +188,15 @@
         this.failurePolicy = failing;
     }
 
+    /** Sets the policy by which servers check the tickets of starts. */
+    public void setTicketPolicy(TicketPolicy policy) {
+        ticketPolicy = policy;
+    }
+
+    boolean acceptsTicket(ItemId item, Optional<String> ticket, BackendServer server) {
+        return ticketPolicy.accepts(item, ticket, server);
+    }
+
     /** Makes a server unreachable for all callers, or reachable again; its runs continue. */
     public void setUnreachable(String id, boolean unreachable) {
         if (unreachable) {
--- a/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
+++ b/basilswitch-standin/src/main/java/org/basilswitch/standin/jobs/ServerModel.java
@@ -141,6 +141,9 @@
             fleet.invariants().unknownItemStarted(command.item());
             return new ServerCommands.Rejected(ServerCommands.Reason.INVALID);
         }
+        if (!fleet.acceptsTicket(command.item(), command.ticket(), entry)) {
+            return new ServerCommands.Rejected(ServerCommands.Reason.NO_TICKET);
+        }
         extendLease(command.leaseEndMs());
         if (!usedResources().plus(spec.get().reserved()).fitsInto(entry.capacity())) {
             return new ServerCommands.Rejected(ServerCommands.Reason.NO_ROOM);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -76,6 +76,9 @@
     /** Time that a request to take over the leadership takes; empty when it is lost. */
     Optional<Duration> handoverDelay = Optional.of(PEER_DELAY);
 
+    /** Advice service of the queues that require it. */
+    final AdviceModel advice = AdviceModel.create(time, model);
+
     /** Whether the answers of entry hosts to forwarded calls are lost. */
     boolean forwardedAnswersLost;
 
@@ -253,6 +256,14 @@
                 .build());
     }
 
+    /** Stores a configuration whose queue requires advice. */
+    void requireAdvice() {
+        configure(
+                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, 3, 1.6, false, true)),
+                List.copyOf(configuration.teams().values()),
+                List.of(new JobPool(POOL, true, false)));
+    }
+
     /** Stores a configuration with one more queue. */
     void addQueue(String pathPrefix) {
         List<JobQueue> queues = new ArrayList<>(configuration.queues().values());
@@ -291,7 +302,7 @@
                 bytes -> RecordCodec.decode(bytes, JobConfiguration.class),
                 () -> delivered(nodeTime, afterListDelay(model.read())),
                 commands,
-                (step, servers) -> CompletableFuture.completedFuture(Optional.empty()),
+                advice.forHost(nodeTime),
                 new NodeHostControl(nodeTime),
                 new NodeWaveStore(nodeTime),
                 evacuation(client),
