Count no failure of work that has run against its server

Cause: each failure beyond the second since a server's last success doubled its pause, also when all runs had been started before; long-running work never counted as a success, however long it had run.

Change: FailureAttribution ignores failures of long-running work that reports have listed for 4 s, and failures during a pause.

Ruled out: a shorter pause, which a server that fails all it starts would use to use up the attempts of jobs.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/Run.java
@@ -37,6 +37,8 @@
     private long progressSinceMs;
 
     private int progressSincePercent;
+    private long firstReportServerMs;
+    private long lastReportServerMs;
     private Optional<Double> percentPerMs = Optional.empty();
     private int pacePercent;
     private boolean reported;
@@ -168,7 +170,9 @@
         this.reported = true;
         this.percent = percent;
         this.load = load;
+        lastReportServerMs = serverClockMs;
         if (!progressKnown) {
+            firstReportServerMs = serverClockMs;
             // The time to resume from a checkpoint is unknown, so progress is measured from the first report.
             boolean fresh = startedNanos > 0 && item.checkpoint().isEmpty();
             progressKnown = true;
@@ -186,6 +190,11 @@
         }
     }
 
+    /** Returns the time between the first and the last report that listed the run, on the server's clock. */
+    Duration reportedTime() {
+        return Duration.ofMillis(lastReportServerMs - firstReportServerMs);
+    }
+
     /** Returns the latest rate of progress, in percent per millisecond; empty before there are enough reports. */
     Optional<Double> percentPerMs() {
         return percentPerMs;
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunEnds.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunEnds.java
@@ -52,13 +52,13 @@
         } else if (!current && item.run().isPresent()) {
             if (end.kind() == ServerCommands.RunEndKind.FAILED) {
                 item.countFailure(end.run(), tracked.incarnation().serverId());
-                onFailure(tracked, item);
+                onFailure(tracked, item, run);
             }
             job.get().runAfterCommit(() -> tracked.markEndStored(end.number()));
             return;
         }
         if (!item.isDone()) {
-            applyRunEnd(tracked, item, end);
+            applyRunEnd(tracked, item, run, end);
         }
         if (item.isDone()) {
             item.copies().forEach(stop);
@@ -75,14 +75,14 @@
         item.demoteRunToCopy();
     }
 
-    private void applyRunEnd(TrackedServer tracked, WorkItem item, ServerCommands.RunEnd end) {
+    private void applyRunEnd(TrackedServer tracked, WorkItem item, Optional<Run> run, ServerCommands.RunEnd end) {
         item.saveCheckpoint(end.checkpoint());
         context.telemetry().count(CounterCode.RUNS_ENDED, end.kind().name());
         switch (end.kind()) {
             case DONE -> {
                 tracked.countSuccess(context.holderClock().monotonicNanos());
-                item.run().filter(run -> run.startedNanos() > 0).ifPresent(run -> {
-                    double tookMs = (context.holderClock().monotonicNanos() - run.startedNanos()) / 1e6;
+                item.run().filter(current -> current.startedNanos() > 0).ifPresent(current -> {
+                    double tookMs = (context.holderClock().monotonicNanos() - current.startedNanos()) / 1e6;
                     item.setDurationMs(tookMs);
                     owner.onRunCompleted(item, tookMs);
                 });
@@ -94,7 +94,7 @@
             case FAILED -> {
                 item.countFailure(end.run(), tracked.incarnation().serverId());
                 item.endRun(false);
-                onFailure(tracked, item);
+                onFailure(tracked, item, run);
             }
             case STOPPED, LAPSED, BROKEN, ALONE -> item.endRun(false);
         }
@@ -116,9 +116,9 @@
         }
     }
 
-    private void onFailure(TrackedServer tracked, WorkItem item) {
+    private void onFailure(TrackedServer tracked, WorkItem item, Optional<Run> run) {
         context.telemetry().event(EventCode.RUN_FAILED, "item=" + item.id() + " " + attemptLimits.describe(item));
-        failureAttribution.onFailure(tracked, item);
+        failureAttribution.onFailure(tracked, item, run);
         if (!item.job().isCancelled() && attemptLimits.isExhausted(item)) {
             item.job().fail();
             item.job().forEachRun(stop);
