Limits of teams change through kills of leaders and lost answers, by chance

TeamLimitTest.changingLimitsAreKeptThroughFaults: no team above its limit and one work item, and all jobs end.

--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/TeamLimitTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/TeamLimitTest.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.JobState;
@@ -218,4 +220,74 @@
         runWithin(fleet, LOW_LIMIT, cores(6), 6000);
         assertCompleted(fleet, ID);
     }
+
+    /** Limits that change while leaders are killed and answers to starts are lost; -DlimitSeeds sets the number of seeds. */
+    @Test
+    public void changingLimitsAreKeptThroughFaults() {
+        int seeds = Integer.getInteger("limitSeeds", 10);
+        for (int seed = 0; seed < seeds; seed++) {
+            runSeed(seed);
+        }
+    }
+
+    private static void runSeed(int seed) {
+        Random random = new Random(seed);
+        JobFleet fleet = fleet();
+        int jobs = 6;
+        int largestCores = 0;
+        for (int job = 1; job <= jobs; job++) {
+            int cores = 1 + random.nextInt(12);
+            largestCores = Math.max(largestCores, cores);
+            submitToLeader(fleet, job, JobFleet.step(1 + random.nextInt(4), cores * 1000L, 200 + random.nextInt(600)));
+        }
+        int earlierCores = 40;
+        int cores = 40;
+        for (int change = 0; change < 8; change++) {
+            int limitCores = 2 + random.nextInt(10);
+            fleet.configure(cores(limitCores), 50);
+            earlierCores = cores;
+            cores = limitCores;
+            fleet.model.loseNextAnswer("s" + random.nextInt(4));
+            // Until all hosts have read the new limit, the earlier one may be in force.
+            runWithinSeed(fleet, seed, Math.max(earlierCores, cores) + largestCores, 800);
+            runWithinSeed(fleet, seed, cores + largestCores, random.nextInt(1500));
+            if (random.nextInt(4) == 0 && fleet.nodes.size() < 6) {
+                fleet.addNode();
+                fleet.replaceLeader();
+            }
+        }
+        for (int ms = 0; ms < 60_000 && fleet.model.activeRunCount() + openJobs(fleet, jobs) > 0; ms += 100) {
+            fleet.runFor(100);
+        }
+        assertEquals(openJobs(fleet, jobs), 0, "seed " + seed + "\n" + fleet.lastEvents());
+        assertEquals(fleet.model.invariants().violations(), List.of(), "seed " + seed);
+    }
+
+    private static void submitToLeader(JobFleet fleet, int job, StepSpec step) {
+        fleet.answerAfter(20, fleet.submit(fleet.leader(), JobFleet.id(job), step));
+    }
+
+    private static int runningCores(JobFleet fleet) {
+        return (int) (fleet.model.teamResources().cpuMillis() / 1000);
+    }
+
+    private static long openJobs(JobFleet fleet, int jobs) {
+        return IntStream.rangeClosed(1, jobs)
+                .filter(job -> fleet.leader()
+                        .jobState(JobFleet.id(job))
+                        .filter(JobState::isFinal)
+                        .isEmpty())
+                .count();
+    }
+
+    private static void runWithinSeed(JobFleet fleet, int seed, int mostCores, long ms) {
+        for (int i = 0; i < ms / 10; i++) {
+            int before = runningCores(fleet);
+            fleet.runFor(10);
+            int running = runningCores(fleet);
+            assertTrue(
+                    running <= Math.max(before, mostCores),
+                    "seed " + seed + ": " + running + " cores of " + mostCores + "\n" + fleet.lastEvents());
+        }
+    }
 }
