Short calls for advice don't make later ones smaller

What callers would see: after the ticket of a single server was renewed, with 300 ms to decide and 30 ms for each server, the next servers were asked about 3 at a time and not 30, so that a step with few allowed servers began later.

Cause: AdviceCallSize took the whole time of a call for that of its servers.

Change: a call within the time only raises the size, one beyond it lowers it. Renewals that are not for a gang name at most 30 servers, so that their tickets have most of their time left.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
@@ -8,7 +8,7 @@
  */
 final class AdviceCallSize {
     /** Maximum number of servers that the service takes in one call. */
-    static final int MAX_SERVERS = 100;
+    private static final int MAX_SERVERS = 100;
     /** Number of servers in the first call for a step, which is short so that the step starts soon. */
     private static final int FIRST_CALL_SERVERS = 30;
     /** Part of a ticket's validity that is reserved for storing the run's record and starting the run. */
@@ -21,9 +21,12 @@
         return firstCall ? Math.min(FIRST_CALL_SERVERS, maxServers) : maxServers;
     }
 
-    /** Returns the number of servers whose tickets may be renewed together; their calls may use up the validity. */
-    int forRenewal() {
-        return Math.min(MAX_SERVERS, 2 * maxServers);
+    /**
+     * Returns the number of servers whose tickets may be renewed together. A gang needs all its tickets at once, so that
+     * its call may use up most of their validity.
+     */
+    int forRenewal(boolean gang) {
+        return gang ? Math.min(MAX_SERVERS, 2 * maxServers) : Math.min(FIRST_CALL_SERVERS, maxServers);
     }
 
     /** Returns the time from the beginning of a call for which its tickets are used. */
@@ -32,11 +35,15 @@
         return validity.minus(quarter.compareTo(START_ALLOWANCE) < 0 ? quarter : START_ALLOWANCE);
     }
 
-    /** Adapts to the duration of an answered call. */
+    /**
+     * Adapts to the duration of an answered call. A short call only shows that more servers are possible, as the time
+     * that the service takes for any call weighs more on few servers.
+     */
     void onAnswer(int servers, Duration took, Duration validity) {
-        long nanosPerServer = Math.max(1, took.toNanos() / servers);
-        long fitting = usableTime(validity).toNanos() / 2 / nanosPerServer;
-        maxServers = (int) Math.max(1, Math.min(MAX_SERVERS, fitting));
+        long limitNanos = usableTime(validity).toNanos() / 2;
+        long fitting = limitNanos / Math.max(1, took.toNanos() / servers);
+        long next = took.toNanos() > limitNanos ? Math.min(maxServers, fitting) : Math.max(maxServers, fitting);
+        maxServers = (int) Math.max(1, Math.min(MAX_SERVERS, next));
     }
 
     /** Adapts to a call without an answer, which may have taken too long. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -73,7 +73,11 @@
     private Optional<Call> request(TicketNeed need, long nowNanos) {
         StepTickets tickets = byStep.computeIfAbsent(need.step(), step -> new StepTickets());
         boolean firstCall = tickets.lastCallNanos() == Long.MIN_VALUE;
-        return tickets.nextRequest(need, callSize.forExploration(firstCall), callSize.forRenewal(), nowNanos)
+        return tickets.nextRequest(
+                        need,
+                        callSize.forExploration(firstCall),
+                        callSize.forRenewal(need.spec().gang()),
+                        nowNanos)
                 .map(request -> new Call(need.step(), tickets, request));
     }
 
