--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/WithdrawnKeyTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/WithdrawnKeyTest.java
@@ -199,7 +199,7 @@
         int number = fleet.nodes.indexOf(host);
         CompletionStage<JobAnswer> answer = fleet.submit(host, ID, STEP);
         // The commit has reached the store, and its answer and all later calls are lost.
-        fleet.time.runFor(Duration.ofMillis(1));
+        fleet.runFor(1);
         fleet.clients.get(number).setReachable(false);
         fleet.revokeKeys();
         fleet.runFor(5);
