--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
@@ -213,6 +213,20 @@
         }
     }
 
+    /** Guards against several calls in progress: they are answered in turn, so that the tickets of the later ones age. */
+    @Test
+    public void callsAreMadeOneAtATime() {
+        JobFleet fleet = fleet(40);
+        fleet.advice.decideTime = Duration.ofMillis(300);
+        fleet.advice.timePerServer = Duration.ofMillis(30);
+        for (int job = 1; job <= 12; job++) {
+            submit(fleet, JobFleet.id(job), JobFleet.step(2, 1000, WORK_MS));
+        }
+        fleet.runFor(6000);
+        assertTrue(fleet.advice.calls.size() >= 5, fleet.advice.calls.size() + " calls");
+        assertEquals(fleet.advice.mostWaitingCalls, 1);
+    }
+
     /** Guards against a start whose ticket has expired while the run's record was being stored. */
     @Test
     public void startWithExpiredTicketIsNotSent() {
