--- a/basilswitch-core/src/main/java/org/basilswitch/job/JobQueue.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/job/JobQueue.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * A queue that callers submit jobs to, with the limits that apply to its jobs.
  *
@@ -15,7 +17,7 @@
  * @param maxAttempts number of failed runs of one work item after which its job fails
  * @param stretchFactor time that a job may take, as a multiple of the duration of its critical path
  * @param open whether calls are accepted without an API key
- * @param adviceRequired whether a step may run only on servers that the advice service allows
+ * @param adviceTimes times of the advice service, if a step may run only on servers that it allows; null otherwise
  */
 public record JobQueue(
         String name,
@@ -28,7 +30,13 @@
         int maxAttempts,
         double stretchFactor,
         boolean open,
-        boolean adviceRequired) {
+        AdviceTimes adviceTimes) {
+
+    /** Returns the times of the advice service; empty if the queue's steps may run on any server. */
+    @JsonIgnore
+    public Optional<AdviceTimes> advice() {
+        return Optional.ofNullable(adviceTimes);
+    }
 
     /** Returns the queue of the host with the longest prefix of the path; empty when no queue matches. */
     public static Optional<JobQueue> findByPath(Iterable<JobQueue> queues, String host, String path) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
@@ -2,52 +2,107 @@
 
 import java.time.Duration;
 
+import org.basilswitch.job.AdviceTimes;
+
 /**
- * Number of servers to name in a call of the advice service, which takes time for each of them: so many that the tickets
- * are still valid for half of their time when they arrive.
+ * Number of servers to name in a call of the advice service, which takes a time for any call and a time for each server:
+ * so many that the call takes half of the time for which its tickets can be used, or that the time for any call is no
+ * more than half of it.
  */
 final class AdviceCallSize {
     /** Maximum number of servers that the service takes in one call. */
-    private static final int MAX_SERVERS = 100;
-    /** Number of servers in the first call for a step, which is short so that the step starts soon. */
+    static final int MAX_SERVERS = 100;
+    /** Number of servers in the first call for a step at most, so that it starts soon. */
     private static final int FIRST_CALL_SERVERS = 30;
-    /** Part of a ticket's validity that is reserved for storing the run's record and starting the run. */
-    private static final Duration START_ALLOWANCE = Duration.ofMillis(600);
+    /** Shortest time limit of a call; covers services that are slower than stated, and pauses of processes. */
+    private static final Duration MIN_TIME_LIMIT = Duration.ofMillis(3000);
+    /** Time limit of a call as a multiple of its expected duration. */
+    private static final int TIME_LIMIT_FACTOR = 3;
+
+    private static final Duration MAX_TIME_LIMIT = Duration.ofMinutes(5);
+    /** Number of times that a time limit is doubled at most. */
+    private static final int MAX_DOUBLINGS = 2;
+    /** Number of times that the number of servers is halved at most. */
+    private static final int MAX_HALVINGS = 7;
+
+    /** Bounds that keep the estimates above zero. */
+    private static final double MIN_SLOWNESS = 0.1;
 
-    private int maxServers = FIRST_CALL_SERVERS;
+    private static final double MIN_PER_SERVER_MS = 0.1;
 
-    /** Returns the number of servers to ask about for the first time. */
-    int forExploration(boolean firstCall) {
-        return firstCall ? Math.min(FIRST_CALL_SERVERS, maxServers) : maxServers;
+    private final AdviceTimes stated;
+    private Duration validity;
+    /** Duration of the last answered call as a multiple of its duration by the stated times. */
+    private double slowness = 1;
+
+    private int unanswered;
+
+    private AdviceCallSize(AdviceTimes stated) {
+        this.stated = stated;
+        this.validity = Duration.ofMillis(stated.validityMs());
     }
 
-    /**
-     * Returns the number of servers whose tickets may be renewed together. A gang needs all its tickets at once, so that
-     * its call may use up most of their validity.
-     */
-    int forRenewal(boolean gang) {
-        return gang ? Math.min(MAX_SERVERS, 2 * maxServers) : Math.min(FIRST_CALL_SERVERS, maxServers);
+    static AdviceCallSize of(AdviceTimes stated) {
+        return new AdviceCallSize(stated);
     }
 
-    /** Returns the time from the beginning of a call for which its tickets are used. */
-    static Duration usableTime(Duration validity) {
-        Duration quarter = validity.dividedBy(4);
-        return validity.minus(quarter.compareTo(START_ALLOWANCE) < 0 ? quarter : START_ALLOWANCE);
+    /** Returns the largest number of servers to name. */
+    int max() {
+        double limitMs = TicketLifetime.usableTime(validity).toMillis() / 2.0;
+        double fitting = validity.isZero()
+                ? FIRST_CALL_SERVERS
+                : Math.max((limitMs - decideMs()) / perServerMs(), decideMs() / perServerMs());
+        return atLeastOne(Math.min(MAX_SERVERS, fitting) / (1 << Math.min(unanswered, MAX_HALVINGS)));
     }
 
     /**
-     * Adapts to the duration of an answered call. A short call only shows that more servers are possible, as the time
-     * that the service takes for any call weighs more on few servers.
+     * Returns the number of servers to name for a step.
+     *
+     * @param asked number of servers about which the service has answered for the step
      */
-    void onAnswer(int servers, Duration took, Duration validity) {
-        long limitNanos = usableTime(validity).toNanos() / 2;
-        long fitting = limitNanos / Math.max(1, took.toNanos() / servers);
-        long next = took.toNanos() > limitNanos ? Math.min(maxServers, fitting) : Math.max(maxServers, fitting);
-        maxServers = (int) Math.max(1, Math.min(MAX_SERVERS, next));
+    int next(int asked) {
+        return asked == 0 ? Math.min(FIRST_CALL_SERVERS, max()) : max();
+    }
+
+    /** Returns the time after which a call is overdue, so that other steps no longer wait for its answer. */
+    Duration overdueTime(int servers) {
+        long expectedMs = (long) (TIME_LIMIT_FACTOR * (decideMs() + servers * perServerMs()));
+        return Duration.ofMillis(Math.min(Math.max(MIN_TIME_LIMIT.toMillis(), expectedMs), MAX_TIME_LIMIT.toMillis()));
+    }
+
+    /** Returns the time to wait for an answer; longer after calls without one, as the service may be slower than stated. */
+    Duration timeLimit(int servers) {
+        Duration limit = overdueTime(servers).multipliedBy(1L << Math.min(unanswered, MAX_DOUBLINGS));
+        return limit.compareTo(MAX_TIME_LIMIT) > 0 ? MAX_TIME_LIMIT : limit;
+    }
+
+    /** Adapts to the duration of an answered call; an answer without a validity leaves the last one. */
+    void onAnswer(int servers, Duration took, Duration grantedValidity) {
+        double statedMs = stated.decideMs() + servers * Math.max(MIN_PER_SERVER_MS, stated.perServerMs());
+        slowness = Math.max(MIN_SLOWNESS, took.toNanos() / 1e6 / statedMs);
+        validity = grantedValidity.isZero() ? validity : grantedValidity;
+        unanswered = Math.max(0, unanswered - 1);
     }
 
     /** Adapts to a call without an answer, which may have taken too long. */
-    void onNoAnswer(int servers) {
-        maxServers = Math.max(1, Math.min(maxServers, servers) / 2);
+    void onNoAnswer() {
+        unanswered++;
+    }
+
+    /** Returns the validity of the tickets in the last answer. */
+    Duration validity() {
+        return validity;
+    }
+
+    private double decideMs() {
+        return slowness * stated.decideMs();
+    }
+
+    private double perServerMs() {
+        return slowness * Math.max(MIN_PER_SERVER_MS, stated.perServerMs());
+    }
+
+    private static int atLeastOne(double servers) {
+        return (int) Math.max(1, servers);
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -338,7 +338,7 @@
 
     @Override
     public Optional<String> ticket(Run run) {
-        return ticketCache.ticket(run.id().stepName(), run.incarnation());
+        return ticketCache.ticketForStart(run.id().stepName(), run.incarnation());
     }
 
     @Override
@@ -348,12 +348,17 @@
                 .configuration()
                 .queues()
                 .get(run.item().job().submission().queue());
-        return queue != null && queue.adviceRequired() && ticket(run).isEmpty();
+        return queue != null && queue.advice().isPresent() && ticket(run).isEmpty();
+    }
+
+    @Override
+    public void onTicketAccepted(Run run, long sentNanos) {
+        ticketCache.onAccepted(run.id().stepName(), run.incarnation(), sentNanos);
     }
 
     @Override
     public void onTicketRejected(Run run) {
-        ticketCache.removeTicket(run.id().stepName(), run.incarnation());
+        ticketCache.onRejected(run.id().stepName(), run.incarnation());
     }
 
     @Override
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -89,8 +89,8 @@
             if (queue != null && job.isOpen()) {
                 List<TrackedServer> servers = byPool.getOrDefault(queue.pool(), List.of());
                 job.forEachReadyStep(step -> {
-                    if (queue.adviceRequired()) {
-                        placeWithTickets(job, step, servers);
+                    if (queue.advice().isPresent()) {
+                        placeWithTickets(job, queue, step, servers);
                     } else {
                         place(job, step, servers);
                     }
@@ -101,7 +101,7 @@
     }
 
     /** Places a step on servers with a ticket, and asks for further tickets if some of it waits for them. */
-    private void placeWithTickets(ActiveJob job, List<WorkItem> step, List<TrackedServer> servers) {
+    private void placeWithTickets(ActiveJob job, JobQueue queue, List<WorkItem> step, List<TrackedServer> servers) {
         if (step.stream().noneMatch(WorkItem::isWaiting)) {
             return;
         }
@@ -113,19 +113,20 @@
                 job,
                 step,
                 eligible.stream()
-                        .filter(server ->
-                                ticketCache.ticket(name, server.incarnation()).isPresent())
+                        .filter(server -> ticketCache.allowsPlacement(name, server.incarnation()))
                         .toList());
         List<WorkItem> waiting = step.stream().filter(WorkItem::isWaiting).toList();
         if (!waiting.isEmpty() && teamLimits.allowStart(job, step)) {
             StepSpec spec = step.get(0).spec();
             ticketCache.addNeed(new TicketNeed(
+                    queue.name(),
+                    queue.advice().orElseThrow(),
                     name,
                     eligible,
                     server -> spec.reserved().fitsInto(server.free())
                             && waiting.stream().anyMatch(item -> mayRun(item, step, server)),
                     spec,
-                    spec.gang() ? step.size() : 1));
+                    waiting.size()));
         }
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -67,6 +67,9 @@
         /** Returns whether a run needs a ticket of the advice service and there is no valid one. */
         boolean lacksTicket(Run run);
 
+        /** Called when a server has accepted a start with a ticket; the time is that at which it was sent. */
+        void onTicketAccepted(Run run, long sentNanos);
+
         /** Called when a server has rejected a start for want of a valid ticket. */
         void onTicketRejected(Run run);
 
@@ -228,6 +231,10 @@
                 "start",
                 result -> {
                     recordLeaseOfStart(tracked, sentSteadyNanos, result);
+                    if (result instanceof ServerCommands.Done
+                            && command.ticket().isPresent()) {
+                        owner.onTicketAccepted(run, nowNanos);
+                    }
                     onStarted(run, tracked, result);
                 });
     }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/SchedulerRehearsal.java
@@ -83,7 +83,7 @@
                 MemoryStoreClient.create(store, time, RandomSource.SPLIT_MIX_64.create(1)),
                 keys,
                 new SimulatedCommands(),
-                (step, ids) -> CompletableFuture.completedFuture(Optional.empty()),
+                (step, ids, timeLimit) -> CompletableFuture.completedFuture(new AdviceService.NoAnswer()),
                 () -> new JobConfigurationSnapshot(configuration, 1, time.monotonicNanos()),
                 LiveServers.create(time, time, this::readServers, telemetry),
                 EvacuationFollower.create(time, time, telemetry, Optional.empty()),
@@ -144,7 +144,7 @@
         List<JobQueue> queues = new ArrayList<>();
         for (String pool : POOLS) {
             pools.add(new JobPool(pool, true, false));
-            queues.add(new JobQueue(pool, "host", "/" + pool + "/", pool, 3000, 600, 0, 3, 1.6, false, false));
+            queues.add(new JobQueue(pool, "host", "/" + pool + "/", pool, 3000, 600, 0, 3, 1.6, false, null));
         }
         pools.add(new JobPool(STANDBY, true, true));
         JobTeam team = new JobTeam("team", Set.of("key"), 1, new Resources(0, 0, 0));
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -1,29 +1,26 @@
 package org.basilswitch.schedule;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
- * What the advice service has answered about one step. The policy of a step does not change, so that each incarnation of
- * a server is asked about once; only the tickets of allowed servers are requested again, as they expire.
+ * What the advice service has answered about one step. The policy of a step does not change, so that each server is asked
+ * about once, and only the tickets of allowed servers are requested again as they expire.
  */
 final class StepTickets {
-    /** Servers that the service has not been asked about, in the order in which it will be. */
-    private final Set<BackendServer.Incarnation> unasked = new LinkedHashSet<>();
-
-    private final Set<BackendServer.Incarnation> asked = new HashSet<>();
     private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
-    private long lastCallNanos = Long.MIN_VALUE;
-
-    private record Ticket(String value, long untilNanos) {}
-
+    private final Set<BackendServer.Incarnation> refused = new HashSet<>();
+    private final QueueAdvice advice;
+    private long lastCallNanos;
     /** What the next call for a step is about, in the order in which steps are served. */
     enum Purpose {
         /** Work items may start on servers with room after the answer. */
@@ -35,23 +32,32 @@
     }
 
     /** Servers to name in the next call. */
-    record Request(Purpose purpose, List<TrackedServer> servers) {}
+    record Request(Purpose purpose, List<BackendServer.Incarnation> servers) {}
 
-    /** Returns the time of the last call, ns; the lowest value before the first one. */
-    long lastCallNanos() {
+    StepTickets(QueueAdvice advice, long nowNanos) {
+        this.advice = advice;
+        this.lastCallNanos = nowNanos;
+    }
+
+    /** Returns what is known of the step's queue. */
+    QueueAdvice advice() {
+        return advice;
+    }
+
+    /** Returns the time since which the step waits for its turn: its last call or, before the first one, its first need. */
+    long waitingSinceNanos() {
         return lastCallNanos;
     }
 
-    /** Returns the ticket for a server, if there is one that is valid for long enough. */
-    Optional<String> ticket(BackendServer.Incarnation incarnation, long nowNanos) {
+    /** Returns the ticket for a server; it may have expired. */
+    Optional<Ticket> ticket(BackendServer.Incarnation incarnation) {
         return Optional.ofNullable(allowed.get(incarnation))
-                .filter(ticket -> nowNanos < ticket.untilNanos())
-                .map(Ticket::value);
+                .filter(ticket -> !ticket.value().isEmpty());
     }
 
     /** Forgets a ticket that a server has rejected; the server remains allowed. */
-    void removeTicket(BackendServer.Incarnation incarnation) {
-        allowed.computeIfPresent(incarnation, (key, ticket) -> new Ticket("", Long.MIN_VALUE));
+    void onRejected(BackendServer.Incarnation incarnation) {
+        allowed.computeIfPresent(incarnation, (server, ticket) -> ticket.withoutValue());
     }
 
     /** Records that a call is made. */
@@ -60,50 +66,57 @@
     }
 
     /** Records the answer to a call: the servers that it allows, and the others as not allowed. */
-    void onAnswer(List<TrackedServer> servers, Map<String, String> tickets, long untilNanos) {
-        for (TrackedServer server : servers) {
-            BackendServer.Incarnation incarnation = server.incarnation();
-            unasked.remove(incarnation);
-            asked.add(incarnation);
-            String ticket = tickets.get(incarnation.serverId());
+    void onAnswer(
+            Collection<BackendServer.Incarnation> servers,
+            Map<String, String> tickets,
+            Duration validity,
+            long nowNanos) {
+        for (BackendServer.Incarnation server : servers) {
+            String ticket = tickets.get(server.serverId());
             if (ticket == null) {
-                allowed.remove(incarnation);
+                allowed.remove(server);
+                refused.add(server);
             } else {
-                allowed.put(incarnation, new Ticket(ticket, untilNanos));
+                refused.remove(server);
+                allowed.put(server, new Ticket(ticket, lastCallNanos, nowNanos, validity));
             }
         }
     }
 
-    /**
-     * Returns the servers to name in the next call; empty if no call is of use.
-     *
-     * @param maxAsked maximum number of servers to ask about for the first time
-     * @param maxRenewed maximum number of servers whose tickets are renewed
-     */
-    Optional<Request> nextRequest(TicketNeed need, int maxAsked, int maxRenewed, long nowNanos) {
-        List<TrackedServer> allowedWithRoom = new ArrayList<>();
-        List<TrackedServer> allowedWithoutRoom = new ArrayList<>();
+    /** Returns the number of servers about which the service has answered. */
+    private int asked() {
+        return allowed.size() + refused.size();
+    }
+
+    /** Returns the servers to name in the next call; empty if no call is of use. */
+    Optional<Request> nextRequest(TicketNeed need, TicketLifetime lifetime, long nowNanos) {
+        int size = advice.callSize().next(asked());
+        Candidates candidates = candidates(need);
+        return renewal(need, candidates.allowedWithRoom(), size, lifetime, nowNanos)
+                .or(() -> exploration(candidates, size))
+                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), size));
+    }
+
+    /** Servers of a need by what is known of them, each list with the preferred ones first. */
+    private record Candidates(
+            List<TrackedServer> allowedWithRoom,
+            List<TrackedServer> allowedWithoutRoom,
+            List<TrackedServer> unaskedWithRoom,
+            List<TrackedServer> unaskedWithoutRoom) {}
+
+    private Candidates candidates(TicketNeed need) {
+        Candidates candidates =
+                new Candidates(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
         for (TrackedServer server : byFreeCapacity(need.servers())) {
             BackendServer.Incarnation incarnation = server.incarnation();
-            if (!allowed.containsKey(incarnation)) {
-                if (!asked.contains(incarnation)) {
-                    unasked.add(incarnation);
-                }
-            } else if (need.hasRoom().test(server)) {
-                allowedWithRoom.add(server);
-            } else {
-                allowedWithoutRoom.add(server);
+            boolean hasRoom = need.hasRoom().test(server);
+            if (allowed.containsKey(incarnation)) {
+                (hasRoom ? candidates.allowedWithRoom : candidates.allowedWithoutRoom).add(server);
+            } else if (!refused.contains(incarnation)) {
+                (hasRoom ? candidates.unaskedWithRoom : candidates.unaskedWithoutRoom).add(server);
             }
         }
-        return renewal(need, allowedWithRoom, maxRenewed, nowNanos)
-                .or(() -> exploration(need, maxAsked))
-                .or(() -> request(
-                        Purpose.KEEP,
-                        allowedWithoutRoom.stream()
-                                .filter(server ->
-                                        ticket(server.incarnation(), nowNanos).isEmpty())
-                                .limit(maxAsked)
-                                .toList()));
+        return candidates;
     }
 
     private static List<TrackedServer> byFreeCapacity(List<TrackedServer> servers) {
@@ -112,44 +125,58 @@
                 .toList();
     }
 
+    private List<BackendServer.Incarnation> expired(
+            List<TrackedServer> servers, TicketLifetime lifetime, long nowNanos) {
+        return servers.stream()
+                .map(TrackedServer::incarnation)
+                .filter(server -> ticket(server)
+                        .filter(ticket -> lifetime.isUsableForPlacement(ticket, nowNanos))
+                        .isEmpty())
+                .toList();
+    }
+
     /** Renews the tickets that let work items start; for a gang those of all its servers, so that they are valid at once. */
-    private Optional<Request> renewal(TicketNeed need, List<TrackedServer> withRoom, int maxRenewed, long nowNanos) {
-        List<TrackedServer> chosen = new ArrayList<>();
+    private Optional<Request> renewal(
+            TicketNeed need, List<TrackedServer> withRoom, int size, TicketLifetime lifetime, long nowNanos) {
+        boolean gang = need.spec().gang();
+        int maxRenewed = Math.min(
+                AdviceCallSize.MAX_SERVERS,
+                gang ? 2 * advice.callSize().max() : advice.callSize().max());
+        List<BackendServer.Incarnation> chosen = new ArrayList<>();
         int places = 0;
-        boolean expired = false;
+        boolean anyExpired = false;
         for (TrackedServer server : withRoom) {
-            boolean enough = need.startCount() > 1 && places >= need.startCount();
+            boolean isExpired = !expired(List.of(server), lifetime, nowNanos).isEmpty();
+            boolean enough = places >= need.waitingCount() && (gang || chosen.size() >= size);
             if (enough || chosen.size() >= maxRenewed) {
                 break;
             }
-            boolean hasTicket = ticket(server.incarnation(), nowNanos).isPresent();
-            if (need.startCount() > 1 || !hasTicket) {
-                chosen.add(server);
+            if (gang || isExpired) {
+                chosen.add(server.incarnation());
                 places += need.places(server);
-                expired |= !hasTicket;
+                anyExpired |= isExpired;
             }
         }
-        return expired && places >= need.startCount() ? request(Purpose.START, chosen) : Optional.empty();
+        if (!anyExpired || gang && places < need.waitingCount()) {
+            return Optional.empty();
+        }
+        return request(Purpose.START, chosen, chosen.size());
     }
 
     /** Asks about further servers, those with room first. */
-    private Optional<Request> exploration(TicketNeed need, int maxAsked) {
-        List<TrackedServer> withRoom = new ArrayList<>();
-        List<TrackedServer> others = new ArrayList<>();
-        Map<BackendServer.Incarnation, TrackedServer> byIncarnation = new HashMap<>();
-        need.servers().forEach(server -> byIncarnation.put(server.incarnation(), server));
-        for (BackendServer.Incarnation incarnation : unasked) {
-            TrackedServer server = byIncarnation.get(incarnation);
-            if (server != null) {
-                (need.hasRoom().test(server) ? withRoom : others).add(server);
-            }
-        }
-        Purpose purpose = withRoom.isEmpty() ? Purpose.EXPLORE : Purpose.START;
-        withRoom.addAll(others);
-        return request(purpose, withRoom.stream().limit(maxAsked).toList());
+    private static Optional<Request> exploration(Candidates candidates, int size) {
+        Purpose purpose = candidates.unaskedWithRoom().isEmpty() ? Purpose.EXPLORE : Purpose.START;
+        List<BackendServer.Incarnation> servers = Stream.of(
+                        candidates.unaskedWithRoom(), candidates.unaskedWithoutRoom())
+                .flatMap(List::stream)
+                .map(TrackedServer::incarnation)
+                .toList();
+        return request(purpose, servers, size);
     }
 
-    private static Optional<Request> request(Purpose purpose, List<TrackedServer> servers) {
-        return servers.isEmpty() ? Optional.empty() : Optional.of(new Request(purpose, servers));
+    private static Optional<Request> request(Purpose purpose, List<BackendServer.Incarnation> servers, int most) {
+        return servers.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Request(purpose, servers.stream().limit(most).toList()));
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -15,8 +15,8 @@
 /**
  * Requests and caches the advice service's tickets for the steps that require them.
  *
- * <p>The service handles the calls of one host one after another, so that one call is in progress at a time: the time at
- * which it was sent is the earliest at which the validity of its tickets can begin.
+ * <p>The service handles the calls of one host one after another, so that one call is in progress at a time: later ones
+ * would wait there, and it would not be known how long their tickets have been valid.
  */
 final class TicketCache {
     /** Delay before the next call after no answer or a busy service. */
@@ -25,7 +25,8 @@
     private final SchedulerContext context;
     private final Runnable onTicketsChanged;
     private final Map<String, StepTickets> byStep = new HashMap<>();
-    private final AdviceCallSize callSize = new AdviceCallSize();
+    private final Map<String, QueueAdvice> byQueue = new HashMap<>();
+    private final TicketLifetime lifetime = new TicketLifetime();
     private final List<TicketNeed> needs = new ArrayList<>();
     private boolean callInProgress;
     private long pausedUntilNanos = Long.MIN_VALUE;
@@ -35,15 +36,39 @@
         this.onTicketsChanged = onTicketsChanged;
     }
 
-    /** Returns the ticket for a step on a server, if there is one that is valid for long enough. */
-    Optional<String> ticket(String step, BackendServer.Incarnation server) {
-        return Optional.ofNullable(byStep.get(step))
-                .flatMap(tickets -> tickets.ticket(server, context.holderClock().monotonicNanos()));
+    /** Returns whether a run of a step may be placed on a server: whether there is a ticket that is valid for long enough. */
+    boolean allowsPlacement(String step, BackendServer.Incarnation server) {
+        long nowNanos = nowNanos();
+        return find(step, server)
+                .filter(ticket -> lifetime.isUsableForPlacement(ticket, nowNanos))
+                .isPresent();
+    }
+
+    /** Returns the ticket with which a run of a step may be started on a server now. */
+    Optional<String> ticketForStart(String step, BackendServer.Incarnation server) {
+        long nowNanos = nowNanos();
+        return find(step, server)
+                .filter(ticket -> lifetime.isUsableForStart(ticket, nowNanos))
+                .map(Ticket::value);
+    }
+
+    private Optional<Ticket> find(String step, BackendServer.Incarnation server) {
+        return Optional.ofNullable(byStep.get(step)).flatMap(tickets -> tickets.ticket(server));
+    }
+
+    /** Records that a server has accepted a start that was sent at a time. */
+    void onAccepted(String step, BackendServer.Incarnation server, long sentNanos) {
+        Optional.ofNullable(byStep.get(step)).ifPresent(tickets -> {
+            tickets.ticket(server).ifPresent(ticket -> lifetime.onAccepted(ticket, sentNanos));
+        });
     }
 
     /** Forgets a ticket that a server has rejected. */
-    void removeTicket(String step, BackendServer.Incarnation server) {
-        Optional.ofNullable(byStep.get(step)).ifPresent(tickets -> tickets.removeTicket(server));
+    void onRejected(String step, BackendServer.Incarnation server) {
+        Optional.ofNullable(byStep.get(step)).ifPresent(tickets -> {
+            tickets.ticket(server).ifPresent(ticket -> lifetime.onRejected(ticket, nowNanos()));
+            tickets.onRejected(server);
+        });
     }
 
     /** Adds a step that waits for tickets, for the next call. */
@@ -51,68 +76,108 @@
         needs.add(need);
     }
 
-    /**
-     * Makes the call that is of most use to the steps added since the last one, unless a call is in progress. Steps that
-     * may start are served first, and among equals the one whose last call is the longest ago.
-     */
+    /** Makes the call that is of most use to the steps added since the last one, unless a call is in progress. */
     void requestNext() {
-        long nowNanos = context.holderClock().monotonicNanos();
+        long nowNanos = nowNanos();
+        List<Waiting> waiting = waitingSteps(nowNanos);
         if (!callInProgress && nowNanos >= pausedUntilNanos) {
-            needs.stream()
-                    .map(need -> request(need, nowNanos))
-                    .flatMap(Optional::stream)
-                    .min(Comparator.comparing((Call call) -> call.request().purpose())
-                            .thenComparingLong(call -> call.tickets().lastCallNanos()))
-                    .ifPresent(call -> send(call, nowNanos));
+            nextCall(waiting, nowNanos).ifPresent(call -> send(call, nowNanos));
         }
         needs.clear();
     }
 
-    private record Call(String step, StepTickets tickets, StepTickets.Request request) {}
+    private record Waiting(TicketNeed need, StepTickets tickets) {}
+
+    private record Call(String step, StepTickets tickets, StepTickets.Request request) {
+        private boolean isOfMoreUseThan(Call other) {
+            return request.purpose().compareTo(other.request.purpose()) < 0;
+        }
+    }
 
-    private Optional<Call> request(TicketNeed need, long nowNanos) {
-        StepTickets tickets = byStep.computeIfAbsent(need.step(), step -> new StepTickets());
-        boolean firstCall = tickets.lastCallNanos() == Long.MIN_VALUE;
-        return tickets.nextRequest(
+    private List<Waiting> waitingSteps(long nowNanos) {
+        return needs.stream()
+                .map(need -> new Waiting(
                         need,
-                        callSize.forExploration(firstCall),
-                        callSize.forRenewal(need.spec().gang()),
-                        nowNanos)
-                .map(request -> new Call(need.step(), tickets, request));
+                        byStep.computeIfAbsent(need.step(), step -> new StepTickets(queueAdvice(need), nowNanos))))
+                .sorted(Comparator.comparingLong(
+                        (Waiting waiting) -> waiting.tickets().waitingSinceNanos()))
+                .toList();
+    }
+
+    private QueueAdvice queueAdvice(TicketNeed need) {
+        return byQueue.compute(
+                need.queue(),
+                (queue, known) ->
+                        known != null && known.stated().equals(need.times()) ? known : QueueAdvice.of(need.times()));
+    }
+
+    /**
+     * Returns the call for a step that may start, else the one of most use; among equals, for the step that has waited
+     * longest since its last call or, if there was none, since its first need.
+     */
+    private Optional<Call> nextCall(List<Waiting> waitingSteps, long nowNanos) {
+        Call best = null;
+        for (Waiting waiting : waitingSteps) {
+            Optional<Call> call = call(waiting, nowNanos);
+            if (call.isPresent() && (best == null || call.get().isOfMoreUseThan(best))) {
+                best = call.get();
+            }
+            if (best != null && best.request().purpose() == StepTickets.Purpose.START) {
+                break;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Optional<Call> call(Waiting waiting, long nowNanos) {
+        StepTickets tickets = waiting.tickets();
+        return tickets.nextRequest(waiting.need(), lifetime, nowNanos)
+                .map(request -> new Call(waiting.need().step(), tickets, request));
     }
 
     private void send(Call call, long sentNanos) {
-        List<TrackedServer> servers = call.request().servers();
-        List<String> ids =
-                servers.stream().map(server -> server.incarnation().serverId()).toList();
+        List<String> ids = call.request().servers().stream()
+                .map(BackendServer.Incarnation::serverId)
+                .toList();
+        AdviceCallSize callSize = call.tickets().advice().callSize();
         callInProgress = true;
         call.tickets().onCall(sentNanos);
+        Duration timeLimit = callSize.timeLimit(ids.size());
         Completions.thenAcceptOrLog(
-                () -> context.adviceService().requestTickets(call.step(), ids),
+                () -> context.adviceService().requestTickets(call.step(), ids, timeLimit),
                 context.telemetry(),
                 "advice",
-                answer -> {
-                    answer.ifPresentOrElse(grant -> onAnswer(call, grant, sentNanos), () -> onNoAnswer(servers.size()));
-                    onTicketsChanged.run();
-                },
-                () -> {
-                    onNoAnswer(servers.size());
-                    onTicketsChanged.run();
-                });
+                answer -> onAnswer(call, answer, sentNanos),
+                () -> onAnswer(call, new AdviceService.NoAnswer(), sentNanos));
     }
 
-    private void onAnswer(Call call, AdviceService.TicketGrant grant, long sentNanos) {
+    private void onAnswer(Call call, AdviceService.Answer answer, long sentNanos) {
         callInProgress = false;
-        List<TrackedServer> servers = call.request().servers();
-        Duration took = Duration.ofNanos(context.holderClock().monotonicNanos() - sentNanos);
-        callSize.onAnswer(servers.size(), took, grant.validity());
-        call.tickets()
-                .onAnswer(
-                        servers,
-                        grant.tickets(),
-                        sentNanos + AdviceCallSize.usableTime(grant.validity()).toNanos());
-        context.telemetry()
-                .count(CounterCode.ADVICE_CALLS, call.request().purpose().name());
+        String result = switch (answer) {
+            case AdviceService.TicketGrant grant -> {
+                onGrant(call, grant, sentNanos);
+                yield call.request().purpose().name();
+            }
+            case AdviceService.Busy busy -> {
+                pausedUntilNanos = nowNanos() + RETRY_DELAY.toNanos();
+                yield "BUSY";
+            }
+            case AdviceService.NoAnswer noAnswer -> {
+                pausedUntilNanos = nowNanos() + RETRY_DELAY.toNanos();
+                call.tickets().advice().callSize().onNoAnswer();
+                yield "NO_ANSWER";
+            }
+        };
+        context.telemetry().count(CounterCode.ADVICE_CALLS, result);
+        onTicketsChanged.run();
+    }
+
+    private void onGrant(Call call, AdviceService.TicketGrant grant, long sentNanos) {
+        List<BackendServer.Incarnation> servers = call.request().servers();
+        Duration took = Duration.ofNanos(nowNanos() - sentNanos);
+        QueueAdvice advice = call.tickets().advice();
+        advice.callSize().onAnswer(servers.size(), took, grant.validity());
+        call.tickets().onAnswer(servers, grant.tickets(), advice.callSize().validity(), nowNanos());
         context.telemetry()
                 .event(
                         EventCode.ADVICE_ANSWERED,
@@ -120,11 +185,8 @@
                                 + " allowed=" + grant.tickets().size() + " tookMs=" + took.toMillis());
     }
 
-    private void onNoAnswer(int servers) {
-        callInProgress = false;
-        callSize.onNoAnswer(servers);
-        context.telemetry().count(CounterCode.ADVICE_CALLS, "NO_ANSWER");
-        pausedUntilNanos = context.holderClock().monotonicNanos() + RETRY_DELAY.toNanos();
+    private long nowNanos() {
+        return context.holderClock().monotonicNanos();
     }
 
     /** Removes the tickets of a job. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketNeed.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketNeed.java
@@ -3,27 +3,42 @@
 import java.util.List;
 import java.util.function.Predicate;
 
+import org.basilswitch.job.AdviceTimes;
+import org.basilswitch.job.Resources;
 import org.basilswitch.job.StepSpec;
 
 /**
  * A step with work items that wait for servers which the advice service allows.
  *
+ * @param queue name of the step's queue
+ * @param times times of the advice service for the queue
  * @param step name of the step
  * @param servers usable servers of the queue's pool that have the required label
  * @param hasRoom tests whether a waiting work item would start on a server if it were allowed
  * @param spec spec of the step
- * @param startCount number of work items that have to start together: the members of a gang, or 1
+ * @param waitingCount number of waiting work items
  */
 record TicketNeed(
-        String step, List<TrackedServer> servers, Predicate<TrackedServer> hasRoom, StepSpec spec, int startCount) {
+        String queue,
+        AdviceTimes times,
+        String step,
+        List<TrackedServer> servers,
+        Predicate<TrackedServer> hasRoom,
+        StepSpec spec,
+        int waitingCount) {
 
-    /** Returns how many work items fit on a server. */
+    /** Returns how many of the waiting work items fit on a server. */
     int places(TrackedServer server) {
-        int most = spec.maxPerServer() == 0 ? startCount : Math.min(startCount, spec.maxPerServer());
-        int places = 0;
-        while (places < most && spec.reserved().times(places + 1).fitsInto(server.free())) {
-            places++;
-        }
-        return places;
+        Resources item = spec.reserved();
+        Resources free = server.free();
+        long places = spec.maxPerServer() == 0 ? waitingCount : Math.min(waitingCount, spec.maxPerServer());
+        places = fitting(places, item.cpuMillis(), free.cpuMillis());
+        places = fitting(places, item.memoryMb(), free.memoryMb());
+        places = fitting(places, item.gpus(), free.gpus());
+        return (int) Math.max(0, places);
+    }
+
+    private static long fitting(long most, long used, long free) {
+        return used == 0 ? most : Math.min(most, free / used);
     }
 }
--- a/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/intake/JobConfigurationFollowerTest.java
@@ -30,7 +30,7 @@
     private void writeConfiguration(long version, int queues) {
         List<JobQueue> jobQueues = java.util.stream.IntStream.range(0, queues)
                 .mapToObj(i ->
-                        new JobQueue("queue-" + i, "host", "/q" + i + "/", "pool", 3000, 600, 0, 3, 1.6, false, false))
+                        new JobQueue("queue-" + i, "host", "/q" + i + "/", "pool", 3000, 600, 0, 3, 1.6, false, null))
                 .toList();
         JobConfiguration configuration = JobConfiguration.of(version, jobQueues, List.of(), List.of(), 16384, 262144);
         store.commit(Transaction.builder()
--- a/basilswitch-core/src/test/java/org/basilswitch/job/review/ConfigurationReviewTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/job/review/ConfigurationReviewTest.java
@@ -20,7 +20,7 @@
     private static final JobTeam TEAM = team("drivers", 1, new Resources(8000, 32_000, 0), "key-1");
 
     private static JobQueue queue(String name, String prefix, String pool, double stretchFactor) {
-        return new JobQueue(name, "api.example", prefix, pool, 3000, 0, 0, 4, stretchFactor, false, false);
+        return new JobQueue(name, "api.example", prefix, pool, 3000, 0, 0, 4, stretchFactor, false, null);
     }
 
     private static JobTeam team(String name, double weight, Resources limit, String... keys) {
--- a/basilswitch-core/src/test/java/org/basilswitch/overload/OverloadLoads.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/overload/OverloadLoads.java
@@ -11,7 +11,7 @@
 /** A pool of 100 cores whose jobs take a second and are on time within 2.3 s. */
 final class OverloadLoads {
     static final String POOL = "pool";
-    static final JobQueue QUEUE = new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, 3, 1.4, false, false);
+    static final JobQueue QUEUE = new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, 3, 1.4, false, null);
     static final PoolRoom BUSY = new PoolRoom(100, 0, 0);
     static final double USABLE_CORES = 85;
     static final double JOB_CORE_MS = 8000;
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.basilswitch.job.AdviceTimes;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -12,6 +14,10 @@
     private static final long DECIDE_MS = 300;
     private static final long PER_SERVER_MS = 30;
 
+    private static AdviceCallSize size() {
+        return AdviceCallSize.of(new AdviceTimes(DECIDE_MS, PER_SERVER_MS, VALIDITY.toMillis()));
+    }
+
     private static Duration callTime(int servers) {
         return Duration.ofMillis(DECIDE_MS + servers * PER_SERVER_MS);
     }
@@ -19,32 +25,77 @@
     /** Guards against ever smaller calls after the renewal of a single ticket, most of whose time is that of any call. */
     @Test
     public void shortCallsDoNotMakeLaterOnesSmaller() {
-        AdviceCallSize size = new AdviceCallSize();
+        AdviceCallSize size = size();
         size.onAnswer(30, callTime(30), VALIDITY);
         size.onAnswer(1, callTime(1), VALIDITY);
-        assertEquals(size.forExploration(false), 30);
+        assertEquals(size.max(), 30);
     }
 
     @Test
     public void fastServiceIsAskedAboutAsManyServersAsItTakes() {
-        AdviceCallSize size = new AdviceCallSize();
+        AdviceCallSize size = size();
         size.onAnswer(30, Duration.ofMillis(50), VALIDITY);
-        assertEquals(size.forExploration(true), 30);
-        assertEquals(size.forExploration(false), 100);
-        assertEquals(size.forRenewal(false), 30);
-        assertEquals(size.forRenewal(true), 100);
+        assertEquals(size.next(0), 30);
+        assertEquals(size.next(30), 100);
     }
 
     @Test
     public void callsThatUseUpTheValidityBecomeSmaller() {
-        AdviceCallSize size = new AdviceCallSize();
+        AdviceCallSize size = size();
         size.onAnswer(30, Duration.ofMillis(2600), VALIDITY);
-        assertTrue(size.forExploration(false) < 15);
-        size.onNoAnswer(size.forExploration(false));
-        assertTrue(size.forExploration(false) < 8);
+        assertTrue(size.max() < 15, "" + size.max());
+        size.onNoAnswer();
+        assertTrue(size.max() < 8, "" + size.max());
         for (int i = 0; i < 10; i++) {
-            size.onNoAnswer(1);
+            size.onNoAnswer();
+        }
+        assertEquals(size.max(), 1);
+    }
+
+    /** Guards against calls about single servers when the time for any call uses up the validity alone. */
+    @Test
+    public void timeForAnyCallDoesNotMakeCallsSmaller() {
+        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(2500, 1, 3000));
+        for (int i = 0; i < 5; i++) {
+            size.onAnswer(30, Duration.ofMillis(2530), VALIDITY);
         }
-        assertEquals(size.forExploration(false), 1);
+        assertEquals(size.max(), 100);
+    }
+
+    /** Guards against calls about single servers where the operator does not state the validity of tickets. */
+    @Test
+    public void callsAreNotSmallWithoutStatedValidity() {
+        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(0, 0, 0));
+        assertEquals(size.max(), 30);
+        size.onAnswer(30, Duration.ofMillis(1200), Duration.ZERO);
+        assertEquals(size.max(), 30);
+        size.onAnswer(30, Duration.ofMillis(50), VALIDITY);
+        assertEquals(size.max(), 100);
+    }
+
+    @DataProvider
+    public Object[][] statedTimes() {
+        return new Object[][] {{0, 0}, {20, 1}, {300, 30}, {2500, 1}, {5000, 10}, {0, 200}, {60_000, 500}};
+    }
+
+    /** Guards against calls that are given up before the service has had the time which it is stated to take. */
+    @Test(dataProvider = "statedTimes")
+    public void timeLimitCoversStatedTime(long decideMs, long perServerMs) {
+        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(decideMs, perServerMs, 3000));
+        for (int servers : new int[] {1, 30, 100}) {
+            long statedMs = decideMs + servers * perServerMs;
+            assertTrue(size.timeLimit(servers).toMillis() > statedMs, size.timeLimit(servers) + " for " + statedMs);
+        }
+    }
+
+    /** Guards against a service that is slower than stated and never has enough time for an answer. */
+    @Test
+    public void timeLimitGrowsWithoutAnswers() {
+        AdviceCallSize size = size();
+        Duration first = size.timeLimit(30);
+        size.onNoAnswer();
+        assertEquals(size.timeLimit(30), first.multipliedBy(2));
+        size.onAnswer(30, callTime(30), VALIDITY);
+        assertEquals(size.timeLimit(30), first);
     }
 }
--- /dev/null
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -0,0 +1,98 @@
+package org.basilswitch.standin.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.basilswitch.job.StepSpec;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.basilswitch.standin.jobs.AdviceTest.WORK_MS;
+import static org.basilswitch.standin.jobs.AdviceTest.assertCompletedWithin;
+import static org.basilswitch.standin.jobs.AdviceTest.fleet;
+import static org.basilswitch.standin.jobs.AdviceTest.isCompleted;
+import static org.basilswitch.standin.jobs.AdviceTest.setTimes;
+import static org.basilswitch.standin.jobs.AdviceTest.submit;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** An advice service that is slow, busy, silent or unsure, and a slow store: accepted jobs go on all the same. */
+final class AdviceFaultTest {
+    private static final String ID = JobFleet.id(1);
+    /** Time from an answer to the start of a run and from its end to that of its job, ms. */
+    private static final long HANDLING_MS = 600;
+
+    private static List<String> submitJobs(JobFleet fleet, int jobs, StepSpec... steps) {
+        List<String> ids = new ArrayList<>();
+        for (int job = 1; job <= jobs; job++) {
+            ids.add(JobFleet.id(job));
+            submit(fleet, JobFleet.id(job), steps);
+        }
+        return ids;
+    }
+
+    private static void assertAllCompletedWithin(JobFleet fleet, List<String> ids, long ms) {
+        long beginMs = Duration.ofNanos(fleet.time.monotonicNanos()).toMillis();
+        for (String id : ids) {
+            long ranMs = Duration.ofNanos(fleet.time.monotonicNanos()).toMillis() - beginMs;
+            assertCompletedWithin(fleet, id, ms - ranMs);
+        }
+    }
+
+    @DataProvider
+    public Object[][] times() {
+        return new Object[][] {
+            // Time to decide, time for each server, validity in ms; whether the validity begins with the call.
+            {2500, 1, 3000, false},
+            {2500, 1, 3000, true},
+            {3500, 1, 3000, false},
+            {10_000, 10, 3000, false},
+            {300, 30, 1000, true},
+            {300, 30, 50, false},
+            {20, 1, 200, true},
+            {1000, 500, 1000, false},
+            {0, 3000, 3000, false},
+            {0, 0, 3000, true},
+            {0, 0, 100, false},
+        };
+    }
+
+    /** Guards against times of the service with which each ticket counts as expired when it arrives. */
+    @Test(dataProvider = "times")
+    public void jobsGoOnWhateverTheTimes(long decideMs, long perServerMs, long validityMs, boolean validFromCall) {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, decideMs, perServerMs, validityMs);
+        fleet.advice.validFromCall = validFromCall;
+        List<String> ids = submitJobs(fleet, 6, JobFleet.step(2, 1000, WORK_MS));
+        // A call for each job, with the servers of a first call that half of the validity allows.
+        long callMs = decideMs + Math.max(4 * perServerMs, validityMs / 2);
+        assertAllCompletedWithin(fleet, ids, 6 * (callMs + HANDLING_MS) + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against tickets that are lost with the leader that has asked for them. */
+    @Test
+    public void jobsGoOnWhenLeaderIsKilledBetweenCallAndAnswer() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 2000, 10);
+        List<String> ids = submitJobs(fleet, 4, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(1000);
+        assertEquals(fleet.advice.calls.size(), 1);
+        fleet.replaceLeader();
+        assertAllCompletedWithin(fleet, ids, 4 * (2000 + 200 + HANDLING_MS) + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against a step that never has its turn because new ones keep arriving. */
+    @Test
+    public void newStepsDoNotHoldOlderOneUp() {
+        JobFleet fleet = fleet(40);
+        setTimes(fleet, 300, 30);
+        fleet.advice.policy = (step, server) -> !step.startsWith(ID) || server.equals("s31");
+        submit(fleet, ID, JobFleet.step(1, 1000, WORK_MS));
+        for (int job = 2; job <= 60 && !isCompleted(fleet, ID); job++) {
+            submit(fleet, JobFleet.id(job), JobFleet.step(1, 1000, WORK_MS));
+            fleet.runFor(500);
+        }
+        assertTrue(isCompleted(fleet, ID), fleet.lastEvents());
+    }
+}
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceModel.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceModel.java
@@ -5,12 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
+import org.basilswitch.job.AdviceTimes;
 import org.basilswitch.job.ItemId;
 import org.basilswitch.schedule.AdviceService;
 import org.basilswitch.schedule.BackendServer;
@@ -20,13 +21,20 @@
 final class AdviceModel {
     private static final int MAX_SERVERS_PER_CALL = 100;
     private static final int MAX_WAITING_CALLS = 32;
-    static final Duration CLIENT_TIMEOUT = Duration.ofMillis(3000);
 
     Duration decideTime = Duration.ofMillis(20);
     Duration timePerServer = Duration.ofMillis(1);
     Duration validity = Duration.ofMillis(3000);
     /** Returns whether a step may run on a server. */
     BiPredicate<String, String> policy = (step, server) -> true;
+    /** Whether the validity of tickets begins with the call rather than with the answer. */
+    boolean validFromCall;
+    /** Whether calls are turned away, as too many wait. */
+    boolean busy;
+    /** Steps whose calls are never answered. */
+    Predicate<String> unansweredSteps = step -> false;
+    /** Steps whose tickets servers reject. */
+    Predicate<String> uselessSteps = step -> false;
     /** Calls in the order in which they were made, as step and servers. */
     final List<Call> calls = new ArrayList<>();
 
@@ -54,7 +62,8 @@
     /** Has the servers reject starts without a ticket. */
     void checkTickets() {
         fleet.setTicketPolicy((item, ticket, server) -> {
-            boolean valid = ticket.map(issued::get)
+            boolean valid = !uselessSteps.test(item.stepName())
+                    && ticket.map(issued::get)
                             .filter(untilNanos -> time.monotonicNanos() < untilNanos)
                             .isPresent()
                     && ticket.get().equals(ticket(item.stepName(), server));
@@ -75,6 +84,11 @@
                 .count();
     }
 
+    /** Returns the times as the operator states them. */
+    AdviceTimes times() {
+        return new AdviceTimes(decideTime.toMillis(), timePerServer.toMillis(), validity.toMillis());
+    }
+
     /** Returns the service as one host calls it. */
     AdviceService forHost(NodeTime hostTime) {
         return new HostQueue(hostTime);
@@ -90,16 +104,17 @@
         }
 
         @Override
-        public CompletionStage<Optional<TicketGrant>> requestTickets(String step, List<String> serverIds) {
-            CompletableFuture<Optional<TicketGrant>> answer = new CompletableFuture<>();
+        public CompletionStage<Answer> requestTickets(String step, List<String> serverIds, Duration timeLimit) {
+            CompletableFuture<Answer> answer = new CompletableFuture<>();
             calls.add(new Call(step, serverIds));
             if (serverIds.size() > MAX_SERVERS_PER_CALL || Set.copyOf(serverIds).size() < serverIds.size()) {
                 violations.add("call for " + step + " with " + serverIds.size() + " servers");
             }
-            if (waitingCalls >= MAX_WAITING_CALLS) {
-                return CompletableFuture.completedFuture(Optional.empty());
+            if (busy || waitingCalls >= MAX_WAITING_CALLS) {
+                return CompletableFuture.completedFuture(new Busy());
             }
             waitingCalls++;
+            long sentNanos = time.monotonicNanos();
             mostWaitingCalls = Math.max(mostWaitingCalls, waitingCalls);
             busyUntilNanos = Math.max(busyUntilNanos, time.monotonicNanos())
                     + decideTime
@@ -107,21 +122,23 @@
                             .toNanos();
             time.schedule(Duration.ofNanos(busyUntilNanos - time.monotonicNanos()), () -> {
                 waitingCalls--;
-                Optional<TicketGrant> grant = Optional.of(issue(step, serverIds));
-                hostTime.deliver(() -> answer.complete(grant));
+                Answer grant = issue(step, serverIds, validFromCall ? sentNanos : time.monotonicNanos());
+                if (!unansweredSteps.test(step)) {
+                    hostTime.deliver(() -> answer.complete(grant));
+                }
             });
-            hostTime.schedule(CLIENT_TIMEOUT, () -> unanswered += answer.complete(Optional.empty()) ? 1 : 0);
+            hostTime.schedule(timeLimit, () -> unanswered += answer.complete(new NoAnswer()) ? 1 : 0);
             return answer;
         }
     }
 
-    private AdviceService.TicketGrant issue(String step, List<String> serverIds) {
+    private AdviceService.TicketGrant issue(String step, List<String> serverIds, long beginNanos) {
         Map<String, String> tickets = new HashMap<>();
         for (String id : serverIds) {
             if (fleet.server(id) != null && policy.test(step, id)) {
                 String ticket = ticket(step, fleet.server(id).entry());
                 tickets.put(id, ticket);
-                issued.put(ticket, time.monotonicNanos() + validity.toNanos());
+                issued.put(ticket, beginNanos + validity.toNanos());
             }
         }
         return new AdviceService.TicketGrant(tickets, validity);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
@@ -21,9 +21,11 @@
 final class AdviceTest {
     private static final String ID = JobFleet.id(1);
     private static final ItemId ITEM = new ItemId(ID, 0, 0, 0);
-    private static final long WORK_MS = 400;
+    static final long WORK_MS = 400;
+    /** Duration of a call that may be answered in vain when the service is slower than stated. */
+    private static final long LONG_CALL_MS = 3000;
 
-    private static JobFleet fleet(int servers) {
+    static JobFleet fleet(int servers) {
         JobFleet fleet = new JobFleet();
         fleet.requireAdvice();
         fleet.advice.checkTickets();
@@ -35,16 +37,29 @@
         return fleet;
     }
 
-    private static void allow(JobFleet fleet, String... servers) {
+    /** Sets the times of the service, which the configuration states as well. */
+    static void setTimes(JobFleet fleet, long decideMs, long perServerMs) {
+        setTimes(fleet, decideMs, perServerMs, 3000);
+    }
+
+    static void setTimes(JobFleet fleet, long decideMs, long perServerMs, long validityMs) {
+        fleet.advice.decideTime = Duration.ofMillis(decideMs);
+        fleet.advice.timePerServer = Duration.ofMillis(perServerMs);
+        fleet.advice.validity = Duration.ofMillis(validityMs);
+        fleet.requireAdvice();
+        fleet.runFor(1000);
+    }
+
+    static void allow(JobFleet fleet, String... servers) {
         Set<String> allowed = Set.of(servers);
         fleet.advice.policy = (step, server) -> allowed.contains(server);
     }
 
-    private static void submit(JobFleet fleet, String id, StepSpec... steps) {
+    static void submit(JobFleet fleet, String id, StepSpec... steps) {
         fleet.submit(fleet.leader(), id, steps);
     }
 
-    private static void assertCompletedWithin(JobFleet fleet, String id, long ms) {
+    static void assertCompletedWithin(JobFleet fleet, String id, long ms) {
         for (long ranMs = 0; ranMs < ms && !isCompleted(fleet, id); ranMs += 10) {
             fleet.runFor(10);
         }
@@ -52,7 +67,7 @@
         assertKeepsContract(fleet);
     }
 
-    private static boolean isCompleted(JobFleet fleet, String id) {
+    static boolean isCompleted(JobFleet fleet, String id) {
         return fleet.leader().jobState(id).filter(JobState.COMPLETED::equals).isPresent();
     }
 
@@ -69,7 +84,7 @@
         // A call that takes longer than its time limit is answered in vain, and the next one waits for it at the
         // service.
         long inVainMs = 0;
-        for (int size = 30; decideMs + size * perServerMs > AdviceModel.CLIENT_TIMEOUT.toMillis(); size /= 2) {
+        for (int size = 30; decideMs + size * perServerMs > LONG_CALL_MS; size /= 2) {
             inVainMs += decideMs + size * perServerMs;
         }
         return servers * perServerMs + calls * (decideMs + 30) + 2 * serversPerCall * perServerMs + inVainMs;
@@ -92,8 +107,7 @@
     @Test(dataProvider = "services")
     public void onlyAllowedServerIsFound(int servers, long decideMs, long perServerMs, int serversPerCall) {
         JobFleet fleet = fleet(servers);
-        fleet.advice.decideTime = Duration.ofMillis(decideMs);
-        fleet.advice.timePerServer = Duration.ofMillis(perServerMs);
+        setTimes(fleet, decideMs, perServerMs);
         // The allowed server has less room than the others, so that it is asked about last.
         String last = fleet.model.serverIds().get(servers / 2);
         allow(fleet, last);
@@ -141,8 +155,7 @@
     @Test
     public void gangStartsOnAllowedServersOfSeveralCalls() {
         JobFleet fleet = fleet(200);
-        fleet.advice.decideTime = Duration.ofMillis(300);
-        fleet.advice.timePerServer = Duration.ofMillis(20);
+        setTimes(fleet, 300, 20);
         allow(fleet, "s3", "s45", "s90", "s120", "s150", "s199");
         submit(fleet, ID, JobFleet.gang(6, 40_000, WORK_MS));
         assertCompletedWithin(fleet, ID, 2 * searchMs(200, 300, 20, 30));
@@ -187,8 +200,7 @@
     @Test
     public void stepsShareTheService() {
         JobFleet fleet = fleet(40);
-        fleet.advice.decideTime = Duration.ofMillis(100);
-        fleet.advice.timePerServer = Duration.ofMillis(5);
+        setTimes(fleet, 100, 5);
         fleet.advice.policy = (step, server) -> (step + server).hashCode() % 10 == 0;
         for (int job = 1; job <= 20; job++) {
             submit(fleet, JobFleet.id(job), JobFleet.step(2, 1000, WORK_MS));
@@ -203,8 +215,7 @@
     @Test
     public void jobsThatArriveTogetherAllStart() {
         JobFleet fleet = fleet(20);
-        fleet.advice.decideTime = Duration.ofMillis(300);
-        fleet.advice.timePerServer = Duration.ofMillis(30);
+        setTimes(fleet, 300, 30);
         for (int job = 1; job <= 6; job++) {
             submit(fleet, JobFleet.id(job), JobFleet.step(2, 1000, WORK_MS));
         }
@@ -217,8 +228,7 @@
     @Test
     public void callsAreMadeOneAtATime() {
         JobFleet fleet = fleet(40);
-        fleet.advice.decideTime = Duration.ofMillis(300);
-        fleet.advice.timePerServer = Duration.ofMillis(30);
+        setTimes(fleet, 300, 30);
         for (int job = 1; job <= 12; job++) {
             submit(fleet, JobFleet.id(job), JobFleet.step(2, 1000, WORK_MS));
         }
@@ -231,13 +241,12 @@
     @Test
     public void startWithExpiredTicketIsNotSent() {
         JobFleet fleet = fleet(4);
-        fleet.advice.validity = Duration.ofMillis(800);
-        fleet.advice.decideTime = Duration.ofMillis(300);
+        setTimes(fleet, 300, 1, 800);
         MemoryStoreClient client = fleet.clients.get(fleet.nodes.indexOf(fleet.leader()));
         submit(fleet, ID, JobFleet.step(1, 1000, WORK_MS));
         fleet.runFor(50);
         client.setOneWayDelay(Duration.ofMillis(480));
-        fleet.runFor(700);
+        fleet.runFor(1200);
         client.setOneWayDelay(Duration.ofMillis(1));
         assertCompletedWithin(fleet, ID, 3000);
         assertTrue(
@@ -278,8 +287,7 @@
         JobFleet fleet = fleet(servers);
         long decideMs = 10 + random.nextInt(300);
         long perServerMs = 1 + random.nextInt(20);
-        fleet.advice.decideTime = Duration.ofMillis(decideMs);
-        fleet.advice.timePerServer = Duration.ofMillis(perServerMs);
+        setTimes(fleet, decideMs, perServerMs);
         int jobs = 1 + random.nextInt(5);
         String always = "s" + random.nextInt(servers);
         int ratio = 1 + random.nextInt(servers);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/HotRackTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/HotRackTest.java
@@ -56,7 +56,7 @@
         fleet.remoteFactor = configuredFactor;
         fleet.model.setRemoteFactor(actualFactor);
         fleet.configure(
-                List.of(new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false)),
+                List.of(new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, null)),
                 List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1000, Resources.NONE)),
                 List.of(new JobPool(JobFleet.POOL, true, false)));
         fleet.addServers(16);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobFleet.java
@@ -207,7 +207,7 @@
         long version = configuration == null ? 1 : configuration.version() + 1;
         configuration = JobConfiguration.of(
                 version,
-                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, maxAttempts, 1.6, false, false)),
+                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, maxAttempts, 1.6, false, null)),
                 List.of(new JobTeam("team", Set.of(KEY), 1, teamLimit)),
                 List.of(new JobPool(POOL, true, false), new JobPool("standby", true, true)),
                 16384,
@@ -256,10 +256,10 @@
                 .build());
     }
 
-    /** Stores a configuration whose queue requires advice. */
+    /** Stores a configuration whose queue requires advice, with the times that the advice service has now. */
     void requireAdvice() {
         configure(
-                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, 3, 1.6, false, true)),
+                List.of(new JobQueue("queue", "host", "/q/", POOL, 3000, 600, 0, 3, 1.6, false, advice.times())),
                 List.copyOf(configuration.teams().values()),
                 List.of(new JobPool(POOL, true, false)));
     }
@@ -267,7 +267,7 @@
     /** Stores a configuration with one more queue. */
     void addQueue(String pathPrefix) {
         List<JobQueue> queues = new ArrayList<>(configuration.queues().values());
-        queues.add(new JobQueue("added", "host", pathPrefix, POOL, 3000, 600, 0, 3, 1.6, false, false));
+        queues.add(new JobQueue("added", "host", pathPrefix, POOL, 3000, 600, 0, 3, 1.6, false, null));
         configuration = JobConfiguration.of(
                 configuration.version() + 1,
                 queues,
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/JobIntakeTest.java
@@ -93,7 +93,7 @@
                 .findFirst()
                 .orElseThrow();
         fleet.clients.get(fleet.nodes.indexOf(cutOff)).setReachable(false);
-        JobQueue queue = new JobQueue("added", "host", "/added/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false);
+        JobQueue queue = new JobQueue("added", "host", "/added/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, null);
         fleet.configure(
                 List.of(queue),
                 List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1, new Resources(0, 0, 0))),
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/LoadSimulation.java
@@ -121,7 +121,7 @@
                     3,
                     STRETCH_FACTOR,
                     false,
-                    false));
+                    null));
             pools.add(new JobPool(queueLoad.name, true, false));
             for (int i = 0; i < queueLoad.hosts; i++, host++) {
                 fleet.model.addServer("s" + host, queueLoad.name, HOST_CAPACITY, "rack-" + host / 4);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/MissingQueueTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/MissingQueueTest.java
@@ -109,7 +109,7 @@
 
     private static void addQueue(JobFleet fleet) {
         JobQueue queue =
-                new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, MAX_ATTEMPTS, 1.6, false, false);
+                new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, MAX_ATTEMPTS, 1.6, false, null);
         fleet.configure(List.of(queue), teams(), pools());
         fleet.runFor(1000);
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/OverloadTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/OverloadTest.java
@@ -50,7 +50,7 @@
         tookMs.clear();
         fleet = new JobFleet();
         fleet.configure(
-                List.of(new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false)),
+                List.of(new JobQueue("queue", "host", "/q/", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, null)),
                 List.of(new JobTeam("team", Set.of(JobFleet.KEY), 1000, new Resources(0, 0, 0))),
                 List.of(new JobPool(JobFleet.POOL, true, false)));
         fleet.addServers(2);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/UndecidedWriteTest.java
@@ -47,7 +47,7 @@
                     configureQueues(
                             fleet,
                             List.of(new JobQueue(
-                                    "queue", "host", "/q/0", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, false)));
+                                    "queue", "host", "/q/0", JobFleet.POOL, 3000, 600, 0, 3, 1.6, false, null)));
                 case NONE -> {}
             }
         }
