Advice: calls name as many servers as the waiting steps probably need

Callers saw 2 of 16 jobs of two work items not begun 17 s after they came at once, with 30 servers, all allowed, 300 ms for a call and 30 ms for each server.

Cause: the first call for each step named 30 servers, 1.2 s, where two were needed, and the steps are served in turn.

Change: AllowedShare estimates from a queue's answers how probably a server is allowed; a call names servers until the waiting work items probably have places. While M steps wait, each gets at least its share of 1.5 s.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
@@ -14,6 +14,8 @@
     static final int MAX_SERVERS = 100;
     /** Number of servers in the first call for a step at most, so that it starts soon. */
     private static final int FIRST_CALL_SERVERS = 30;
+    /** Time within which each of the waiting steps is to have its turn. */
+    private static final Duration ROUND = Duration.ofMillis(1500);
     /** Shortest time limit of a call; covers services that are slower than stated, and pauses of processes. */
     private static final Duration MIN_TIME_LIMIT = Duration.ofMillis(3000);
     /** Time limit of a call as a multiple of its expected duration. */
@@ -25,6 +27,9 @@
     /** Number of times that the number of servers is halved at most. */
     private static final int MAX_HALVINGS = 7;
 
+    /** Time from an answer to the next call, for a placement round and the network. */
+    private static final int BETWEEN_CALLS_MS = 15;
+
     /** Bounds that keep the estimates above zero. */
     private static final double MIN_SLOWNESS = 0.1;
 
@@ -55,13 +60,29 @@
         return atLeastOne(Math.min(MAX_SERVERS, fitting) / (1 << Math.min(unanswered, MAX_HALVINGS)));
     }
 
+    /** Returns the largest number of servers to name while other steps wait; larger after answers in vain. */
+    int needed(int asked) {
+        return Math.min(Math.max(FIRST_CALL_SERVERS, asked), max());
+    }
+
     /**
-     * Returns the number of servers to name for a step.
+     * Returns the number of servers to name for a step, so that other steps that wait have their turn soon.
      *
      * @param asked number of servers about which the service has answered for the step
+     * @param waitingSteps number of steps that wait for calls, with this one
      */
-    int next(int asked) {
-        return asked == 0 ? Math.min(FIRST_CALL_SERVERS, max()) : max();
+    int shared(int asked, int waitingSteps) {
+        if (waitingSteps <= 1) {
+            return asked == 0 ? needed(0) : max();
+        }
+        double fitting = (ROUND.toMillis() / (double) waitingSteps - decideMs()) / perServerMs();
+        return Math.min(needed(asked), atLeastOne(fitting));
+    }
+
+    /** Returns the part of the time from one call to the next that is spent on its servers, from 0 to 1. */
+    double serverShare(int servers) {
+        double serversMs = servers * perServerMs();
+        return serversMs / (serversMs + decideMs() + BETWEEN_CALLS_MS);
     }
 
     /** Returns the time after which a call is overdue, so that other steps no longer wait for its answer. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/PlacementRound.java
@@ -37,6 +37,10 @@
     private static final double LONG_HOLD_COST = 90;
     /** Cost of a server away from the work item's data or group. */
     private static final double OTHER_RACK_COST = 100;
+    /** Preference of a server away from the work item's data or group, relative to one near it. */
+    private static final double OTHER_RACK_PREFERENCE = 0.6;
+    /** Preference of a server that has failed or was slow, relative to another one. */
+    private static final double SUSPECT_PREFERENCE = 0.01;
     /** Cost of a server without a recent success, for a work item that has failed before. */
     private static final double UNPROVEN_COST = 150;
 
@@ -118,6 +122,7 @@
         List<WorkItem> waiting = step.stream().filter(WorkItem::isWaiting).toList();
         if (!waiting.isEmpty() && teamLimits.allowStart(job, step)) {
             StepSpec spec = step.get(0).spec();
+            Optional<String> rack = locality.preferredRack(step, eligible);
             ticketCache.addNeed(new TicketNeed(
                     queue.name(),
                     queue.advice().orElseThrow(),
@@ -125,11 +130,21 @@
                     eligible,
                     server -> spec.reserved().fitsInto(server.free())
                             && waiting.stream().anyMatch(item -> mayRun(item, step, server)),
+                    server -> preference(waiting.get(0), rack, server),
                     spec,
                     waiting.size()));
         }
     }
 
+    /** Returns how much a server is preferred for a work item if the advice service allows it. */
+    private static double preference(WorkItem item, Optional<String> rack, TrackedServer server) {
+        BackendServer listing = server.listing().orElseThrow();
+        if (item.failedOn(listing.id()) || server.hasFailuresSinceSuccess() || server.slowdown() > 1) {
+            return SUSPECT_PREFERENCE;
+        }
+        return rack.isPresent() && !listing.labels().contains(rack.get()) ? OTHER_RACK_PREFERENCE : 1;
+    }
+
     private void place(ActiveJob job, List<WorkItem> step, List<TrackedServer> servers) {
         StepSpec spec = step.get(0).spec();
         if (spec.gang()) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/QueueAdvice.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/QueueAdvice.java
@@ -7,9 +7,10 @@
  *
  * @param stated times of the service as the operator states them
  * @param callSize how long calls take, and how many servers to name in one
+ * @param allowedShare how probably servers are allowed
  */
-record QueueAdvice(AdviceTimes stated, AdviceCallSize callSize) {
+record QueueAdvice(AdviceTimes stated, AdviceCallSize callSize, AllowedShare allowedShare) {
     static QueueAdvice of(AdviceTimes stated) {
-        return new QueueAdvice(stated, AdviceCallSize.of(stated));
+        return new QueueAdvice(stated, AdviceCallSize.of(stated), new AllowedShare());
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
+import java.util.function.ToDoubleFunction;
 
 /**
  * What the advice service has answered about one step. The policy of a step does not change, so that each server is asked
@@ -89,12 +89,12 @@
     }
 
     /** Returns the servers to name in the next call; empty if no call is of use. */
-    Optional<Request> nextRequest(TicketNeed need, TicketLifetime lifetime, long nowNanos) {
-        int size = advice.callSize().next(asked());
+    Optional<Request> nextRequest(TicketNeed need, int waitingSteps, TicketLifetime lifetime, long nowNanos) {
+        int shared = advice.callSize().shared(asked(), waitingSteps);
         Candidates candidates = candidates(need);
-        return renewal(need, candidates.allowedWithRoom(), size, lifetime, nowNanos)
-                .or(() -> exploration(candidates, size))
-                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), size));
+        return renewal(need, candidates.allowedWithRoom(), shared, lifetime, nowNanos)
+                .or(() -> exploration(need, candidates, shared))
+                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared));
     }
 
     /** Servers of a need by what is known of them, each list with the preferred ones first. */
@@ -107,7 +107,7 @@
     private Candidates candidates(TicketNeed need) {
         Candidates candidates =
                 new Candidates(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-        for (TrackedServer server : byFreeCapacity(need.servers())) {
+        for (TrackedServer server : need.servers()) {
             BackendServer.Incarnation incarnation = server.incarnation();
             boolean hasRoom = need.hasRoom().test(server);
             if (allowed.containsKey(incarnation)) {
@@ -116,13 +116,15 @@
                 (hasRoom ? candidates.unaskedWithRoom : candidates.unaskedWithoutRoom).add(server);
             }
         }
+        sort(candidates.allowedWithRoom, need.preference());
         return candidates;
     }
 
-    private static List<TrackedServer> byFreeCapacity(List<TrackedServer> servers) {
-        return servers.stream()
-                .sorted(Comparator.comparingLong(server -> -server.free().cpuMillis()))
-                .toList();
+    private static void sort(List<TrackedServer> servers, ToDoubleFunction<TrackedServer> score) {
+        Map<TrackedServer, Double> scores = new HashMap<>();
+        servers.forEach(server -> scores.put(server, score.applyAsDouble(server)));
+        servers.sort(Comparator.comparingDouble((TrackedServer server) -> -scores.get(server))
+                .thenComparingLong(server -> -server.free().cpuMillis()));
     }
 
     private List<BackendServer.Incarnation> expired(
@@ -137,7 +139,7 @@
 
     /** Renews the tickets that let work items start; for a gang those of all its servers, so that they are valid at once. */
     private Optional<Request> renewal(
-            TicketNeed need, List<TrackedServer> withRoom, int size, TicketLifetime lifetime, long nowNanos) {
+            TicketNeed need, List<TrackedServer> withRoom, int shared, TicketLifetime lifetime, long nowNanos) {
         boolean gang = need.spec().gang();
         int maxRenewed = Math.min(
                 AdviceCallSize.MAX_SERVERS,
@@ -147,7 +149,7 @@
         boolean anyExpired = false;
         for (TrackedServer server : withRoom) {
             boolean isExpired = !expired(List.of(server), lifetime, nowNanos).isEmpty();
-            boolean enough = places >= need.waitingCount() && (gang || chosen.size() >= size);
+            boolean enough = places >= need.waitingCount() && (gang || chosen.size() >= shared);
             if (enough || chosen.size() >= maxRenewed) {
                 break;
             }
@@ -164,14 +166,45 @@
     }
 
     /** Asks about further servers, those with room first. */
-    private static Optional<Request> exploration(Candidates candidates, int size) {
-        Purpose purpose = candidates.unaskedWithRoom().isEmpty() ? Purpose.EXPLORE : Purpose.START;
-        List<BackendServer.Incarnation> servers = Stream.of(
-                        candidates.unaskedWithRoom(), candidates.unaskedWithoutRoom())
-                .flatMap(List::stream)
-                .map(TrackedServer::incarnation)
-                .toList();
-        return request(purpose, servers, size);
+    private Optional<Request> exploration(TicketNeed need, Candidates candidates, int shared) {
+        double stepShare = advice.allowedShare().ofStep(asked(), allowed.size());
+        ToDoubleFunction<TrackedServer> score = server -> need.preference().applyAsDouble(server)
+                * advice.allowedShare().ofServer(server.incarnation().serverId(), stepShare);
+        boolean start = !candidates.unaskedWithRoom().isEmpty();
+        List<TrackedServer> servers = new ArrayList<>(candidates.unaskedWithRoom());
+        sort(servers, score);
+        int needed = neededServers(need, servers, stepShare);
+        List<TrackedServer> others = new ArrayList<>(candidates.unaskedWithoutRoom());
+        sort(others, score);
+        servers.addAll(others);
+        int most = advice.callSize().needed(asked());
+        return request(
+                start ? Purpose.START : Purpose.EXPLORE,
+                servers.stream().map(TrackedServer::incarnation).toList(),
+                Math.max(Math.min(needed, most), shared));
+    }
+
+    /**
+     * Returns how many servers to name so that the waiting work items probably get enough places, and that the chance of
+     * a further call is no larger than the part of this call that is spent on its servers.
+     */
+    private int neededServers(TicketNeed need, List<TrackedServer> servers, double stepShare) {
+        double expectedPlaces = 0;
+        double noneAllowed = 1;
+        int count = 0;
+        for (TrackedServer server : servers) {
+            boolean enough = expectedPlaces >= need.waitingCount()
+                    && noneAllowed <= advice.callSize().serverShare(count);
+            if (enough) {
+                break;
+            }
+            double probability =
+                    advice.allowedShare().ofServer(server.incarnation().serverId(), stepShare);
+            expectedPlaces += probability * need.places(server);
+            noneAllowed *= 1 - probability;
+            count++;
+        }
+        return count;
     }
 
     private static Optional<Request> request(Purpose purpose, List<BackendServer.Incarnation> servers, int most) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -118,7 +118,7 @@
     private Optional<Call> nextCall(List<Waiting> waitingSteps, long nowNanos) {
         Call best = null;
         for (Waiting waiting : waitingSteps) {
-            Optional<Call> call = call(waiting, nowNanos);
+            Optional<Call> call = call(waiting, waitingSteps.size(), nowNanos);
             if (call.isPresent() && (best == null || call.get().isOfMoreUseThan(best))) {
                 best = call.get();
             }
@@ -129,9 +129,9 @@
         return Optional.ofNullable(best);
     }
 
-    private Optional<Call> call(Waiting waiting, long nowNanos) {
+    private Optional<Call> call(Waiting waiting, int waitingSteps, long nowNanos) {
         StepTickets tickets = waiting.tickets();
-        return tickets.nextRequest(waiting.need(), lifetime, nowNanos)
+        return tickets.nextRequest(waiting.need(), waitingSteps, lifetime, nowNanos)
                 .map(request -> new Call(waiting.need().step(), tickets, request));
     }
 
@@ -177,6 +177,12 @@
         Duration took = Duration.ofNanos(nowNanos() - sentNanos);
         QueueAdvice advice = call.tickets().advice();
         advice.callSize().onAnswer(servers.size(), took, grant.validity());
+        advice.allowedShare()
+                .onAnswer(
+                        servers.stream()
+                                .map(BackendServer.Incarnation::serverId)
+                                .toList(),
+                        grant.tickets().keySet());
         call.tickets().onAnswer(servers, grant.tickets(), advice.callSize().validity(), nowNanos());
         context.telemetry()
                 .event(
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketNeed.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketNeed.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 import org.basilswitch.job.AdviceTimes;
 import org.basilswitch.job.Resources;
@@ -15,6 +16,7 @@
  * @param step name of the step
  * @param servers usable servers of the queue's pool that have the required label
  * @param hasRoom tests whether a waiting work item would start on a server if it were allowed
+ * @param preference returns how much a server is preferred if it is allowed, above 0
  * @param spec spec of the step
  * @param waitingCount number of waiting work items
  */
@@ -24,6 +26,7 @@
         String step,
         List<TrackedServer> servers,
         Predicate<TrackedServer> hasRoom,
+        ToDoubleFunction<TrackedServer> preference,
         StepSpec spec,
         int waitingCount) {
 
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
@@ -35,8 +35,8 @@
     public void fastServiceIsAskedAboutAsManyServersAsItTakes() {
         AdviceCallSize size = size();
         size.onAnswer(30, Duration.ofMillis(50), VALIDITY);
-        assertEquals(size.next(0), 30);
-        assertEquals(size.next(30), 100);
+        assertEquals(size.shared(0, 1), 30);
+        assertEquals(size.shared(30, 1), 100);
     }
 
     @Test
@@ -73,6 +73,14 @@
         assertEquals(size.max(), 100);
     }
 
+    /** Guards against long calls that keep many other steps waiting. */
+    @Test
+    public void callsAreShortWhileManyStepsWait() {
+        assertEquals(size().shared(0, 1), 30);
+        assertEquals(size().shared(0, 2), 15);
+        assertEquals(size().shared(0, 16), 1);
+    }
+
     @DataProvider
     public Object[][] statedTimes() {
         return new Object[][] {{0, 0}, {20, 1}, {300, 30}, {2500, 1}, {5000, 10}, {0, 200}, {60_000, 500}};
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -70,6 +70,31 @@
         assertAllCompletedWithin(fleet, ids, 6 * (callMs + HANDLING_MS) + WORK_MS + HANDLING_MS);
     }
 
+    /** Guards against calls about far more servers than the waiting steps can use. */
+    @Test
+    public void burstOfNarrowJobsStartsSoon() {
+        JobFleet fleet = fleet(30);
+        setTimes(fleet, 300, 30);
+        List<String> ids = submitJobs(fleet, 16, JobFleet.step(2, 1000, WORK_MS));
+        // A call for each job about six servers.
+        assertAllCompletedWithin(fleet, ids, 16 * (300 + 6 * 30) + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against narrow steps that wait for wide ones, and wide ones that are left waiting. */
+    @Test
+    public void narrowStepsStartBesideWideOnes() {
+        JobFleet fleet = fleet(60);
+        setTimes(fleet, 100, 10);
+        fleet.advice.policy = (step, server) -> (step + server).hashCode() % 3 == 0;
+        List<String> wide = List.of(JobFleet.id(101), JobFleet.id(102));
+        wide.forEach(id -> submit(fleet, id, JobFleet.step(100, 4000, WORK_MS)));
+        fleet.runFor(200);
+        List<String> narrow = submitJobs(fleet, 8, JobFleet.step(1, 1000, WORK_MS));
+        // Two turns of each of the ten steps, with calls about the servers that share a round.
+        assertAllCompletedWithin(fleet, narrow, 2 * 10 * (100 + 60) + WORK_MS + HANDLING_MS);
+        assertAllCompletedWithin(fleet, wide, 30_000);
+    }
+
     /** Guards against tickets that are lost with the leader that has asked for them. */
     @Test
     public void jobsGoOnWhenLeaderIsKilledBetweenCallAndAnswer() {
