Advice: a gang's tickets are renewed by several calls

Callers saw a gang of 120 servers accepted that never begins, at 300 ms for a call and 20 ms for each server.

Cause: its tickets were renewed by one call of at most twice an exploring one. The bound was ours: the protocol limits a call, not a gang.

Change: even parts of at most 100 servers, oldest tickets first. What bounds a gang now is that the tickets of all calls have to be valid at once.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -141,16 +141,13 @@
     private Optional<Request> renewal(
             TicketNeed need, List<TrackedServer> withRoom, int shared, TicketLifetime lifetime, long nowNanos) {
         boolean gang = need.spec().gang();
-        int maxRenewed = Math.min(
-                AdviceCallSize.MAX_SERVERS,
-                gang ? 2 * advice.callSize().max() : advice.callSize().max());
         List<BackendServer.Incarnation> chosen = new ArrayList<>();
         int places = 0;
         boolean anyExpired = false;
         for (TrackedServer server : withRoom) {
             boolean isExpired = !expired(List.of(server), lifetime, nowNanos).isEmpty();
             boolean enough = places >= need.waitingCount() && (gang || chosen.size() >= shared);
-            if (enough || chosen.size() >= maxRenewed) {
+            if (enough || !gang && chosen.size() >= AdviceCallSize.MAX_SERVERS) {
                 break;
             }
             if (gang || isExpired) {
@@ -162,7 +159,22 @@
         if (!anyExpired || gang && places < need.waitingCount()) {
             return Optional.empty();
         }
-        return request(Purpose.START, chosen, chosen.size());
+        return gang
+                ? request(Purpose.START, oldestFirst(chosen), evenPart(chosen.size()))
+                : request(Purpose.START, chosen, chosen.size());
+    }
+
+    /** Returns the size of the calls when servers are divided evenly among as few as possible. */
+    private static int evenPart(int servers) {
+        int calls = (servers + AdviceCallSize.MAX_SERVERS - 1) / AdviceCallSize.MAX_SERVERS;
+        return (servers + calls - 1) / Math.max(1, calls);
+    }
+
+    private List<BackendServer.Incarnation> oldestFirst(Collection<BackendServer.Incarnation> servers) {
+        return servers.stream()
+                .sorted(Comparator.comparingLong(
+                        server -> ticket(server).map(Ticket::answeredNanos).orElse(Long.MIN_VALUE)))
+                .toList();
     }
 
     /** Asks about further servers, those with room first. */
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -107,6 +107,21 @@
         assertAllCompletedWithin(fleet, ids, 4 * (2000 + 200 + HANDLING_MS) + WORK_MS + HANDLING_MS);
     }
 
+    @DataProvider
+    public Object[][] gangs() {
+        return new Object[][] {{80, 20, 1}, {120, 20, 1}, {120, 300, 20}, {130, 300, 30}, {300, 100, 2}};
+    }
+
+    /** Guards against a bound on gangs that follows from the number of servers in one call. */
+    @Test(dataProvider = "gangs")
+    public void largeGangsStart(int servers, long decideMs, long perServerMs) {
+        JobFleet fleet = fleet(servers);
+        setTimes(fleet, decideMs, perServerMs);
+        submit(fleet, ID, JobFleet.gang(servers, 40_000, WORK_MS));
+        long callsMs = (servers / 10 + 1) * decideMs + servers * perServerMs;
+        assertCompletedWithin(fleet, ID, 2 * callsMs + WORK_MS + 2 * HANDLING_MS + 5000);
+    }
+
     /** Guards against a step that never has its turn because new ones keep arriving. */
     @Test
     public void newStepsDoNotHoldOlderOneUp() {
