Advice: a recorded run waits for its ticket's renewal

Callers saw jobs that never begin while tickets are valid for 0.8 s and a write to the store takes 1 s.

Cause: a start whose ticket had expired while its record was stored was dropped with the record; the next try met the same.

Change: the run keeps its place, its ticket is renewed before all others, and it is started with the answer. No answer, or no longer allowed: dropped as before.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/JobScheduler.java
@@ -96,7 +96,7 @@
         this.teamLimits = new TeamLimits(context, runRegistry);
         this.runSupervisor = new RunSupervisor(context, fences, runRegistry, teamLimits, this);
         this.endedJobs = new EndedJobs(context, fencingToken);
-        this.ticketCache = new TicketCache(context, this::schedulePlacement);
+        this.ticketCache = new TicketCache(context, this::onTicketsChanged);
         this.hostOperations = new HostOperations(context, fencingToken, isLeaderFor);
         this.eligibility = new ServerEligibility(context, runRegistry, hostOperations);
         this.jobOrder = new JobOrder(context, durationModel, eligibility, fencingToken);
@@ -351,6 +351,11 @@
         return queue != null && queue.advice().isPresent() && ticket(run).isEmpty();
     }
 
+    @Override
+    public boolean awaitTicket(Run run, long sinceNanos) {
+        return ticketCache.awaitTicket(run.id().stepName(), run.incarnation(), sinceNanos);
+    }
+
     @Override
     public void onTicketAccepted(Run run, long sentNanos) {
         ticketCache.onAccepted(run.id().stepName(), run.incarnation(), sentNanos);
@@ -361,6 +366,14 @@
         ticketCache.onRejected(run.id().stepName(), run.incarnation());
     }
 
+    /** Starts recorded runs at once, as a ticket may have little time left when it arrives, and then others. */
+    private void onTicketsChanged() {
+        if (!closed) {
+            runSupervisor.startWaitingRuns();
+            schedulePlacement();
+        }
+    }
+
     @Override
     public boolean isLeader() {
         return !closed && isLeaderFor.test(Duration.ZERO);
@@ -457,6 +470,7 @@
         long plannedTimeMs = context.plannedTime().millis();
         jobs.values().forEach(job -> job.createDueOccurrences(plannedTimeMs));
         runSupervisor.decideDeferredFailures(jobs.values());
+        runSupervisor.startWaitingRuns();
         JobConfigurationSnapshot snapshot = context.configuration().get();
         if (maySendCommands() && context.liveServers().confirmedWithin(MAX_SERVER_LIST_AGE)) {
             long nowNanos = context.holderClock().monotonicNanos();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -42,6 +42,7 @@
     private final RunEnds runEnds;
     private final StartConditions startConditions;
     private final PaceSender paceSender;
+    private final StartsAwaitingTickets startsAwaitingTickets;
     private boolean closed;
 
     /** Scheduler that the runs belong to. */
@@ -67,6 +68,12 @@
         /** Returns whether a run needs a ticket of the advice service and there is no valid one. */
         boolean lacksTicket(Run run);
 
+        /**
+         * Has the ticket of a recorded run renewed, which has waited for it since a time; returns false if the run is
+         * not to wait any longer.
+         */
+        boolean awaitTicket(Run run, long sinceNanos);
+
         /** Called when a server has accepted a start with a ticket; the time is that at which it was sent. */
         void onTicketAccepted(Run run, long sentNanos);
 
@@ -99,6 +106,7 @@
         this.attemptLimits = new AttemptLimits(owner::maxAttempts);
         this.runEnds = new RunEnds(context, runRegistry, owner, attemptLimits, this::stop);
         this.startConditions = new StartConditions(runRegistry, teamLimits, context.evacuations());
+        this.startsAwaitingTickets = new StartsAwaitingTickets(owner);
         this.paceSender = new PaceSender(context);
     }
 
@@ -198,15 +206,20 @@
     }
 
     private void sendStart(Run run) {
-        if (closed || run.item().run().filter(run::equals).isEmpty()) {
+        boolean recorded = run.phase() == Run.Phase.RECORDING
+                && run.item().run().filter(run::equals).isPresent();
+        if (closed || !recorded) {
             return;
         }
         TrackedServer tracked = runRegistry.getOrCreateServer(run.incarnation());
         long nowNanos = context.holderClock().monotonicNanos();
         Optional<Long> leaseEnd = tracked.leaseEnd(
                 context.options().lease(), context.steadyClock().monotonicNanos());
-        boolean mayStart = owner.maySendCommands() && startConditions.areMet(run) && !owner.lacksTicket(run);
-        if (!mayStart || leaseEnd.isEmpty()) {
+        boolean mayStart = owner.maySendCommands() && startConditions.areMet(run);
+        if (mayStart && leaseEnd.isPresent() && startsAwaitingTickets.await(run, nowNanos)) {
+            return;
+        }
+        if (!mayStart || leaseEnd.isEmpty() || owner.lacksTicket(run)) {
             loseRun(run, "start conditions no longer met");
             abandonGang(run);
             return;
@@ -239,6 +252,11 @@
                 });
     }
 
+    /** Starts the recorded runs whose tickets were renewed. */
+    void startWaitingRuns() {
+        startsAwaitingTickets.retry(this::sendStart);
+    }
+
     private void recordLeaseOfStart(TrackedServer tracked, long sentSteadyNanos, ServerCommands.CommandResult result) {
         if (result instanceof ServerCommands.NoAnswer) {
             tracked.leaseGrants().startUnanswered(sentSteadyNanos);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -21,8 +21,13 @@
     private final Set<BackendServer.Incarnation> refused = new HashSet<>();
     private final QueueAdvice advice;
     private long lastCallNanos;
+    /** Monotonic time at which the last call was given up, ns. */
+    private Optional<Long> unansweredNanos = Optional.empty();
+
     /** What the next call for a step is about, in the order in which steps are served. */
     enum Purpose {
+        /** Runs that are recorded wait for new tickets before they are started. */
+        RECORDED,
         /** Work items may start on servers with room after the answer. */
         START,
         /** Other servers are asked about before they have room. */
@@ -60,11 +65,22 @@
         allowed.computeIfPresent(incarnation, (server, ticket) -> ticket.withoutValue());
     }
 
+    /** Returns whether a ticket that a recorded run has waited for since a time did not come. */
+    boolean isInVain(BackendServer.Incarnation incarnation, long sinceNanos) {
+        return !allowed.containsKey(incarnation)
+                || unansweredNanos.filter(nanos -> nanos > sinceNanos).isPresent();
+    }
+
     /** Records that a call is made. */
     void onCall(long nowNanos) {
         lastCallNanos = nowNanos;
     }
 
+    /** Records that there was no answer to a call. */
+    void onNoAnswer(long nowNanos) {
+        unansweredNanos = Optional.of(nowNanos);
+    }
+
     /** Records the answer to a call: the servers that it allows, and the others as not allowed. */
     void onAnswer(
             Collection<BackendServer.Incarnation> servers,
@@ -83,6 +99,11 @@
         }
     }
 
+    /** Returns the call that renews the tickets of servers on which runs are recorded, oldest first. */
+    Optional<Request> recordedRequest(Collection<BackendServer.Incarnation> servers) {
+        return request(Purpose.RECORDED, oldestFirst(servers), evenPart(servers.size()));
+    }
+
     /** Returns the number of servers about which the service has answered. */
     private int asked() {
         return allowed.size() + refused.size();
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -4,9 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.basilswitch.event.Completions;
 import org.basilswitch.event.CounterCode;
@@ -28,6 +31,7 @@
     private final Map<String, QueueAdvice> byQueue = new HashMap<>();
     private final TicketLifetime lifetime = new TicketLifetime();
     private final List<TicketNeed> needs = new ArrayList<>();
+    private final Map<String, Set<BackendServer.Incarnation>> recorded = new LinkedHashMap<>();
     private boolean callInProgress;
     private long pausedUntilNanos = Long.MIN_VALUE;
 
@@ -76,14 +80,29 @@
         needs.add(need);
     }
 
+    /**
+     * Has the next call renew the ticket of a run that is recorded, and that has waited since a time.
+     *
+     * @return whether the run may go on waiting; false if no ticket came for it
+     */
+    boolean awaitTicket(String step, BackendServer.Incarnation server, long sinceNanos) {
+        StepTickets tickets = byStep.get(step);
+        if (tickets == null || tickets.isInVain(server, sinceNanos)) {
+            return false;
+        }
+        recorded.computeIfAbsent(step, name -> new LinkedHashSet<>()).add(server);
+        return true;
+    }
+
     /** Makes the call that is of most use to the steps added since the last one, unless a call is in progress. */
     void requestNext() {
         long nowNanos = nowNanos();
         List<Waiting> waiting = waitingSteps(nowNanos);
         if (!callInProgress && nowNanos >= pausedUntilNanos) {
-            nextCall(waiting, nowNanos).ifPresent(call -> send(call, nowNanos));
+            nextRecordedCall().or(() -> nextCall(waiting, nowNanos)).ifPresent(call -> send(call, nowNanos));
         }
         needs.clear();
+        recorded.clear();
     }
 
     private record Waiting(TicketNeed need, StepTickets tickets) {}
@@ -111,6 +130,14 @@
                         known != null && known.stated().equals(need.times()) ? known : QueueAdvice.of(need.times()));
     }
 
+    private Optional<Call> nextRecordedCall() {
+        return recorded.keySet().stream()
+                .min(Comparator.comparingLong(step -> byStep.get(step).waitingSinceNanos()))
+                .flatMap(step -> byStep.get(step)
+                        .recordedRequest(recorded.get(step))
+                        .map(request -> new Call(step, byStep.get(step), request)));
+    }
+
     /**
      * Returns the call for a step that may start, else the one of most use; among equals, for the step that has waited
      * longest since its last call or, if there was none, since its first need.
@@ -165,6 +192,7 @@
             case AdviceService.NoAnswer noAnswer -> {
                 pausedUntilNanos = nowNanos() + RETRY_DELAY.toNanos();
                 call.tickets().advice().callSize().onNoAnswer();
+                call.tickets().onNoAnswer(nowNanos());
                 yield "NO_ANSWER";
             }
         };
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -107,6 +107,19 @@
         assertAllCompletedWithin(fleet, ids, 4 * (2000 + 200 + HANDLING_MS) + WORK_MS + HANDLING_MS);
     }
 
+    /** Guards against tickets that expire again and again while the runs which need them are being recorded. */
+    @Test
+    public void runsStartAlthoughStoreIsSlowerThanTicketsAreValid() {
+        JobFleet fleet = fleet(4);
+        setTimes(fleet, 300, 1, 800);
+        List<String> ids = submitJobs(fleet, 3, JobFleet.step(1, 1000, WORK_MS));
+        fleet.runFor(50);
+        fleet.clients.get(fleet.nodes.indexOf(fleet.leader())).setOneWayDelay(Duration.ofMillis(480));
+        assertAllCompletedWithin(fleet, ids, 15_000);
+        assertEquals(fleet.serversOfOrders().size(), 3);
+        assertTrue(fleet.events.stream().anyMatch(event -> event.contains("purpose=RECORDED")), fleet.lastEvents());
+    }
+
     @DataProvider
     public Object[][] gangs() {
         return new Object[][] {{80, 20, 1}, {120, 20, 1}, {120, 300, 20}, {130, 300, 30}, {300, 100, 2}};
