Advice: rejected tickets neither repeat without end nor count against the server

Cause: a rejection paused the server for all steps, and the step tried the next server, and new tickets, at once.

Change: the server is not paused. After two rejections in a row the step's other tickets are dropped, and its calls pause for 250 ms, doubled up to 8 s, until a start is accepted.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/RunSupervisor.java
@@ -328,10 +328,7 @@
             case FENCED -> onFenced(tracked);
             case OTHER_LIFETIME -> endIncarnation(tracked, Optional.empty(), "another incarnation answers");
             case NO_ROOM -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
-            case NO_TICKET -> {
-                owner.onTicketRejected(run);
-                tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
-            }
+            case NO_TICKET -> owner.onTicketRejected(run);
             case UNHEALTHY, UNREACHABLE, INVALID -> tracked.avoidUntil(nowNanos + UNHEALTHY_PAUSE.toNanos());
             case OLD_RUN, LEASE_PASSED -> tracked.avoidUntil(nowNanos + NO_CAPACITY_PAUSE.toNanos());
         }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -17,6 +17,11 @@
  * about once, and only the tickets of allowed servers are requested again as they expire.
  */
 final class StepTickets {
+    /** Delay before the next call for the step after one that was of no use; doubled each time. */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+    private static final int MAX_RETRY_DOUBLINGS = 5;
+
     private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
     private final Set<BackendServer.Incarnation> refused = new HashSet<>();
     private final QueueAdvice advice;
@@ -24,6 +29,13 @@
     /** Monotonic time at which the last call was given up, ns. */
     private Optional<Long> unansweredNanos = Optional.empty();
 
+    /** Starts in a row that were rejected, and calls in a row whose tickets were. */
+    private int rejectedStarts;
+
+    private int rejectedCalls;
+    private long rejectedCallNanos = Long.MIN_VALUE;
+    private long pausedUntilNanos = Long.MIN_VALUE;
+
     /** What the next call for a step is about, in the order in which steps are served. */
     enum Purpose {
         /** Runs that are recorded wait for new tickets before they are started. */
@@ -54,15 +66,45 @@
         return lastCallNanos;
     }
 
+    /** Returns whether calls for the step are to be left out for now, as the last ones were of no use. */
+    boolean isPaused(long nowNanos) {
+        return nowNanos < pausedUntilNanos;
+    }
+
     /** Returns the ticket for a server; it may have expired. */
     Optional<Ticket> ticket(BackendServer.Incarnation incarnation) {
         return Optional.ofNullable(allowed.get(incarnation))
                 .filter(ticket -> !ticket.value().isEmpty());
     }
 
-    /** Forgets a ticket that a server has rejected; the server remains allowed. */
-    void onRejected(BackendServer.Incarnation incarnation) {
-        allowed.computeIfPresent(incarnation, (server, ticket) -> ticket.withoutValue());
+    /** Records that a server has accepted a ticket. */
+    void onAccepted() {
+        rejectedStarts = 0;
+        rejectedCalls = 0;
+    }
+
+    /** Forgets a ticket that a server has rejected, and after two in a row all others; the servers remain allowed. */
+    void onRejected(BackendServer.Incarnation incarnation, long nowNanos) {
+        ticket(incarnation).ifPresent(ticket -> {
+            rejectedStarts++;
+            if (ticket.sentNanos() != rejectedCallNanos) {
+                rejectedCallNanos = ticket.sentNanos();
+                rejectedCalls++;
+                // The first rejection in a row may be of a ticket that was too old.
+                if (rejectedCalls > 1) {
+                    pause(nowNanos, rejectedCalls - 2);
+                }
+            }
+            if (rejectedStarts > 1) {
+                allowed.replaceAll((server, other) -> other.withoutValue());
+            } else {
+                allowed.put(incarnation, ticket.withoutValue());
+            }
+        });
+    }
+
+    private void pause(long nowNanos, int doublings) {
+        pausedUntilNanos = nowNanos + RETRY_DELAY.toNanos() * (1L << Math.min(doublings, MAX_RETRY_DOUBLINGS));
     }
 
     /** Returns whether a ticket that a recorded run has waited for since a time did not come. */
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -64,6 +64,7 @@
     void onAccepted(String step, BackendServer.Incarnation server, long sentNanos) {
         Optional.ofNullable(byStep.get(step)).ifPresent(tickets -> {
             tickets.ticket(server).ifPresent(ticket -> lifetime.onAccepted(ticket, sentNanos));
+            tickets.onAccepted();
         });
     }
 
@@ -71,7 +72,7 @@
     void onRejected(String step, BackendServer.Incarnation server) {
         Optional.ofNullable(byStep.get(step)).ifPresent(tickets -> {
             tickets.ticket(server).ifPresent(ticket -> lifetime.onRejected(ticket, nowNanos()));
-            tickets.onRejected(server);
+            tickets.onRejected(server, nowNanos());
         });
     }
 
@@ -158,6 +159,9 @@
 
     private Optional<Call> call(Waiting waiting, int waitingSteps, long nowNanos) {
         StepTickets tickets = waiting.tickets();
+        if (tickets.isPaused(nowNanos)) {
+            return Optional.empty();
+        }
         return tickets.nextRequest(waiting.need(), waitingSteps, lifetime, nowNanos)
                 .map(request -> new Call(waiting.need().step(), tickets, request));
     }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.basilswitch.job.ItemId;
 import org.basilswitch.job.StepSpec;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -15,6 +16,7 @@
 import static org.basilswitch.standin.jobs.AdviceTest.setTimes;
 import static org.basilswitch.standin.jobs.AdviceTest.submit;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** An advice service that is slow, busy, silent or unsure, and a slow store: accepted jobs go on all the same. */
@@ -135,6 +137,20 @@
         assertCompletedWithin(fleet, ID, 2 * callsMs + WORK_MS + 2 * HANDLING_MS + 5000);
     }
 
+    /** Guards against starts without end while servers reject every ticket. */
+    @Test
+    public void startsAreFewWhileServersRejectEveryTicket() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 20, 1);
+        fleet.advice.uselessSteps = step -> true;
+        submit(fleet, ID, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(30_000);
+        assertTrue(fleet.advice.rejectedStarts <= 2 * 15, fleet.advice.rejectedStarts + " starts");
+        fleet.advice.rejectedStarts = 0;
+        fleet.advice.uselessSteps = step -> false;
+        assertCompletedWithin(fleet, ID, 10_000);
+    }
+
     /** Guards against a step that never has its turn because new ones keep arriving. */
     @Test
     public void newStepsDoNotHoldOlderOneUp() {
@@ -148,4 +164,18 @@
         }
         assertTrue(isCompleted(fleet, ID), fleet.lastEvents());
     }
+
+    /** Guards against servers that count as unfit because they have rejected a ticket. */
+    @Test
+    public void rejectedTicketDoesNotKeepServerFromOtherSteps() {
+        JobFleet fleet = fleet(1);
+        setTimes(fleet, 20, 1);
+        fleet.advice.uselessSteps = step -> step.startsWith(ID);
+        submit(fleet, ID, JobFleet.step(1, 1000, WORK_MS));
+        fleet.runFor(200);
+        submit(fleet, JobFleet.id(2), JobFleet.step(1, 1000, WORK_MS));
+        fleet.runFor(WORK_MS + 300);
+        assertTrue(isCompleted(fleet, JobFleet.id(2)), fleet.lastEvents());
+        assertFalse(fleet.model.server("s0").isRunning(new ItemId(ID, 0, 0, 0)));
+    }
 }
