Advice: a step without answers no longer holds others up

Callers saw jobs begin seconds late while the service left the calls for another step unanswered.

Cause: one call at a time, 3 s until it is given up, and the same step asked again 250 ms later.

Change: beside a call that is overdue, one for another step is made. A step without an answer pauses, 250 ms doubled up to 8 s.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -26,9 +26,11 @@
     private final Set<BackendServer.Incarnation> refused = new HashSet<>();
     private final QueueAdvice advice;
     private long lastCallNanos;
+    private boolean callInProgress;
     /** Monotonic time at which the last call was given up, ns. */
     private Optional<Long> unansweredNanos = Optional.empty();
 
+    private int unansweredCalls;
     /** Starts in a row that were rejected, and calls in a row whose tickets were. */
     private int rejectedStarts;
 
@@ -71,6 +73,11 @@
         return nowNanos < pausedUntilNanos;
     }
 
+    /** Returns whether a call for the step may be made while an overdue one is in progress. */
+    boolean mayCallBesideOverdueOne() {
+        return !callInProgress && unansweredCalls == 0;
+    }
+
     /** Returns the ticket for a server; it may have expired. */
     Optional<Ticket> ticket(BackendServer.Incarnation incarnation) {
         return Optional.ofNullable(allowed.get(incarnation))
@@ -115,12 +122,21 @@
 
     /** Records that a call is made. */
     void onCall(long nowNanos) {
+        callInProgress = true;
         lastCallNanos = nowNanos;
     }
 
+    /** Records that the service has not taken a call. */
+    void onBusy() {
+        callInProgress = false;
+    }
+
     /** Records that there was no answer to a call. */
     void onNoAnswer(long nowNanos) {
+        callInProgress = false;
         unansweredNanos = Optional.of(nowNanos);
+        pause(nowNanos, unansweredCalls);
+        unansweredCalls++;
     }
 
     /** Records the answer to a call: the servers that it allows, and the others as not allowed. */
@@ -129,6 +145,8 @@
             Map<String, String> tickets,
             Duration validity,
             long nowNanos) {
+        callInProgress = false;
+        unansweredCalls = 0;
         for (BackendServer.Incarnation server : servers) {
             String ticket = tickets.get(server.serverId());
             if (ticket == null) {
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -19,7 +19,8 @@
  * Requests and caches the advice service's tickets for the steps that require them.
  *
  * <p>The service handles the calls of one host one after another, so that one call is in progress at a time: later ones
- * would wait there, and it would not be known how long their tickets have been valid.
+ * would wait there, and it would not be known how long their tickets have been valid. Only beside an overdue call, which
+ * may have been lost, a second one is made for another step.
  */
 final class TicketCache {
     /** Delay before the next call after no answer or a busy service. */
@@ -32,7 +33,9 @@
     private final TicketLifetime lifetime = new TicketLifetime();
     private final List<TicketNeed> needs = new ArrayList<>();
     private final Map<String, Set<BackendServer.Incarnation>> recorded = new LinkedHashMap<>();
-    private boolean callInProgress;
+    /** Calls in progress, and the time from which each is overdue, ns. */
+    private final Map<Call, Long> inProgress = new HashMap<>();
+
     private long pausedUntilNanos = Long.MIN_VALUE;
 
     TicketCache(SchedulerContext context, Runnable onTicketsChanged) {
@@ -99,7 +102,10 @@
     void requestNext() {
         long nowNanos = nowNanos();
         List<Waiting> waiting = waitingSteps(nowNanos);
-        if (!callInProgress && nowNanos >= pausedUntilNanos) {
+        boolean mayCall = inProgress.isEmpty()
+                || inProgress.size() == 1
+                        && inProgress.values().stream().allMatch(overdueNanos -> nowNanos >= overdueNanos);
+        if (mayCall && nowNanos >= pausedUntilNanos) {
             nextRecordedCall().or(() -> nextCall(waiting, nowNanos)).ifPresent(call -> send(call, nowNanos));
         }
         needs.clear();
@@ -133,6 +139,7 @@
 
     private Optional<Call> nextRecordedCall() {
         return recorded.keySet().stream()
+                .filter(step -> mayCall(byStep.get(step)))
                 .min(Comparator.comparingLong(step -> byStep.get(step).waitingSinceNanos()))
                 .flatMap(step -> byStep.get(step)
                         .recordedRequest(recorded.get(step))
@@ -157,9 +164,13 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean mayCall(StepTickets tickets) {
+        return inProgress.isEmpty() || tickets.mayCallBesideOverdueOne();
+    }
+
     private Optional<Call> call(Waiting waiting, int waitingSteps, long nowNanos) {
         StepTickets tickets = waiting.tickets();
-        if (tickets.isPaused(nowNanos)) {
+        if (tickets.isPaused(nowNanos) || !mayCall(tickets)) {
             return Optional.empty();
         }
         return tickets.nextRequest(waiting.need(), waitingSteps, lifetime, nowNanos)
@@ -171,7 +182,7 @@
                 .map(BackendServer.Incarnation::serverId)
                 .toList();
         AdviceCallSize callSize = call.tickets().advice().callSize();
-        callInProgress = true;
+        inProgress.put(call, sentNanos + callSize.overdueTime(ids.size()).toNanos());
         call.tickets().onCall(sentNanos);
         Duration timeLimit = callSize.timeLimit(ids.size());
         Completions.thenAcceptOrLog(
@@ -183,13 +194,14 @@
     }
 
     private void onAnswer(Call call, AdviceService.Answer answer, long sentNanos) {
-        callInProgress = false;
+        inProgress.remove(call);
         String result = switch (answer) {
             case AdviceService.TicketGrant grant -> {
                 onGrant(call, grant, sentNanos);
                 yield call.request().purpose().name();
             }
             case AdviceService.Busy busy -> {
+                call.tickets().onBusy();
                 pausedUntilNanos = nowNanos() + RETRY_DELAY.toNanos();
                 yield "BUSY";
             }
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -97,6 +97,49 @@
         assertAllCompletedWithin(fleet, wide, 30_000);
     }
 
+    /** Guards against calls that are repeated at once, or given up, while the service is busy. */
+    @Test
+    public void jobsGoOnAfterServiceWasBusy() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 20, 1);
+        fleet.advice.busy = true;
+        List<String> ids = submitJobs(fleet, 10, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(15_000);
+        assertTrue(fleet.advice.calls.size() <= 15_000 / 250 + 1, fleet.advice.calls.size() + " calls");
+        fleet.advice.busy = false;
+        assertAllCompletedWithin(fleet, ids, 10 * (40 + 30) + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against jobs that wait long after the service answers again. */
+    @Test
+    public void jobsGoOnAfterServiceWasSilent() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 20, 1);
+        fleet.advice.unansweredSteps = step -> true;
+        List<String> ids = submitJobs(fleet, 10, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(25_000);
+        fleet.advice.unansweredSteps = step -> false;
+        // The last call without an answer may have been made just before; its time limit was doubled twice.
+        assertAllCompletedWithin(fleet, ids, 4 * 3000 + 10 * (40 + 30) + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against one step's calls, which are never answered, that keep all others from being made. */
+    @Test
+    public void stepWithoutAnswersDoesNotHoldOthersUp() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 100, 5);
+        fleet.advice.unansweredSteps = step -> step.startsWith(ID);
+        submit(fleet, ID, JobFleet.step(2, 1000, WORK_MS));
+        for (int job = 2; job <= 20; job++) {
+            fleet.runFor(4000);
+            submit(fleet, JobFleet.id(job), JobFleet.step(2, 1000, WORK_MS));
+            // The time after which a call is overdue, and a call.
+            assertCompletedWithin(fleet, JobFleet.id(job), 3000 + 200 + WORK_MS + HANDLING_MS);
+        }
+        fleet.advice.unansweredSteps = step -> false;
+        assertCompletedWithin(fleet, ID, 60_000);
+    }
+
     /** Guards against tickets that are lost with the leader that has asked for them. */
     @Test
     public void jobsGoOnWhenLeaderIsKilledBetweenCallAndAnswer() {
