Advice: servers that were not allowed are asked about again

Callers saw steps that never begin on a server which the service refused before it knew of it.

Cause: each server was asked about once for the life of the step.

Change: when nothing else is left to ask for, refused servers are asked about again after 10 s, doubled up to 320 s.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -5,25 +5,28 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /**
- * What the advice service has answered about one step. The policy of a step does not change, so that each server is asked
- * about once, and only the tickets of allowed servers are requested again as they expire.
+ * What the advice service has answered about one step. The policy of a step does not change, so that the tickets of
+ * allowed servers are requested again as they expire, and the other servers only after a long time: the service may have
+ * answered before it knew a new server.
  */
 final class StepTickets {
+    /** Time after which a server that was not allowed is asked about again, if nothing else is of use; then doubled. */
+    private static final Duration RECHECK_DELAY = Duration.ofSeconds(10);
+    /** Number of times that the delay is doubled at most. */
+    private static final int MAX_RECHECK_DOUBLINGS = 5;
     /** Delay before the next call for the step after one that was of no use; doubled each time. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     private static final int MAX_RETRY_DOUBLINGS = 5;
 
     private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
-    private final Set<BackendServer.Incarnation> refused = new HashSet<>();
+    private final Map<BackendServer.Incarnation, Refusal> refused = new HashMap<>();
     private final QueueAdvice advice;
     private long lastCallNanos;
     private boolean callInProgress;
@@ -38,6 +41,8 @@
     private long rejectedCallNanos = Long.MIN_VALUE;
     private long pausedUntilNanos = Long.MIN_VALUE;
 
+    private record Refusal(long answeredNanos, int count) {}
+
     /** What the next call for a step is about, in the order in which steps are served. */
     enum Purpose {
         /** Runs that are recorded wait for new tickets before they are started. */
@@ -47,7 +52,9 @@
         /** Other servers are asked about before they have room. */
         EXPLORE,
         /** Tickets of allowed servers are kept valid until one of them has room. */
-        KEEP
+        KEEP,
+        /** Servers that were not allowed long ago are asked about again. */
+        RECHECK
     }
 
     /** Servers to name in the next call. */
@@ -151,7 +158,10 @@
             String ticket = tickets.get(server.serverId());
             if (ticket == null) {
                 allowed.remove(server);
-                refused.add(server);
+                refused.merge(
+                        server,
+                        new Refusal(nowNanos, 1),
+                        (earlier, latest) -> new Refusal(nowNanos, earlier.count() + 1));
             } else {
                 refused.remove(server);
                 allowed.put(server, new Ticket(ticket, lastCallNanos, nowNanos, validity));
@@ -175,7 +185,11 @@
         Candidates candidates = candidates(need);
         return renewal(need, candidates.allowedWithRoom(), shared, lifetime, nowNanos)
                 .or(() -> exploration(need, candidates, shared))
-                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared));
+                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared))
+                .or(() -> request(
+                        Purpose.RECHECK,
+                        dueForRecheck(need, nowNanos),
+                        advice.callSize().max()));
     }
 
     /** Servers of a need by what is known of them, each list with the preferred ones first. */
@@ -193,7 +207,7 @@
             boolean hasRoom = need.hasRoom().test(server);
             if (allowed.containsKey(incarnation)) {
                 (hasRoom ? candidates.allowedWithRoom : candidates.allowedWithoutRoom).add(server);
-            } else if (!refused.contains(incarnation)) {
+            } else if (!refused.containsKey(incarnation)) {
                 (hasRoom ? candidates.unaskedWithRoom : candidates.unaskedWithoutRoom).add(server);
             }
         }
@@ -218,6 +232,21 @@
                 .toList();
     }
 
+    private List<BackendServer.Incarnation> dueForRecheck(TicketNeed need, long nowNanos) {
+        return need.servers().stream()
+                .map(TrackedServer::incarnation)
+                .filter(server -> isDueForRecheck(server, nowNanos))
+                .sorted(Comparator.comparingLong(server -> refused.get(server).answeredNanos()))
+                .toList();
+    }
+
+    private boolean isDueForRecheck(BackendServer.Incarnation server, long nowNanos) {
+        Refusal refusal = refused.get(server);
+        return refusal != null
+                && nowNanos - refusal.answeredNanos()
+                        >= RECHECK_DELAY.toNanos() << Math.min(refusal.count() - 1, MAX_RECHECK_DOUBLINGS);
+    }
+
     /** Renews the tickets that let work items start; for a gang those of all its servers, so that they are valid at once. */
     private Optional<Request> renewal(
             TicketNeed need, List<TrackedServer> withRoom, int shared, TicketLifetime lifetime, long nowNanos) {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.Test;
 
 import static org.basilswitch.standin.jobs.AdviceTest.WORK_MS;
+import static org.basilswitch.standin.jobs.AdviceTest.allow;
 import static org.basilswitch.standin.jobs.AdviceTest.assertCompletedWithin;
 import static org.basilswitch.standin.jobs.AdviceTest.fleet;
 import static org.basilswitch.standin.jobs.AdviceTest.isCompleted;
@@ -180,6 +181,19 @@
         assertCompletedWithin(fleet, ID, 2 * callsMs + WORK_MS + 2 * HANDLING_MS + 5000);
     }
 
+    /** Guards against servers that stay refused for life as the service has answered before it knew of them. */
+    @Test
+    public void refusedServersAreAskedAboutAgain() {
+        JobFleet fleet = fleet(40);
+        allow(fleet);
+        submit(fleet, ID, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(3000);
+        int calls = fleet.advice.calls.size();
+        allow(fleet, "s7");
+        assertCompletedWithin(fleet, ID, 15_000);
+        assertTrue(fleet.advice.calls.size() <= calls + 5, fleet.advice.calls.size() + " calls");
+    }
+
     /** Guards against starts without end while servers reject every ticket. */
     @Test
     public void startsAreFewWhileServersRejectEveryTicket() {
