Advice: operators are told of steps that the service keeps from starting

Operators saw nothing when the service was too slow, silent, busy, or its tickets were rejected.

Tests: the report is expected in six cases of AdviceFaultTest.

--- a/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/event/EventCode.java
@@ -112,6 +112,10 @@
     JOBS_TURNED_AWAY(1941, Severity.WARN, "jobs refused for lack of room in time; they have not run and will not run"),
     TEAM_LIMIT_TOO_LOW(1942, Severity.WARN, "work item or gang uses more than its team's limit"),
     ADVICE_ANSWERED(1943, Severity.DEBUG, "advice service told which servers may run a step"),
+    ADVICE_BEHIND(
+            1944,
+            Severity.WARN,
+            "advice service keeps steps from starting: too many calls, no answers, or tickets that servers reject"),
     PLACE_WAIT_STARTED(1946, Severity.INFO, "work item waits for a place near its data or group"),
     PLACE_WAIT_IN_VAIN(1947, Severity.INFO, "work item waited for a place near its data or group and starts elsewhere"),
     STORE_CALL_FAILED(1801, Severity.WARN, "store call refused or not answered"),
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -24,11 +24,15 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     private static final int MAX_RETRY_DOUBLINGS = 5;
+    /** Number of calls that may be needed to have valid tickets for all servers of a gang at once. */
+    private static final int CALLS_PER_GANG = 4;
 
     private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
     private final Map<BackendServer.Incarnation, Refusal> refused = new HashMap<>();
     private final QueueAdvice advice;
+    private final long firstNeedNanos;
     private long lastCallNanos;
+    private boolean answered;
     private boolean callInProgress;
     /** Monotonic time at which the last call was given up, ns. */
     private Optional<Long> unansweredNanos = Optional.empty();
@@ -39,6 +43,9 @@
 
     private int rejectedCalls;
     private long rejectedCallNanos = Long.MIN_VALUE;
+    /** Calls since the last accepted start that renewed tickets of a gang's servers. */
+    private int gangRenewals;
+
     private long pausedUntilNanos = Long.MIN_VALUE;
 
     private record Refusal(long answeredNanos, int count) {}
@@ -57,11 +64,17 @@
         RECHECK
     }
 
-    /** Servers to name in the next call. */
-    record Request(Purpose purpose, List<BackendServer.Incarnation> servers) {}
+    /**
+     * The next call.
+     *
+     * @param servers servers to name
+     * @param renewsGang whether it renews tickets of a gang, all of whose servers are known
+     */
+    record Request(Purpose purpose, List<BackendServer.Incarnation> servers, boolean renewsGang) {}
 
     StepTickets(QueueAdvice advice, long nowNanos) {
         this.advice = advice;
+        this.firstNeedNanos = nowNanos;
         this.lastCallNanos = nowNanos;
     }
 
@@ -75,11 +88,29 @@
         return lastCallNanos;
     }
 
+    /** Returns the time of the step's first need, ns. */
+    long firstNeedNanos() {
+        return firstNeedNanos;
+    }
+
+    /** Returns whether the service has answered a call for the step. */
+    boolean isAnswered() {
+        return answered;
+    }
+
     /** Returns whether calls for the step are to be left out for now, as the last ones were of no use. */
     boolean isPaused(long nowNanos) {
         return nowNanos < pausedUntilNanos;
     }
 
+    /**
+     * Returns how many times in a row there was no answer, servers have rejected the tickets, or the tickets of a gang were
+     * not all valid at once.
+     */
+    int uselessCalls() {
+        return Math.max(Math.max(unansweredCalls, rejectedCalls), gangRenewals / CALLS_PER_GANG);
+    }
+
     /** Returns whether a call for the step may be made while an overdue one is in progress. */
     boolean mayCallBesideOverdueOne() {
         return !callInProgress && unansweredCalls == 0;
@@ -95,6 +126,7 @@
     void onAccepted() {
         rejectedStarts = 0;
         rejectedCalls = 0;
+        gangRenewals = 0;
     }
 
     /** Forgets a ticket that a server has rejected, and after two in a row all others; the servers remain allowed. */
@@ -128,9 +160,10 @@
     }
 
     /** Records that a call is made. */
-    void onCall(long nowNanos) {
+    void onCall(Request request, long nowNanos) {
         callInProgress = true;
         lastCallNanos = nowNanos;
+        gangRenewals += request.renewsGang() ? 1 : 0;
     }
 
     /** Records that the service has not taken a call. */
@@ -153,6 +186,7 @@
             Duration validity,
             long nowNanos) {
         callInProgress = false;
+        answered = true;
         unansweredCalls = 0;
         for (BackendServer.Incarnation server : servers) {
             String ticket = tickets.get(server.serverId());
@@ -271,6 +305,7 @@
         }
         return gang
                 ? request(Purpose.START, oldestFirst(chosen), evenPart(chosen.size()))
+                        .map(request -> new Request(request.purpose(), request.servers(), true))
                 : request(Purpose.START, chosen, chosen.size());
     }
 
@@ -332,6 +367,6 @@
     private static Optional<Request> request(Purpose purpose, List<BackendServer.Incarnation> servers, int most) {
         return servers.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new Request(purpose, servers.stream().limit(most).toList()));
+                : Optional.of(new Request(purpose, servers.stream().limit(most).toList(), false));
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -28,6 +28,7 @@
 
     private final SchedulerContext context;
     private final Runnable onTicketsChanged;
+    private final AdviceDelayReport delayReport;
     private final Map<String, StepTickets> byStep = new HashMap<>();
     private final Map<String, QueueAdvice> byQueue = new HashMap<>();
     private final TicketLifetime lifetime = new TicketLifetime();
@@ -41,6 +42,7 @@
     TicketCache(SchedulerContext context, Runnable onTicketsChanged) {
         this.context = context;
         this.onTicketsChanged = onTicketsChanged;
+        this.delayReport = new AdviceDelayReport(context.telemetry());
     }
 
     /** Returns whether a run of a step may be placed on a server: whether there is a ticket that is valid for long enough. */
@@ -102,6 +104,7 @@
     void requestNext() {
         long nowNanos = nowNanos();
         List<Waiting> waiting = waitingSteps(nowNanos);
+        delayReport.update(waiting.stream().map(Waiting::tickets).toList(), nowNanos);
         boolean mayCall = inProgress.isEmpty()
                 || inProgress.size() == 1
                         && inProgress.values().stream().allMatch(overdueNanos -> nowNanos >= overdueNanos);
@@ -183,7 +186,7 @@
                 .toList();
         AdviceCallSize callSize = call.tickets().advice().callSize();
         inProgress.put(call, sentNanos + callSize.overdueTime(ids.size()).toNanos());
-        call.tickets().onCall(sentNanos);
+        call.tickets().onCall(call.request(), sentNanos);
         Duration timeLimit = callSize.timeLimit(ids.size());
         Completions.thenAcceptOrLog(
                 () -> context.adviceService().requestTickets(call.step(), ids, timeLimit),
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -43,6 +43,10 @@
         }
     }
 
+    private static boolean isReported(JobFleet fleet) {
+        return fleet.events.stream().anyMatch(event -> event.contains("ADVICE_BEHIND"));
+    }
+
     @DataProvider
     public Object[][] times() {
         return new Object[][] {
@@ -73,6 +77,22 @@
         assertAllCompletedWithin(fleet, ids, 6 * (callMs + HANDLING_MS) + WORK_MS + HANDLING_MS);
     }
 
+    /** Guards against starts that are placed and rejected without end when the service is too slow for its validity. */
+    @Test
+    public void serviceThatIsTooSlowForItsValidityIsReported() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 2500, 1, 2000);
+        fleet.advice.validFromCall = true;
+        submit(fleet, ID, JobFleet.step(2, 1000, WORK_MS));
+        fleet.runFor(60_000);
+        assertTrue(isReported(fleet), fleet.lastEvents());
+        assertTrue(fleet.advice.rejectedStarts <= 2 * 60_000 / 2500, fleet.advice.rejectedStarts + " starts");
+        assertFalse(isCompleted(fleet, ID));
+        fleet.advice.rejectedStarts = 0;
+        fleet.advice.validFromCall = false;
+        assertCompletedWithin(fleet, ID, 20_000);
+    }
+
     /** Guards against calls about far more servers than the waiting steps can use. */
     @Test
     public void burstOfNarrowJobsStartsSoon() {
@@ -107,11 +127,12 @@
         List<String> ids = submitJobs(fleet, 10, JobFleet.step(2, 1000, WORK_MS));
         fleet.runFor(15_000);
         assertTrue(fleet.advice.calls.size() <= 15_000 / 250 + 1, fleet.advice.calls.size() + " calls");
+        assertTrue(isReported(fleet), fleet.lastEvents());
         fleet.advice.busy = false;
         assertAllCompletedWithin(fleet, ids, 10 * (40 + 30) + WORK_MS + HANDLING_MS);
     }
 
-    /** Guards against jobs that wait long after the service answers again. */
+    /** Guards against jobs that wait long after the service answers again, and against outages that nobody is told of. */
     @Test
     public void jobsGoOnAfterServiceWasSilent() {
         JobFleet fleet = fleet(20);
@@ -119,6 +140,7 @@
         fleet.advice.unansweredSteps = step -> true;
         List<String> ids = submitJobs(fleet, 10, JobFleet.step(2, 1000, WORK_MS));
         fleet.runFor(25_000);
+        assertTrue(isReported(fleet), fleet.lastEvents());
         fleet.advice.unansweredSteps = step -> false;
         // The last call without an answer may have been made just before; its time limit was doubled twice.
         assertAllCompletedWithin(fleet, ids, 4 * 3000 + 10 * (40 + 30) + WORK_MS + HANDLING_MS);
@@ -137,6 +159,7 @@
             // The time after which a call is overdue, and a call.
             assertCompletedWithin(fleet, JobFleet.id(job), 3000 + 200 + WORK_MS + HANDLING_MS);
         }
+        assertTrue(isReported(fleet), fleet.lastEvents());
         fleet.advice.unansweredSteps = step -> false;
         assertCompletedWithin(fleet, ID, 60_000);
     }
@@ -181,6 +204,19 @@
         assertCompletedWithin(fleet, ID, 2 * callsMs + WORK_MS + 2 * HANDLING_MS + 5000);
     }
 
+    /** Guards against a gang whose tickets can't be valid all at once, of which nobody is told. */
+    @Test
+    public void gangThatIsTooLargeForTheServiceIsReported() {
+        JobFleet fleet = fleet(200);
+        setTimes(fleet, 300, 30);
+        submit(fleet, ID, JobFleet.gang(200, 40_000, WORK_MS));
+        submit(fleet, JobFleet.id(2), JobFleet.step(1, 100, WORK_MS));
+        fleet.runFor(90_000);
+        assertFalse(isCompleted(fleet, ID));
+        assertTrue(isCompleted(fleet, JobFleet.id(2)));
+        assertTrue(isReported(fleet), fleet.lastEvents());
+    }
+
     /** Guards against servers that stay refused for life as the service has answered before it knew of them. */
     @Test
     public void refusedServersAreAskedAboutAgain() {
@@ -203,6 +239,7 @@
         submit(fleet, ID, JobFleet.step(2, 1000, WORK_MS));
         fleet.runFor(30_000);
         assertTrue(fleet.advice.rejectedStarts <= 2 * 15, fleet.advice.rejectedStarts + " starts");
+        assertTrue(isReported(fleet), fleet.lastEvents());
         fleet.advice.rejectedStarts = 0;
         fleet.advice.uselessSteps = step -> false;
         assertCompletedWithin(fleet, ID, 10_000);
