Advice: shorter calls where tickets age from the call, and no report of steps without servers

Callers saw jobs that never begin where servers count the validity from the call and a call about 20 servers takes longer than the validity, though one about 7 would not (2000 + 100 ms, 3 s). Operators saw ADVICE_BEHIND for a step whose label no server has. Steps that wait for room on servers they know made the calls of a searching step shorter.

Cause: the size of calls followed from the time to decide alone; the report and the share of a call counted steps that the service can't help.

Change: after a rejection by age, calls fit into nine tenths of the validity where that is possible. Steps without servers make no calls; the share of a call counts steps with servers left to ask about. A removed job's recorded runs are dropped from the calls.

Evidence: AdviceFaultTest.callsAreShorterAfterServersRejectOldTickets and stepWithoutSuitableServersIsNotReported fail before. stepsThatWaitForRoomDoNotDelaySearch and jobsAreCancelledWhileTheirRecordedRunsWait hold before as well.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
@@ -35,20 +35,25 @@
 
     private static final double MIN_PER_SERVER_MS = 0.1;
 
+    /** Part of the validity that a call may take where the validity begins with the call. */
+    private static final double MAX_SHARE_OF_VALIDITY = 0.9;
+
     private final AdviceTimes stated;
+    private final TicketLifetime lifetime;
     private Duration validity;
     /** Duration of the last answered call as a multiple of its duration by the stated times. */
     private double slowness = 1;
 
     private int unanswered;
 
-    private AdviceCallSize(AdviceTimes stated) {
+    private AdviceCallSize(AdviceTimes stated, TicketLifetime lifetime) {
         this.stated = stated;
+        this.lifetime = lifetime;
         this.validity = Duration.ofMillis(stated.validityMs());
     }
 
-    static AdviceCallSize of(AdviceTimes stated) {
-        return new AdviceCallSize(stated);
+    static AdviceCallSize of(AdviceTimes stated, TicketLifetime lifetime) {
+        return new AdviceCallSize(stated, lifetime);
     }
 
     /** Returns the largest number of servers to name. */
@@ -57,7 +62,10 @@
         double fitting = validity.isZero()
                 ? FIRST_CALL_SERVERS
                 : Math.max((limitMs - decideMs()) / perServerMs(), decideMs() / perServerMs());
-        return atLeastOne(Math.min(MAX_SERVERS, fitting) / (1 << Math.min(unanswered, MAX_HALVINGS)));
+        double inTime = (MAX_SHARE_OF_VALIDITY * validity.toMillis() - decideMs()) / perServerMs();
+        boolean limited = lifetime.beginsWithCall() && inTime >= 1;
+        double most = Math.min(MAX_SERVERS, limited ? Math.min(fitting, inTime) : fitting);
+        return atLeastOne(most / (1 << Math.min(unanswered, MAX_HALVINGS)));
     }
 
     /** Returns the largest number of servers to name while other steps wait; larger after answers in vain. */
@@ -69,13 +77,13 @@
      * Returns the number of servers to name for a step, so that other steps that wait have their turn soon.
      *
      * @param asked number of servers about which the service has answered for the step
-     * @param waitingSteps number of steps that wait for calls, with this one
+     * @param exploringSteps number of steps with servers left to ask about
      */
-    int shared(int asked, int waitingSteps) {
-        if (waitingSteps <= 1) {
+    int shared(int asked, int exploringSteps) {
+        if (exploringSteps <= 1) {
             return asked == 0 ? needed(0) : max();
         }
-        double fitting = (ROUND.toMillis() / (double) waitingSteps - decideMs()) / perServerMs();
+        double fitting = (ROUND.toMillis() / (double) exploringSteps - decideMs()) / perServerMs();
         return Math.min(needed(asked), atLeastOne(fitting));
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/QueueAdvice.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/QueueAdvice.java
@@ -10,7 +10,7 @@
  * @param allowedShare how probably servers are allowed
  */
 record QueueAdvice(AdviceTimes stated, AdviceCallSize callSize, AllowedShare allowedShare) {
-    static QueueAdvice of(AdviceTimes stated) {
-        return new QueueAdvice(stated, AdviceCallSize.of(stated), new AllowedShare());
+    static QueueAdvice of(AdviceTimes stated, TicketLifetime lifetime) {
+        return new QueueAdvice(stated, AdviceCallSize.of(stated, lifetime), new AllowedShare());
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -209,13 +209,13 @@
     }
 
     /** Returns the number of servers about which the service has answered. */
-    private int asked() {
+    int asked() {
         return allowed.size() + refused.size();
     }
 
     /** Returns the servers to name in the next call; empty if no call is of use. */
-    Optional<Request> nextRequest(TicketNeed need, int waitingSteps, TicketLifetime lifetime, long nowNanos) {
-        int shared = advice.callSize().shared(asked(), waitingSteps);
+    Optional<Request> nextRequest(TicketNeed need, int exploringSteps, TicketLifetime lifetime, long nowNanos) {
+        int shared = advice.callSize().shared(asked(), exploringSteps);
         Candidates candidates = candidates(need);
         return renewal(need, candidates.allowedWithRoom(), shared, lifetime, nowNanos)
                 .or(() -> exploration(need, candidates, shared))
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketCache.java
@@ -83,7 +83,9 @@
 
     /** Adds a step that waits for tickets, for the next call. */
     void addNeed(TicketNeed need) {
-        needs.add(need);
+        if (!need.servers().isEmpty()) {
+            needs.add(need);
+        }
     }
 
     /**
@@ -115,7 +117,11 @@
         recorded.clear();
     }
 
-    private record Waiting(TicketNeed need, StepTickets tickets) {}
+    private record Waiting(TicketNeed need, StepTickets tickets) {
+        private boolean isExploring() {
+            return tickets.asked() < need.servers().size();
+        }
+    }
 
     private record Call(String step, StepTickets tickets, StepTickets.Request request) {
         private boolean isOfMoreUseThan(Call other) {
@@ -136,8 +142,9 @@
     private QueueAdvice queueAdvice(TicketNeed need) {
         return byQueue.compute(
                 need.queue(),
-                (queue, known) ->
-                        known != null && known.stated().equals(need.times()) ? known : QueueAdvice.of(need.times()));
+                (queue, known) -> known != null && known.stated().equals(need.times())
+                        ? known
+                        : QueueAdvice.of(need.times(), lifetime));
     }
 
     private Optional<Call> nextRecordedCall() {
@@ -154,9 +161,11 @@
      * longest since its last call or, if there was none, since its first need.
      */
     private Optional<Call> nextCall(List<Waiting> waitingSteps, long nowNanos) {
+        int exploringSteps =
+                (int) waitingSteps.stream().filter(Waiting::isExploring).count();
         Call best = null;
         for (Waiting waiting : waitingSteps) {
-            Optional<Call> call = call(waiting, waitingSteps.size(), nowNanos);
+            Optional<Call> call = call(waiting, exploringSteps, nowNanos);
             if (call.isPresent() && (best == null || call.get().isOfMoreUseThan(best))) {
                 best = call.get();
             }
@@ -171,12 +180,12 @@
         return inProgress.isEmpty() || tickets.mayCallBesideOverdueOne();
     }
 
-    private Optional<Call> call(Waiting waiting, int waitingSteps, long nowNanos) {
+    private Optional<Call> call(Waiting waiting, int exploringSteps, long nowNanos) {
         StepTickets tickets = waiting.tickets();
         if (tickets.isPaused(nowNanos) || !mayCall(tickets)) {
             return Optional.empty();
         }
-        return tickets.nextRequest(waiting.need(), waitingSteps, lifetime, nowNanos)
+        return tickets.nextRequest(waiting.need(), exploringSteps, lifetime, nowNanos)
                 .map(request -> new Call(waiting.need().step(), tickets, request));
     }
 
@@ -245,5 +254,6 @@
     /** Removes the tickets of a job. */
     void removeJob(String job) {
         byStep.keySet().removeIf(step -> step.startsWith(job + "."));
+        recorded.keySet().retainAll(byStep.keySet());
     }
 }
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketLifetime.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/TicketLifetime.java
@@ -43,6 +43,11 @@
         return nowNanos - ticket.answeredNanos() < Math.max(window.toNanos(), least.toNanos());
     }
 
+    /** Returns whether servers have shown that the validity begins with the call. */
+    boolean beginsWithCall() {
+        return !beginsWithAnswer;
+    }
+
     /** Returns the time since the validity of a ticket has begun, as far as it is known, ns. */
     private long age(Ticket ticket, long nowNanos) {
         return nowNanos - (beginsWithAnswer ? ticket.answeredNanos() : ticket.sentNanos());
--- a/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
+++ b/basilswitch-core/src/test/java/org/basilswitch/schedule/AdviceCallSizeTest.java
@@ -15,7 +15,11 @@
     private static final long PER_SERVER_MS = 30;
 
     private static AdviceCallSize size() {
-        return AdviceCallSize.of(new AdviceTimes(DECIDE_MS, PER_SERVER_MS, VALIDITY.toMillis()));
+        return size(new AdviceTimes(DECIDE_MS, PER_SERVER_MS, VALIDITY.toMillis()));
+    }
+
+    private static AdviceCallSize size(AdviceTimes times) {
+        return AdviceCallSize.of(times, new TicketLifetime());
     }
 
     private static Duration callTime(int servers) {
@@ -55,7 +59,7 @@
     /** Guards against calls about single servers when the time for any call uses up the validity alone. */
     @Test
     public void timeForAnyCallDoesNotMakeCallsSmaller() {
-        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(2500, 1, 3000));
+        AdviceCallSize size = size(new AdviceTimes(2500, 1, 3000));
         for (int i = 0; i < 5; i++) {
             size.onAnswer(30, Duration.ofMillis(2530), VALIDITY);
         }
@@ -65,7 +69,7 @@
     /** Guards against calls about single servers where the operator does not state the validity of tickets. */
     @Test
     public void callsAreNotSmallWithoutStatedValidity() {
-        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(0, 0, 0));
+        AdviceCallSize size = size(new AdviceTimes(0, 0, 0));
         assertEquals(size.max(), 30);
         size.onAnswer(30, Duration.ofMillis(1200), Duration.ZERO);
         assertEquals(size.max(), 30);
@@ -73,6 +77,18 @@
         assertEquals(size.max(), 100);
     }
 
+    /** Guards against calls that outlive their tickets where servers count the validity from the call. */
+    @Test
+    public void callsAreShorterThanValidityThatBeginsWithCall() {
+        TicketLifetime lifetime = new TicketLifetime();
+        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(2000, 100, 3000), lifetime);
+        assertEquals(size.max(), 20);
+        lifetime.onRejected(
+                new Ticket("t", 0, Duration.ofMillis(4000).toNanos(), VALIDITY),
+                Duration.ofMillis(4010).toNanos());
+        assertEquals(size.max(), 7);
+    }
+
     /** Guards against long calls that keep many other steps waiting. */
     @Test
     public void callsAreShortWhileManyStepsWait() {
@@ -89,7 +105,7 @@
     /** Guards against calls that are given up before the service has had the time which it is stated to take. */
     @Test(dataProvider = "statedTimes")
     public void timeLimitCoversStatedTime(long decideMs, long perServerMs) {
-        AdviceCallSize size = AdviceCallSize.of(new AdviceTimes(decideMs, perServerMs, 3000));
+        AdviceCallSize size = size(new AdviceTimes(decideMs, perServerMs, 3000));
         for (int servers : new int[] {1, 30, 100}) {
             long statedMs = decideMs + servers * perServerMs;
             assertTrue(size.timeLimit(servers).toMillis() > statedMs, size.timeLimit(servers) + " for " + statedMs);
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -54,6 +54,7 @@
             {2500, 1, 3000, false},
             {2500, 1, 3000, true},
             {3500, 1, 3000, false},
+            {300, 300, 1000, true},
             {10_000, 10, 3000, false},
             {300, 30, 1000, true},
             {300, 30, 50, false},
@@ -77,6 +78,19 @@
         assertAllCompletedWithin(fleet, ids, 6 * (callMs + HANDLING_MS) + WORK_MS + HANDLING_MS);
     }
 
+    /** Guards against calls about so many servers that their tickets expire before the answer, each time anew. */
+    @Test
+    public void callsAreShorterAfterServersRejectOldTickets() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 2000, 100, 3000);
+        fleet.advice.validFromCall = true;
+        List<String> ids = submitJobs(fleet, 6, JobFleet.step(2, 1000, WORK_MS));
+        // Two long calls, as the second one is made before a server rejects tickets of the first, and one for each job.
+        fleet.runFor(2 * (2000 + 20 * 100) + 6 * (2000 + 7 * 100 + HANDLING_MS) + WORK_MS + HANDLING_MS);
+        ids.forEach(id -> assertTrue(isCompleted(fleet, id), fleet.lastEvents()));
+        assertTrue(fleet.advice.rejectedStarts <= 2 * 2, fleet.advice.rejectedStarts + " starts");
+    }
+
     /** Guards against starts that are placed and rejected without end when the service is too slow for its validity. */
     @Test
     public void serviceThatIsTooSlowForItsValidityIsReported() {
@@ -189,6 +203,22 @@
         assertTrue(fleet.events.stream().anyMatch(event -> event.contains("purpose=RECORDED")), fleet.lastEvents());
     }
 
+    /** Guards against a scheduler that fails on the calls for a job which was cancelled meanwhile. */
+    @Test
+    public void jobsAreCancelledWhileTheirRecordedRunsWait() {
+        JobFleet fleet = fleet(4);
+        setTimes(fleet, 300, 1, 400);
+        fleet.clients.get(fleet.nodes.indexOf(fleet.leader())).setOneWayDelay(Duration.ofMillis(250));
+        for (int job = 1; job <= 40; job++) {
+            String id = JobFleet.id(job);
+            submit(fleet, id, JobFleet.step(1, 1000, WORK_MS));
+            fleet.runFor(900 + 20 * job);
+            fleet.cancel(fleet.leader(), id);
+        }
+        submit(fleet, JobFleet.id(41), JobFleet.step(1, 1000, WORK_MS));
+        assertCompletedWithin(fleet, JobFleet.id(41), 6000);
+    }
+
     @DataProvider
     public Object[][] gangs() {
         return new Object[][] {{80, 20, 1}, {120, 20, 1}, {120, 300, 20}, {130, 300, 30}, {300, 100, 2}};
@@ -259,6 +289,32 @@
         assertTrue(isCompleted(fleet, ID), fleet.lastEvents());
     }
 
+    /** Guards against small calls, as many other steps wait for room on servers which they were told of. */
+    @Test
+    public void stepsThatWaitForRoomDoNotDelaySearch() {
+        JobFleet fleet = fleet(200);
+        setTimes(fleet, 300, 20);
+        fleet.advice.policy = (step, server) -> step.startsWith(ID) ? server.equals("s150") : server.equals("s0");
+        submit(fleet, JobFleet.id(2), JobFleet.longRunning(1, 64_000, 0));
+        fleet.runFor(10_000);
+        for (int job = 3; job <= 12; job++) {
+            submit(fleet, JobFleet.id(job), JobFleet.step(1, 1000, WORK_MS));
+        }
+        fleet.runFor(60_000);
+        submit(fleet, ID, JobFleet.step(1, 1000, WORK_MS));
+        assertCompletedWithin(fleet, ID, AdviceTest.searchMs(200, 300, 20, 30) + 10 * 400 + WORK_MS + HANDLING_MS);
+    }
+
+    /** Guards against reports of a service that is not at fault. */
+    @Test
+    public void stepWithoutSuitableServersIsNotReported() {
+        JobFleet fleet = fleet(4);
+        setTimes(fleet, 20, 1);
+        submit(fleet, ID, AdviceTest.labelled("rack-40"));
+        fleet.runFor(30_000);
+        assertFalse(isReported(fleet), fleet.lastEvents());
+    }
+
     /** Guards against servers that count as unfit because they have rejected a ticket. */
     @Test
     public void rejectedTicketDoesNotKeepServerFromOtherSteps() {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceTest.java
@@ -55,6 +55,26 @@
         fleet.advice.policy = (step, server) -> allowed.contains(server);
     }
 
+    static StepSpec labelled(String label) {
+        return new StepSpec(
+                2,
+                JobFleet.step(1, 1000, WORK_MS).resources(),
+                WORK_MS,
+                List.of(),
+                false,
+                false,
+                false,
+                label,
+                null,
+                0,
+                false,
+                false,
+                null,
+                0,
+                false,
+                0);
+    }
+
     static void submit(JobFleet fleet, String id, StepSpec... steps) {
         fleet.submit(fleet.leader(), id, steps);
     }
@@ -79,7 +99,7 @@
     }
 
     /** Longest time until a step's only allowed server is found: the time for all servers, and twice that of one call. */
-    private static long searchMs(int servers, long decideMs, long perServerMs, int serversPerCall) {
+    static long searchMs(int servers, long decideMs, long perServerMs, int serversPerCall) {
         long calls = (servers + serversPerCall - 1) / serversPerCall + 2;
         // A call that takes longer than its time limit is answered in vain, and the next one waits for it at the
         // service.
@@ -128,24 +148,7 @@
     public void onlyServersWithRequiredLabelAreAskedAbout() {
         JobFleet fleet = fleet(200);
         allow(fleet, "s163");
-        StepSpec labelled = new StepSpec(
-                2,
-                JobFleet.step(1, 1000, WORK_MS).resources(),
-                WORK_MS,
-                List.of(),
-                false,
-                false,
-                false,
-                "rack-40",
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
-        submit(fleet, ID, labelled);
+        submit(fleet, ID, labelled("rack-40"));
         assertCompletedWithin(fleet, ID, 1500);
         fleet.advice.calls.forEach(
                 call -> assertTrue(Set.of("s160", "s161", "s162", "s163").containsAll(call.servers()), "" + call));
