Advice: steps turn to other servers when some reject their tickets

Change: allowed servers that have rejected a ticket of the step come after all others, and a rejection counts in AllowedShare like a refusal. Servers that are likely enough are ranked by free capacity, so that a queue's work doesn't gather on those which were asked about first.

Evidence: AdviceFaultTest.jobsStartBesideServersThatRejectTickets fails before. gangStartsBesideServerThatRejectsTickets and workIsSpreadOverAllowedServers guard the neighbours.

--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AllowedShare.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AllowedShare.java
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Records that a server has rejected a ticket, so that it is of no more use than one that is not allowed. */
+    void onRejected(String server) {
+        byServer.computeIfAbsent(server, id -> new Tally()).add(false, SERVER_MEMORY);
+    }
+
     /** Returns the share of servers that a step is expected to be allowed on, given the answers about this step. */
     double ofStep(int asked, int allowed) {
         double expected = queue.share(0.5, QUEUE_WEIGHT);
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 
 /**
  * What the advice service has answered about one step. The policy of a step does not change, so that the tickets of
@@ -27,8 +28,14 @@
     /** Number of calls that may be needed to have valid tickets for all servers of a gang at once. */
     private static final int CALLS_PER_GANG = 4;
 
+    /** Score from which servers are ranked by their free capacity alone. */
+    private static final double GOOD_SCORE = 2 / 3.0;
+
     private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
     private final Map<BackendServer.Incarnation, Refusal> refused = new HashMap<>();
+    /** Number of tickets that each server has rejected. */
+    private final Map<BackendServer.Incarnation, Integer> rejections = new HashMap<>();
+
     private final QueueAdvice advice;
     private final long firstNeedNanos;
     private long lastCallNanos;
@@ -133,6 +140,8 @@
     void onRejected(BackendServer.Incarnation incarnation, long nowNanos) {
         ticket(incarnation).ifPresent(ticket -> {
             rejectedStarts++;
+            rejections.merge(incarnation, 1, Integer::sum);
+            advice.allowedShare().onRejected(incarnation.serverId());
             if (ticket.sentNanos() != rejectedCallNanos) {
                 rejectedCallNanos = ticket.sentNanos();
                 rejectedCalls++;
@@ -219,6 +228,7 @@
         Candidates candidates = candidates(need);
         return renewal(need, candidates.allowedWithRoom(), shared, lifetime, nowNanos)
                 .or(() -> exploration(need, candidates, shared))
+                .or(() -> renewal(need, candidates.allWithRoom(), shared, lifetime, nowNanos))
                 .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared))
                 .or(() -> request(
                         Purpose.RECHECK,
@@ -229,30 +239,45 @@
     /** Servers of a need by what is known of them, each list with the preferred ones first. */
     private record Candidates(
             List<TrackedServer> allowedWithRoom,
+            List<TrackedServer> rejecting,
             List<TrackedServer> allowedWithoutRoom,
             List<TrackedServer> unaskedWithRoom,
-            List<TrackedServer> unaskedWithoutRoom) {}
+            List<TrackedServer> unaskedWithoutRoom) {
+
+        private static Candidates empty() {
+            return new Candidates(
+                    new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        }
+
+        /** Returns the allowed servers with room, those that reject tickets last. */
+        private List<TrackedServer> allWithRoom() {
+            return Stream.of(allowedWithRoom, rejecting).flatMap(List::stream).toList();
+        }
+    }
 
     private Candidates candidates(TicketNeed need) {
-        Candidates candidates =
-                new Candidates(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        Candidates candidates = Candidates.empty();
         for (TrackedServer server : need.servers()) {
             BackendServer.Incarnation incarnation = server.incarnation();
             boolean hasRoom = need.hasRoom().test(server);
             if (allowed.containsKey(incarnation)) {
-                (hasRoom ? candidates.allowedWithRoom : candidates.allowedWithoutRoom).add(server);
+                List<TrackedServer> withRoom =
+                        rejections.containsKey(incarnation) ? candidates.rejecting : candidates.allowedWithRoom;
+                (hasRoom ? withRoom : candidates.allowedWithoutRoom).add(server);
             } else if (!refused.containsKey(incarnation)) {
                 (hasRoom ? candidates.unaskedWithRoom : candidates.unaskedWithoutRoom).add(server);
             }
         }
         sort(candidates.allowedWithRoom, need.preference());
+        candidates.rejecting.sort(Comparator.comparingInt(server -> rejections.get(server.incarnation())));
         return candidates;
     }
 
+    /** Sorts servers by their scores, and good ones by their free capacity, so that work is spread. */
     private static void sort(List<TrackedServer> servers, ToDoubleFunction<TrackedServer> score) {
-        Map<TrackedServer, Double> scores = new HashMap<>();
-        servers.forEach(server -> scores.put(server, score.applyAsDouble(server)));
-        servers.sort(Comparator.comparingDouble((TrackedServer server) -> -scores.get(server))
+        Map<TrackedServer, Double> ranks = new HashMap<>();
+        servers.forEach(server -> ranks.put(server, Math.min(GOOD_SCORE, score.applyAsDouble(server))));
+        servers.sort(Comparator.comparingDouble((TrackedServer server) -> -ranks.get(server))
                 .thenComparingLong(server -> -server.free().cpuMillis()));
     }
 
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceFaultTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.basilswitch.job.ItemId;
 import org.basilswitch.job.StepSpec;
@@ -289,6 +290,44 @@
         assertTrue(isCompleted(fleet, ID), fleet.lastEvents());
     }
 
+    /** Guards against steps that try the servers which reject their tickets again and again, as these have most room. */
+    @Test
+    public void jobsStartBesideServersThatRejectTickets() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 300, 30);
+        fleet.advice.rejectingServers = server -> Set.of("s1", "s2", "s3", "s4").contains(server);
+        submitJobs(fleet, 40, JobFleet.longRunning(1, 1000, 0));
+        // Two calls for each job.
+        fleet.runFor(40 * 2 * (300 + 6 * 30) + HANDLING_MS);
+        assertEquals(fleet.model.activeRunCount(), 40, fleet.lastEvents());
+    }
+
+    /** Guards against a gang that tries again with the server which has rejected its ticket. */
+    @Test
+    public void gangStartsBesideServerThatRejectsTickets() {
+        JobFleet fleet = fleet(20);
+        setTimes(fleet, 100, 10);
+        fleet.advice.rejectingServers = "s1"::equals;
+        submit(fleet, ID, JobFleet.gang(19, 40_000, WORK_MS));
+        fleet.runFor(3 * (100 + 20 * 10) + 5000);
+        assertTrue(isCompleted(fleet, ID), fleet.lastEvents());
+    }
+
+    /** Guards against work that gathers on the few servers which were asked about first. */
+    @Test
+    public void workIsSpreadOverAllowedServers() {
+        JobFleet fleet = fleet(20);
+        for (int job = 1; job <= 60; job++) {
+            submit(fleet, JobFleet.id(job), JobFleet.longRunning(1, 1000, 0));
+            fleet.runFor(200);
+        }
+        assertEquals(fleet.model.activeRunCount(), 60);
+        for (String server : fleet.model.serverIds()) {
+            int runs = fleet.model.server(server).activeRunCount();
+            assertTrue(runs <= 6, server + " has " + runs + " runs");
+        }
+    }
+
     /** Guards against small calls, as many other steps wait for room on servers which they were told of. */
     @Test
     public void stepsThatWaitForRoomDoNotDelaySearch() {
--- a/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceModel.java
+++ b/basilswitch-standin/src/test/java/org/basilswitch/standin/jobs/AdviceModel.java
@@ -35,6 +35,8 @@
     Predicate<String> unansweredSteps = step -> false;
     /** Steps whose tickets servers reject. */
     Predicate<String> uselessSteps = step -> false;
+    /** Servers that reject every ticket. */
+    Predicate<String> rejectingServers = server -> false;
     /** Calls in the order in which they were made, as step and servers. */
     final List<Call> calls = new ArrayList<>();
 
@@ -63,6 +65,7 @@
     void checkTickets() {
         fleet.setTicketPolicy((item, ticket, server) -> {
             boolean valid = !uselessSteps.test(item.stepName())
+                    && !rejectingServers.test(server.id())
                     && ticket.map(issued::get)
                             .filter(untilNanos -> time.monotonicNanos() < untilNanos)
                             .isPresent()
