--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -3,24 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Stream;
 
-/**
- * What the advice service has answered about one step. The policy of a step does not change, so that the tickets of
- * allowed servers are requested again as they expire, and the other servers only after a long time: the service may have
- * answered before it knew a new server.
- */
+/** Decides which call of the advice service is of use to one step, and when calls for the step are to be left out. */
 final class StepTickets {
-    /** Time after which a server that was not allowed is asked about again, if nothing else is of use; then doubled. */
-    private static final Duration RECHECK_DELAY = Duration.ofSeconds(10);
-    /** Number of times that the delay is doubled at most. */
-    private static final int MAX_RECHECK_DOUBLINGS = 5;
     /** Delay before the next call for the step after one that was of no use; doubled each time. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
@@ -28,14 +17,7 @@
     /** Number of calls that may be needed to have valid tickets for all servers of a gang at once. */
     private static final int CALLS_PER_GANG = 4;
 
-    /** Score from which servers are ranked by their free capacity alone. */
-    private static final double GOOD_SCORE = 2 / 3.0;
-
-    private final Map<BackendServer.Incarnation, Ticket> allowed = new HashMap<>();
-    private final Map<BackendServer.Incarnation, Refusal> refused = new HashMap<>();
-    /** Number of tickets that each server has rejected. */
-    private final Map<BackendServer.Incarnation, Integer> rejections = new HashMap<>();
-
+    private final KnownServers known = new KnownServers();
     private final QueueAdvice advice;
     private final long firstNeedNanos;
     private long lastCallNanos;
@@ -55,8 +37,6 @@
 
     private long pausedUntilNanos = Long.MIN_VALUE;
 
-    private record Refusal(long answeredNanos, int count) {}
-
     /** What the next call for a step is about, in the order in which steps are served. */
     enum Purpose {
         /** Runs that are recorded wait for new tickets before they are started. */
@@ -125,8 +105,7 @@
 
     /** Returns the ticket for a server; it may have expired. */
     Optional<Ticket> ticket(BackendServer.Incarnation incarnation) {
-        return Optional.ofNullable(allowed.get(incarnation))
-                .filter(ticket -> !ticket.value().isEmpty());
+        return known.ticket(incarnation);
     }
 
     /** Records that a server has accepted a ticket. */
@@ -140,7 +119,6 @@
     void onRejected(BackendServer.Incarnation incarnation, long nowNanos) {
         ticket(incarnation).ifPresent(ticket -> {
             rejectedStarts++;
-            rejections.merge(incarnation, 1, Integer::sum);
             advice.allowedShare().onRejected(incarnation.serverId());
             if (ticket.sentNanos() != rejectedCallNanos) {
                 rejectedCallNanos = ticket.sentNanos();
@@ -150,10 +128,9 @@
                     pause(nowNanos, rejectedCalls - 2);
                 }
             }
+            known.onRejected(incarnation);
             if (rejectedStarts > 1) {
-                allowed.replaceAll((server, other) -> other.withoutValue());
-            } else {
-                allowed.put(incarnation, ticket.withoutValue());
+                known.dropTickets();
             }
         });
     }
@@ -164,7 +141,7 @@
 
     /** Returns whether a ticket that a recorded run has waited for since a time did not come. */
     boolean isInVain(BackendServer.Incarnation incarnation, long sinceNanos) {
-        return !allowed.containsKey(incarnation)
+        return !known.isAllowed(incarnation)
                 || unansweredNanos.filter(nanos -> nanos > sinceNanos).isPresent();
     }
 
@@ -197,115 +174,38 @@
         callInProgress = false;
         answered = true;
         unansweredCalls = 0;
-        for (BackendServer.Incarnation server : servers) {
-            String ticket = tickets.get(server.serverId());
-            if (ticket == null) {
-                allowed.remove(server);
-                refused.merge(
-                        server,
-                        new Refusal(nowNanos, 1),
-                        (earlier, latest) -> new Refusal(nowNanos, earlier.count() + 1));
-            } else {
-                refused.remove(server);
-                allowed.put(server, new Ticket(ticket, lastCallNanos, nowNanos, validity));
-            }
-        }
+        known.onAnswer(
+                servers,
+                server -> Optional.ofNullable(tickets.get(server.serverId()))
+                        .map(ticket -> new Ticket(ticket, lastCallNanos, nowNanos, validity)),
+                nowNanos);
     }
 
     /** Returns the call that renews the tickets of servers on which runs are recorded, oldest first. */
     Optional<Request> recordedRequest(Collection<BackendServer.Incarnation> servers) {
-        return request(Purpose.RECORDED, oldestFirst(servers), evenPart(servers.size()));
+        return request(Purpose.RECORDED, known.oldestFirst(servers), evenPart(servers.size()));
     }
 
     /** Returns the number of servers about which the service has answered. */
     int asked() {
-        return allowed.size() + refused.size();
+        return known.asked();
     }
 
     /** Returns the servers to name in the next call; empty if no call is of use. */
     Optional<Request> nextRequest(TicketNeed need, int exploringSteps, TicketLifetime lifetime, long nowNanos) {
         int shared = advice.callSize().shared(asked(), exploringSteps);
-        Candidates candidates = candidates(need);
+        KnownServers.Candidates candidates = known.candidates(need);
         return renewal(need, candidates.allowedWithRoom(), shared, lifetime, nowNanos)
                 .or(() -> exploration(need, candidates, shared))
                 .or(() -> renewal(need, candidates.allWithRoom(), shared, lifetime, nowNanos))
-                .or(() -> request(Purpose.KEEP, expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared))
+                .or(() -> request(
+                        Purpose.KEEP, known.expired(candidates.allowedWithoutRoom(), lifetime, nowNanos), shared))
                 .or(() -> request(
                         Purpose.RECHECK,
-                        dueForRecheck(need, nowNanos),
+                        known.dueForRecheck(need, nowNanos),
                         advice.callSize().max()));
     }
 
-    /** Servers of a need by what is known of them, each list with the preferred ones first. */
-    private record Candidates(
-            List<TrackedServer> allowedWithRoom,
-            List<TrackedServer> rejecting,
-            List<TrackedServer> allowedWithoutRoom,
-            List<TrackedServer> unaskedWithRoom,
-            List<TrackedServer> unaskedWithoutRoom) {
-
-        private static Candidates empty() {
-            return new Candidates(
-                    new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-        }
-
-        /** Returns the allowed servers with room, those that reject tickets last. */
-        private List<TrackedServer> allWithRoom() {
-            return Stream.of(allowedWithRoom, rejecting).flatMap(List::stream).toList();
-        }
-    }
-
-    private Candidates candidates(TicketNeed need) {
-        Candidates candidates = Candidates.empty();
-        for (TrackedServer server : need.servers()) {
-            BackendServer.Incarnation incarnation = server.incarnation();
-            boolean hasRoom = need.hasRoom().test(server);
-            if (allowed.containsKey(incarnation)) {
-                List<TrackedServer> withRoom =
-                        rejections.containsKey(incarnation) ? candidates.rejecting : candidates.allowedWithRoom;
-                (hasRoom ? withRoom : candidates.allowedWithoutRoom).add(server);
-            } else if (!refused.containsKey(incarnation)) {
-                (hasRoom ? candidates.unaskedWithRoom : candidates.unaskedWithoutRoom).add(server);
-            }
-        }
-        sort(candidates.allowedWithRoom, need.preference());
-        candidates.rejecting.sort(Comparator.comparingInt(server -> rejections.get(server.incarnation())));
-        return candidates;
-    }
-
-    /** Sorts servers by their scores, and good ones by their free capacity, so that work is spread. */
-    private static void sort(List<TrackedServer> servers, ToDoubleFunction<TrackedServer> score) {
-        Map<TrackedServer, Double> ranks = new HashMap<>();
-        servers.forEach(server -> ranks.put(server, Math.min(GOOD_SCORE, score.applyAsDouble(server))));
-        servers.sort(Comparator.comparingDouble((TrackedServer server) -> -ranks.get(server))
-                .thenComparingLong(server -> -server.free().cpuMillis()));
-    }
-
-    private List<BackendServer.Incarnation> expired(
-            List<TrackedServer> servers, TicketLifetime lifetime, long nowNanos) {
-        return servers.stream()
-                .map(TrackedServer::incarnation)
-                .filter(server -> ticket(server)
-                        .filter(ticket -> lifetime.isUsableForPlacement(ticket, nowNanos))
-                        .isEmpty())
-                .toList();
-    }
-
-    private List<BackendServer.Incarnation> dueForRecheck(TicketNeed need, long nowNanos) {
-        return need.servers().stream()
-                .map(TrackedServer::incarnation)
-                .filter(server -> isDueForRecheck(server, nowNanos))
-                .sorted(Comparator.comparingLong(server -> refused.get(server).answeredNanos()))
-                .toList();
-    }
-
-    private boolean isDueForRecheck(BackendServer.Incarnation server, long nowNanos) {
-        Refusal refusal = refused.get(server);
-        return refusal != null
-                && nowNanos - refusal.answeredNanos()
-                        >= RECHECK_DELAY.toNanos() << Math.min(refusal.count() - 1, MAX_RECHECK_DOUBLINGS);
-    }
-
     /** Renews the tickets that let work items start; for a gang those of all its servers, so that they are valid at once. */
     private Optional<Request> renewal(
             TicketNeed need, List<TrackedServer> withRoom, int shared, TicketLifetime lifetime, long nowNanos) {
@@ -314,7 +214,8 @@
         int places = 0;
         boolean anyExpired = false;
         for (TrackedServer server : withRoom) {
-            boolean isExpired = !expired(List.of(server), lifetime, nowNanos).isEmpty();
+            boolean isExpired =
+                    !known.expired(List.of(server), lifetime, nowNanos).isEmpty();
             boolean enough = places >= need.waitingCount() && (gang || chosen.size() >= shared);
             if (enough || !gang && chosen.size() >= AdviceCallSize.MAX_SERVERS) {
                 break;
@@ -329,7 +230,7 @@
             return Optional.empty();
         }
         return gang
-                ? request(Purpose.START, oldestFirst(chosen), evenPart(chosen.size()))
+                ? request(Purpose.START, known.oldestFirst(chosen), evenPart(chosen.size()))
                         .map(request -> new Request(request.purpose(), request.servers(), true))
                 : request(Purpose.START, chosen, chosen.size());
     }
@@ -340,24 +241,17 @@
         return (servers + calls - 1) / Math.max(1, calls);
     }
 
-    private List<BackendServer.Incarnation> oldestFirst(Collection<BackendServer.Incarnation> servers) {
-        return servers.stream()
-                .sorted(Comparator.comparingLong(
-                        server -> ticket(server).map(Ticket::answeredNanos).orElse(Long.MIN_VALUE)))
-                .toList();
-    }
-
     /** Asks about further servers, those with room first. */
-    private Optional<Request> exploration(TicketNeed need, Candidates candidates, int shared) {
-        double stepShare = advice.allowedShare().ofStep(asked(), allowed.size());
+    private Optional<Request> exploration(TicketNeed need, KnownServers.Candidates candidates, int shared) {
+        double stepShare = advice.allowedShare().ofStep(asked(), known.allowedCount());
         ToDoubleFunction<TrackedServer> score = server -> need.preference().applyAsDouble(server)
                 * advice.allowedShare().ofServer(server.incarnation().serverId(), stepShare);
         boolean start = !candidates.unaskedWithRoom().isEmpty();
         List<TrackedServer> servers = new ArrayList<>(candidates.unaskedWithRoom());
-        sort(servers, score);
+        KnownServers.sort(servers, score);
         int needed = neededServers(need, servers, stepShare);
         List<TrackedServer> others = new ArrayList<>(candidates.unaskedWithoutRoom());
-        sort(others, score);
+        KnownServers.sort(others, score);
         servers.addAll(others);
         int most = advice.callSize().needed(asked());
         return request(
