--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/AdviceCallSize.java
@@ -69,7 +69,7 @@
     }
 
     /** Returns the largest number of servers to name while other steps wait; larger after answers in vain. */
-    int needed(int asked) {
+    private int needed(int asked) {
         return Math.min(Math.max(FIRST_CALL_SERVERS, asked), max());
     }
 
--- a/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
+++ b/basilswitch-core/src/main/java/org/basilswitch/schedule/StepTickets.java
@@ -253,7 +253,7 @@
         List<TrackedServer> others = new ArrayList<>(candidates.unaskedWithoutRoom());
         KnownServers.sort(others, score);
         servers.addAll(others);
-        int most = advice.callSize().needed(asked());
+        int most = advice.callSize().max();
         return request(
                 start ? Purpose.START : Purpose.EXPLORE,
                 servers.stream().map(TrackedServer::incarnation).toList(),
